--- /dev/null
+++ b/hutbook/src/coordination/core.rs
@@ -0,0 +1,841 @@
+//! The core's agreed state and its leader's memory: configuration, servers,
+//! cells, places, store groups; licences, shares and the scaler's windows.
+
+use super::raft::{Change, Denial, Raft};
+use super::replica::{Machine, Plan, Stand, Todo};
+use super::scaler::{self, Course, Decision, GroupNow, PairNow, Sample, Scene};
+use super::shares::{Held, Ledger};
+use super::view::{Event, Server, StoreGroup, View};
+use crate::constants::*;
+use crate::state::config::Config;
+use crate::state::entry::{to_bytes, Member, Members};
+use crate::state::hist::Hist;
+use crate::state::journal::Journal;
+use std::collections::{BTreeMap, VecDeque};
+
+/// The caller of a turn: whoever stands outside the fleet.
+pub const OUTSIDE: &str = "callers";
+
+messages! {
+    /// One edge's measurements over one window.
+    pub struct Window {
+        /// The edge's own count of windows.
+        #[n(0)] pub no: u64,
+        /// ms since it ended.
+        #[n(1)] pub age: u64,
+        /// (caller, callee, latencies).
+        #[n(2)] pub pairs: Vec<(String, String, Hist)>,
+        /// (group, queued, under way, pressure, cache), means over the window.
+        #[n(3)] pub groups: Vec<(String, f64, f64, f64, f64)>,
+    }
+    pub struct Renewal {
+        #[n(0)] pub node: u64,
+        #[n(1)] pub cell: String,
+        #[n(2)] pub addr: String,
+        /// Revision applied, and number of the last grant taken.
+        #[n(3)] pub have: u64,
+        #[n(4)] pub seen: u64,
+        #[n(5)] pub demand: Vec<(String, u32)>,
+        #[n(6)] pub held: Vec<Held>,
+        #[n(7)] pub windows: Vec<Window>,
+    }
+    pub enum Update {
+        #[n(0)] Events(#[n(0)] Vec<(u64, Event)>),
+        #[n(1)] Whole(#[n(0)] Box<View>),
+    }
+    pub struct Grant {
+        #[n(0)] pub no: u64,
+        /// Term of the leader that gives it: a new one gets every window again.
+        #[n(1)] pub term: u64,
+        #[n(2)] pub rev: u64,
+        #[n(3)] pub update: Update,
+        #[n(4)] pub shares: BTreeMap<String, u32>,
+    }
+    pub struct CheckIn {
+        #[n(0)] pub me: Member,
+        #[n(1)] pub cell: String,
+        /// From a store group's leader: the group and its members.
+        #[n(2)] pub leads: Option<(u32, Members)>,
+    }
+    #[derive(Default)]
+    pub struct Duty {
+        #[n(0)] pub cluster: u64,
+        #[n(1)] pub cores: Vec<Member>,
+        #[n(2)] pub group: Option<u32>,
+        /// Form the group alone, if it has never been formed.
+        #[n(3)] pub founder: bool,
+        #[n(4)] pub wanted: Vec<Member>,
+    }
+    pub enum CoreAsk {
+        #[n(0)] Renew(#[n(0)] Renewal),
+        #[n(1)] CheckIn(#[n(0)] CheckIn),
+        #[n(2)] Join(#[n(0)] Member),
+        #[n(3)] PutConfig { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config> },
+        #[n(4)] GetConfig(#[n(0)] u64),
+        #[n(5)] Configs,
+        #[n(6)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
+        #[n(7)] Leave(#[n(0)] String),
+        #[n(8)] Remove(#[n(0)] String),
+        #[n(9)] Servers,
+        #[n(10)] Evacuate { #[n(0)] cell: String, #[n(1)] out: bool },
+        #[n(11)] Evacuation(#[n(0)] String),
+        #[n(12)] Retire(#[n(0)] u64),
+        #[n(13)] Retirement(#[n(0)] u64),
+        #[n(14)] Members,
+        #[n(15)] RemoveCore(#[n(0)] u64),
+        #[n(16)] Places,
+        #[n(17)] Scaler,
+        #[n(18)] Status,
+        #[n(19)] Thought { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
+    }
+    pub enum CoreTell {
+        #[n(0)] Grant(#[n(0)] Box<Grant>),
+        #[n(1)] Duty(#[n(0)] Duty),
+        /// Agreed, at this revision.
+        #[n(2)] Agreed(#[n(0)] u64),
+        #[n(3)] Config { #[n(0)] rev: u64, #[n(1)] text: String },
+        #[n(4)] Json(#[n(0)] String),
+        /// A change that lost its race, and the revision that won.
+        #[n(5)] Raced(#[n(0)] u64),
+        #[n(6)] Refused { #[n(0)] code: String, #[n(1)] why: String },
+        #[n(7)] Unknown(#[n(0)] String),
+        #[n(8)] NotLeader(#[n(0)] Option<Member>),
+        #[n(9)] Lost,
+        #[n(10)] Busy,
+    }
+    enum CoreCmd {
+        #[n(0)] Found(#[n(0)] u64),
+        #[n(1)] Config { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config> },
+        #[n(2)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
+        #[n(3)] Leave(#[n(0)] String),
+        #[n(4)] Remove(#[n(0)] String),
+        #[n(5)] Evacuate { #[n(0)] cell: String, #[n(1)] out: bool },
+        #[n(6)] Emptied { #[n(0)] term: u64, #[n(1)] group: String, #[n(2)] server: String },
+        #[n(7)] Stores { #[n(0)] term: u64, #[n(1)] group: u32, #[n(2)] is: StoreGroup },
+        #[n(8)] Decided { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
+        #[n(9)] Retire(#[n(0)] u64),
+    }
+    pub struct Noted {
+        #[n(0)] pub index: u64,
+        #[n(1)] pub term: u64,
+        #[n(2)] pub decision: Decision,
+        /// What came of it: applied, or why not.
+        #[n(3)] pub outcome: String,
+    }
+    #[derive(Default)]
+    struct Kept {
+        #[n(0)] view: View,
+        /// (revision, text, change id), oldest first.
+        #[n(1)] configs: VecDeque<(u64, String, String)>,
+        /// Verdict on each change id: the revision it made, or the one it lost to.
+        #[n(2)] changes: VecDeque<(String, bool, u64)>,
+        #[n(3)] samples: VecDeque<Sample>,
+        #[n(4)] decisions: VecDeque<Noted>,
+        #[n(5)] retired: Vec<u64>,
+    }
+}
+
+/// What the leader has heard from one bothy.
+struct Bothy {
+    me: Member,
+    cell: String,
+    heard: u64,
+}
+
+/// One measuring window, merged over all edges.
+#[derive(Default, Clone)]
+struct Merged {
+    pairs: BTreeMap<(String, String), Hist>,
+    /// queued, under way, pressure (sums over edges), cache (mean) and how many edges said it.
+    groups: BTreeMap<String, ([f64; 4], u32)>,
+}
+
+pub struct Core {
+    kept: Kept,
+    journal: Journal<Event>,
+    /// Leader's memory; gone with the leadership.
+    ledger: Ledger,
+    bothies: BTreeMap<u64, Bothy>,
+    merged: BTreeMap<u64, Merged>,
+    /// Newest window number taken from each edge.
+    seen: BTreeMap<u64, u64>,
+    check_at: u64,
+    last_change: u64,
+    members: Members,
+}
+
+impl Core {
+    /// A core that has agreed on nothing; `found` names the cluster it forms.
+    pub fn new() -> Core {
+        Core {
+            kept: Kept::default(),
+            journal: Journal::new(FEED_EVENTS, 0),
+            ledger: Ledger::default(),
+            bothies: BTreeMap::new(),
+            merged: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            check_at: 0,
+            last_change: 0,
+            members: Members::default(),
+        }
+    }
+
+    /// The first entry of a new cluster's log.
+    pub fn founding(cluster: u64) -> Vec<u8> {
+        to_bytes(&CoreCmd::Found(cluster))
+    }
+
+    pub fn view(&self) -> &View {
+        &self.kept.view
+    }
+
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    fn emit(&mut self, rev: u64, e: Event) {
+        self.kept.view.fold(rev, &e);
+        self.journal.append(rev, e);
+    }
+
+    fn settle(&mut self, rev: u64) {
+        for (group, spots) in self.kept.view.settle(rev) {
+            self.emit(rev, Event::Places { group, spots });
+        }
+    }
+
+    fn done(&mut self, rev: u64) -> CoreTell {
+        self.settle(rev);
+        CoreTell::Agreed(rev)
+    }
+
+    fn put_config(&mut self, rev: u64, base: u64, change: String, text: String, config: Config) -> CoreTell {
+        if let Some(t) = self.changed(&change) {
+            return t;
+        }
+        let cur = self.kept.view.config_rev;
+        let won = base == cur;
+        self.kept.changes.push_back((change.clone(), won, if won { rev } else { cur }));
+        if self.kept.changes.len() > CHANGES_KEPT {
+            self.kept.changes.pop_front();
+        }
+        if !won {
+            return CoreTell::Raced(cur);
+        }
+        self.kept.configs.push_back((rev, text.clone(), change));
+        if self.kept.configs.len() > CONFIGS_KEPT {
+            self.kept.configs.pop_front();
+        }
+        // a group whose bounds moved keeps its count inside them
+        for (n, g) in &config.groups {
+            let c = self.kept.view.wanted.get(n).copied().unwrap_or(g.least).clamp(g.least, g.most);
+            self.emit(rev, Event::Wanted { group: n.clone(), count: c });
+        }
+        self.emit(rev, Event::Config { text, config });
+        self.done(rev)
+    }
+
+    /// The first verdict on a change that was sent again.
+    fn changed(&self, change: &str) -> Option<CoreTell> {
+        let c = self.kept.changes.iter().find(|(c, _, _)| c == change)?;
+        Some(if c.1 { CoreTell::Agreed(c.2) } else { CoreTell::Raced(c.2) })
+    }
+
+    fn list(&mut self, rev: u64, name: String, group: String, addr: String, cell: String) -> CoreTell {
+        let old = self.kept.view.servers.get(&name);
+        // the same listing again changes nothing, or it would turn a warm server cold
+        if old.is_some_and(|s| !s.leaving && (&s.group, &s.addr, &s.cell) == (&group, &addr, &cell)) {
+            return CoreTell::Agreed(self.kept.view.rev);
+        }
+        self.emit(rev, Event::Server(Server { name, group, addr, cell, leaving: false, since: rev }));
+        self.done(rev)
+    }
+
+    fn leave(&mut self, rev: u64, name: &str) -> CoreTell {
+        let Some(s) = self.kept.view.servers.get(name).cloned() else {
+            return CoreTell::Unknown(format!("no server {name} is listed"));
+        };
+        self.emit(rev, Event::Server(Server { leaving: true, ..s }));
+        self.done(rev)
+    }
+
+    fn evacuate(&mut self, rev: u64, cell: String, out: bool) -> CoreTell {
+        if let Some(r) = self.kept.view.out.get(&cell).filter(|_| out) {
+            return CoreTell::Agreed(*r);
+        }
+        if out {
+            let v = &self.kept.view;
+            let left = v.servers.values().any(|s| s.cell != cell && !v.out.contains_key(&s.cell) && !s.leaving);
+            if !left {
+                let why = format!("no server outside {cell} would be left to take its work");
+                return CoreTell::Refused { code: "last_cell".into(), why };
+            }
+        }
+        self.emit(rev, Event::Cell { cell, out });
+        self.done(rev)
+    }
+
+    fn decided(&mut self, rev: u64, term: u64, d: Decision, sample: Sample) {
+        let most = self.kept.view.config.as_ref().map_or(480, |c| c.scaler.history) as usize;
+        self.kept.samples.push_back(sample);
+        while self.kept.samples.len() > most {
+            self.kept.samples.pop_front();
+        }
+        let stale = d.moves.iter().find(|m| self.kept.view.wanted.get(&m.group) != Some(&m.from));
+        let outcome = match stale {
+            Some(m) => format!("not applied: {} no longer stood at {}", m.group, m.from),
+            None => {
+                for m in &d.moves {
+                    self.emit(rev, Event::Wanted { group: m.group.clone(), count: m.to });
+                }
+                "applied".to_string()
+            }
+        };
+        self.settle(rev);
+        self.kept.decisions.push_back(Noted { index: rev, term, decision: d, outcome });
+        while self.kept.decisions.len() > DECISIONS_KEPT {
+            self.kept.decisions.pop_front();
+        }
+    }
+
+    fn retire(&mut self, rev: u64, node: u64) -> CoreTell {
+        let g = self.kept.view.stores.iter().find(|(_, s)| s.wanted.iter().any(|m| m.id == node));
+        let Some((g, s)) = g.map(|(g, s)| (*g, s.clone())) else {
+            if self.kept.retired.contains(&node) {
+                return CoreTell::Agreed(self.kept.view.rev);
+            }
+            return CoreTell::Unknown("no such store node is a member of a group".into());
+        };
+        if s.wanted.len() < 2 {
+            let why = "it is the last copy of its group".to_string();
+            return CoreTell::Refused { code: "last_copy".into(), why };
+        }
+        let mut is = s;
+        is.wanted.retain(|m| m.id != node);
+        self.kept.retired.push(node);
+        self.emit(rev, Event::Stores { group: g, is });
+        self.done(rev)
+    }
+
+    fn grant(&mut self, st: Stand, r: Renewal) -> CoreTell {
+        self.take_windows(st.now, r.node, r.windows);
+        self.ledger.hear(st.now, r.node, r.seen, r.have, &r.cell, &r.addr, r.demand, r.held);
+        let (no, shares) = self.ledger.grant(st.now, &self.kept.view, r.node);
+        let update = match self.journal.since(r.have) {
+            Some(e) if r.have <= self.kept.view.rev && (r.have > 0 || self.kept.view.rev == 0) => Update::Events(e),
+            _ => Update::Whole(Box::new(self.kept.view.clone())),
+        };
+        CoreTell::Grant(Box::new(Grant { no, term: st.term, rev: self.kept.view.rev, update, shares }))
+    }
+
+    fn take_windows(&mut self, now: u64, node: u64, ws: Vec<Window>) {
+        for w in ws {
+            if self.seen.get(&node).is_some_and(|n| w.no <= *n) {
+                continue;
+            }
+            self.seen.insert(node, w.no);
+            // aligned by when it ended on this leader's clock
+            let slot = now.saturating_sub(w.age) / WINDOW_MS;
+            let m = self.merged.entry(slot).or_default();
+            for (a, b, h) in w.pairs {
+                m.pairs.entry((a, b)).or_default().merge(&h);
+            }
+            for (g, q, b, p, c) in w.groups {
+                let e = m.groups.entry(g).or_default();
+                e.0[0] += q;
+                e.0[1] += b;
+                e.0[2] = e.0[2].max(p);
+                e.0[3] += c;
+                e.1 += 1;
+            }
+        }
+        let old = (now / WINDOW_MS).saturating_sub(WINDOWS_KEPT as u64);
+        self.merged = self.merged.split_off(&old);
+    }
+
+    /// Everything one decision looks at.
+    fn scene(&self, now: u64, term: u64) -> Option<Scene> {
+        let c = self.kept.view.config.as_ref()?;
+        // the newest slot is still filling
+        let slots: Vec<u64> = match (self.merged.keys().next(), now / WINDOW_MS) {
+            (Some(a), b) => (*a..b).collect(),
+            _ => return None,
+        };
+        let none = Merged::default();
+        let at = |i: &u64| self.merged.get(i).unwrap_or(&none);
+        let mut groups = vec![];
+        for (n, g) in &c.groups {
+            let (room, count) = self.kept.view.room(n);
+            let load = slots.iter().map(|i| {
+                let into = at(i).pairs.iter().filter(|((_, b), _)| b == n);
+                into.map(|(_, h)| h.count()).sum::<u64>() as f64 * 1_000.0 / WINDOW_MS as f64
+            });
+            let metric = |k: usize| {
+                let one = |i: &u64| {
+                    let g = at(i).groups.get(n);
+                    g.map_or(0.0, |(v, e)| if k == 3 { v[k] / f64::from((*e).max(1)) } else { v[k] })
+                };
+                slots.iter().map(one).collect::<Vec<f64>>()
+            };
+            groups.push(GroupNow {
+                name: n.clone(),
+                count,
+                least: g.least,
+                room,
+                slo_ms: g.slo_ms,
+                in_flight: g.in_flight,
+                load: load.collect(),
+                metrics: (0..4).map(metric).collect(),
+            });
+        }
+        let mut names: Vec<(String, String)> = slots.iter().flat_map(|i| at(i).pairs.keys().cloned()).collect();
+        names.sort();
+        names.dedup();
+        let pairs = names.into_iter().map(|k| {
+            let windows = slots.iter().map(|i| at(i).pairs.get(&k).cloned().unwrap_or_default()).collect();
+            PairNow { caller: k.0, callee: k.1, windows }
+        });
+        Some(Scene {
+            groups,
+            pairs: pairs.collect(),
+            samples: self.kept.samples.iter().cloned().collect(),
+            tuning: c.scaler.clone(),
+            seed: self.kept.view.cluster ^ term.rotate_left(32) ^ self.kept.view.rev,
+            term,
+            keep: self.keep(),
+            span: (CHECK_MS / WINDOW_MS) as usize,
+        })
+    }
+
+    /// Why nothing may shrink now.
+    fn keep(&self) -> Option<String> {
+        let v = &self.kept.view;
+        if !v.out.is_empty() {
+            return Some("a cell is evacuated".into());
+        }
+        if v.servers.values().any(|s| s.leaving) {
+            return Some("servers are leaving, as in a roll-out".into());
+        }
+        if v.places.values().flatten().any(|(_, s)| s.draining) {
+            return Some("the step before is still draining".into());
+        }
+        None
+    }
+
+    fn think(&mut self, st: Stand) -> Option<Scene> {
+        let cool = self.kept.view.config.as_ref()?.scaler.cooldown_ms;
+        if st.now < self.check_at || st.now < self.ledger.rose + cool {
+            return None;
+        }
+        self.check_at = st.now + CHECK_MS;
+        let s = self.scene(st.now, st.term)?;
+        Some(s)
+    }
+
+    fn thought(&mut self, st: Stand, term: u64, d: &Decision, sample: &Sample) -> Plan<CoreTell> {
+        if term != st.term {
+            return Plan::Tell(CoreTell::Refused {
+                code: "stale_term".into(),
+                why: "it was begun under another term".into(),
+            });
+        }
+        let mut d = d.clone();
+        if let Some(why) = self.moved(st, &d) {
+            d.moves.clear();
+            d.course = Course::Stay;
+            d.reasons.push(why);
+        }
+        let cmd = CoreCmd::Decided { term, decision: Box::new(d), sample: Box::new(sample.clone()) };
+        Plan::Propose(to_bytes(&cmd))
+    }
+
+    /// The paper takes the workload for steady while it decides; here that is checked.
+    fn moved(&self, st: Stand, d: &Decision) -> Option<String> {
+        let s = self.scene(st.now, st.term)?;
+        let now = s.load();
+        let off = d.moves.iter().find(|m| {
+            let (a, b) = (d.load.get(&m.group).copied().unwrap_or(0.0), now.get(&m.group).copied().unwrap_or(0.0));
+            (a - b).abs() > s.tuning.moved * a.max(b).max(1.0)
+        })?;
+        Some(format!("dropped: the workload of {} moved while it was decided", off.group))
+    }
+
+    /// Proposals that follow from what the leader sees: emptied drains, store members.
+    fn own(&mut self, st: Stand, out: &mut Vec<Todo<Scene>>) {
+        let term = st.term;
+        if !self.ledger.young(st.now) {
+            let draining = self.kept.view.places.iter().flat_map(|(g, p)| p.iter().map(move |(n, s)| (g, n, s)));
+            for (g, n, s) in draining {
+                // empty once nobody can still hold it or have work on it
+                if s.draining && self.ledger.all_have(st.now, self.kept.view.rev) && self.ledger.busy(n) == 0 {
+                    let cmd = CoreCmd::Emptied { term, group: g.clone(), server: n.clone() };
+                    out.push(Todo::Propose(to_bytes(&cmd)));
+                }
+            }
+        }
+        if let Some((group, is)) = self.next_stores(st.now) {
+            out.push(Todo::Propose(to_bytes(&CoreCmd::Stores { term, group, is })));
+        }
+    }
+
+    /// The next change to a store group's wanted members, if one is due.
+    fn next_stores(&self, now: u64) -> Option<(u32, StoreGroup)> {
+        let v = &self.kept.view;
+        let live = |id: u64| self.bothies.get(&id).is_some_and(|b| now < b.heard + REPAIR_MS);
+        let free = |b: &&Bothy| {
+            now < b.heard + 2 * CHECK_IN_MS
+                && !self.kept.retired.contains(&b.me.id)
+                && v.stores.values().all(|s| s.wanted.iter().chain(&s.actual).all(|m| m.id != b.me.id))
+        };
+        let Some((g, s)) = v.stores.iter().next() else {
+            let b = self.bothies.values().find(free)?;
+            return Some((1, StoreGroup { wanted: vec![b.me.clone()], founder: b.me.id, actual: vec![] }));
+        };
+        // one change at a time: what was wanted before must have come about
+        let ids = |m: &[Member]| m.iter().map(|x| x.id).collect::<std::collections::BTreeSet<_>>();
+        let settled = ids(&s.wanted) == ids(&s.actual);
+        let cells: Vec<&str> =
+            s.wanted.iter().filter_map(|m| self.bothies.get(&m.id)).map(|b| b.cell.as_str()).collect();
+        let spare = self.bothies.values().filter(free).min_by_key(|b| cells.iter().filter(|c| **c == b.cell).count());
+        if s.wanted.len() < STORE_COPIES {
+            let b = spare.filter(|_| settled)?;
+            let mut is = s.clone();
+            is.wanted.push(b.me.clone());
+            return Some((*g, is));
+        }
+        // a dead copy is replaced where a spare stands ready; the new one comes first
+        let dead = s.wanted.iter().find(|m| !live(m.id) && now > self.ledger.rose + REPAIR_MS)?;
+        let mut is = s.clone();
+        is.wanted.retain(|m| m.id != dead.id);
+        is.wanted.push(spare?.me.clone());
+        Some((*g, is))
+    }
+
+    fn check_in(&mut self, st: Stand, c: CheckIn) -> CoreTell {
+        let id = c.me.id;
+        let v = &self.kept.view;
+        let group = v.stores.iter().find(|(_, s)| s.wanted.iter().chain(&s.actual).any(|m| m.id == id));
+        let mut d = Duty { cluster: v.cluster, cores: self.members.voters.clone(), ..Duty::default() };
+        if let Some((g, s)) = group {
+            d.group = Some(*g);
+            d.founder = s.founder == id && s.actual.is_empty();
+            d.wanted = s.wanted.clone();
+        }
+        self.bothies.insert(id, Bothy { me: c.me, cell: c.cell, heard: st.now });
+        CoreTell::Duty(d)
+    }
+
+    /// A store leader's word on its group, when it is news.
+    fn group_news(&self, c: &CheckIn) -> Option<StoreGroup> {
+        let (g, m) = c.leads.as_ref()?;
+        let s = self.kept.view.stores.get(g)?;
+        let mut actual: Vec<Member> = m.voters.clone();
+        actual.sort();
+        let mut wanted = s.wanted.clone();
+        // a member that moved is found at its new address
+        wanted.iter_mut().filter(|w| w.id == c.me.id).for_each(|w| w.addr = c.me.addr.clone());
+        let is = StoreGroup { actual, wanted, founder: s.founder };
+        (&is != s).then_some(is)
+    }
+
+    fn json(&self, st: Stand, ask: &CoreAsk) -> Option<jzon::JsonValue> {
+        let v = &self.kept.view;
+        Some(match ask {
+            CoreAsk::Configs => {
+                let mut a = jzon::array![];
+                for (rev, _, change) in &self.kept.configs {
+                    let _ = a.push(jzon::object! { revision: *rev, change: change.as_str() });
+                }
+                a
+            }
+            CoreAsk::Servers => {
+                let mut a = jzon::array![];
+                for s in v.servers.values() {
+                    let _ = a.push(jzon::object! {
+                        name: s.name.as_str(), group: s.group.as_str(), address: s.addr.as_str(), cell: s.cell.as_str(),
+                        leaving: s.leaving, usable: v.usable(&s.name), listed_at: s.since, busy: self.ledger.busy(&s.name),
+                    });
+                }
+                a
+            }
+            CoreAsk::Evacuation(cell) => {
+                let rev = *v.out.get(cell)?;
+                let waits: Vec<String> = self
+                    .ledger
+                    .edges
+                    .iter()
+                    .filter(|(_, e)| e.until >= st.now && e.have < rev)
+                    .map(|(n, _)| id_text(*n))
+                    .collect();
+                jzon::object! { cell: cell.as_str(), revision: rev, done: self.ledger.all_have(st.now, rev), waiting_for: waits }
+            }
+            CoreAsk::Retirement(node) => {
+                let still = v.stores.values().any(|s| s.actual.iter().any(|m| m.id == *node));
+                if !self.kept.retired.contains(node) {
+                    return None;
+                }
+                jzon::object! { node: id_text(*node), done: !still }
+            }
+            CoreAsk::Members => members_json(&self.members),
+            CoreAsk::Places => {
+                let mut o = jzon::object! {};
+                for (g, p) in &v.places {
+                    let (room, want) = v.room(g);
+                    let mut a = jzon::array![];
+                    for (n, s) in p {
+                        let _ = a.push(jzon::object! { server: n.as_str(), since: s.since, draining: s.draining });
+                    }
+                    o[g.as_str()] = jzon::object! { wanted: want, room: room, servers: a };
+                }
+                o
+            }
+            CoreAsk::Scaler => {
+                let mut a = jzon::array![];
+                for n in &self.kept.decisions {
+                    let _ = a.push(noted_json(n));
+                }
+                let held = self.kept.samples.iter().filter(|s| s.ok).count();
+                jzon::object! { samples: self.kept.samples.len(), samples_held: held, decisions: a }
+            }
+            CoreAsk::Status => {
+                let mut stores = jzon::object! {};
+                for (g, s) in &v.stores {
+                    let ids = |m: &[Member]| m.iter().map(|x| id_text(x.id)).collect::<Vec<_>>();
+                    stores[g.to_string()] = jzon::object! { wanted: ids(&s.wanted), actual: ids(&s.actual) };
+                }
+                let silent = self.bothies.values().filter(|b| st.now > b.heard + REPAIR_MS).count();
+                let mut edges = jzon::array![];
+                for (n, e) in &self.ledger.edges {
+                    let _ = edges.push(jzon::object! { node: id_text(*n), address: e.addr.as_str(), cell: e.cell.as_str(), licensed: e.until >= st.now, revision: e.have });
+                }
+                jzon::object! {
+                    cluster: id_text(v.cluster), term: st.term, revision: v.rev, config_revision: v.config_rev,
+                    core: members_json(&self.members), edges: edges, stores: stores, silent_stores: silent,
+                    servers: v.servers.len(), evacuated: v.out.keys().cloned().collect::<Vec<_>>(),
+                }
+            }
+            _ => return None,
+        })
+    }
+}
+
+pub fn id_text(id: u64) -> String {
+    format!("{id:016x}")
+}
+
+pub fn members_json(m: &Members) -> jzon::JsonValue {
+    let list = |l: &[Member]| {
+        l.iter().map(|x| jzon::object! { node: id_text(x.id), address: x.addr.as_str() }).collect::<Vec<_>>()
+    };
+    jzon::object! { voters: list(&m.voters), learners: list(&m.learners) }
+}
+
+fn noted_json(n: &Noted) -> jzon::JsonValue {
+    let d = &n.decision;
+    let ranks: Vec<jzon::JsonValue> =
+        d.ranks.iter().map(|(g, v)| jzon::object! { group: g.as_str(), score: *v }).collect();
+    let moves: Vec<jzon::JsonValue> =
+        d.moves.iter().map(|m| jzon::object! { group: m.group.as_str(), from: m.from, to: m.to }).collect();
+    let mut load = jzon::object! {};
+    d.load.iter().for_each(|(g, l)| load[g.as_str()] = (*l).into());
+    jzon::object! {
+        index: n.index, term: n.term, course: format!("{:?}", d.course).to_lowercase(), abnormal: d.abnormal.clone(),
+        ranks: ranks, moves: moves, judge: d.judge.as_str(), reasons: d.reasons.clone(), load: load, outcome: n.outcome.as_str(),
+    }
+}
+
+impl Default for Core {
+    fn default() -> Self {
+        Core::new()
+    }
+}
+
+impl Machine for Core {
+    type Ask = CoreAsk;
+    type Tell = CoreTell;
+    type Think = Scene;
+
+    fn plan(&mut self, st: Stand, ask: &CoreAsk) -> Plan<CoreTell> {
+        let cmd = match ask.clone() {
+            CoreAsk::CheckIn(c) => match self.group_news(&c) {
+                Some(is) => {
+                    self.check_in(st, c.clone());
+                    let group = c.leads.expect("news comes from a leader").0;
+                    CoreCmd::Stores { term: st.term, group, is }
+                }
+                None => return Plan::Read,
+            },
+            CoreAsk::Join(m) => {
+                let known = self.members.all().find(|x| x.id == m.id);
+                return match known {
+                    Some(_) => Plan::Read,
+                    None => Plan::Change(Change::AddLearner(m)),
+                };
+            }
+            CoreAsk::RemoveCore(id) => return Plan::Change(Change::Remove(id)),
+            CoreAsk::PutConfig { base, change, text, config } => {
+                if let Some(t) = self.changed(&change) {
+                    return Plan::Tell(t);
+                }
+                CoreCmd::Config { base, change, text, config }
+            }
+            CoreAsk::List { name, group, addr, cell } => CoreCmd::List { name, group, addr, cell },
+            CoreAsk::Leave(n) => CoreCmd::Leave(n),
+            CoreAsk::Remove(n) => CoreCmd::Remove(n),
+            CoreAsk::Evacuate { cell, out } => CoreCmd::Evacuate { cell, out },
+            CoreAsk::Retire(n) => CoreCmd::Retire(n),
+            CoreAsk::Thought { term, decision, sample } => return self.thought(st, term, &decision, &sample),
+            _ => return Plan::Read,
+        };
+        Plan::Propose(to_bytes(&cmd))
+    }
+
+    fn answer(&mut self, st: Stand, ask: CoreAsk) -> CoreTell {
+        match ask {
+            CoreAsk::Renew(r) => self.grant(st, r),
+            CoreAsk::CheckIn(c) => self.check_in(st, c),
+            CoreAsk::Join(_) => {
+                let d = Duty { cluster: self.kept.view.cluster, cores: self.members.voters.clone(), ..Duty::default() };
+                CoreTell::Duty(d)
+            }
+            CoreAsk::GetConfig(0) if self.kept.view.config_rev > 0 => {
+                CoreTell::Config { rev: self.kept.view.config_rev, text: self.kept.view.config_text.clone() }
+            }
+            CoreAsk::GetConfig(r) => match self.kept.configs.iter().find(|(x, _, _)| *x == r) {
+                Some((rev, text, _)) => CoreTell::Config { rev: *rev, text: text.clone() },
+                None => CoreTell::Unknown("no config of that revision is kept".into()),
+            },
+            a => match self.json(st, &a) {
+                Some(j) => CoreTell::Json(j.dump()),
+                None => CoreTell::Unknown("nothing of that name".into()),
+            },
+        }
+    }
+
+    fn apply(&mut self, index: u64, term: u64, bytes: &[u8]) -> CoreTell {
+        let Ok(cmd) = minicbor::decode::<CoreCmd>(bytes) else {
+            // the same bytes fail the same way on every replica
+            return CoreTell::Lost;
+        };
+        let stale = CoreTell::Refused { code: "stale_term".into(), why: "decided under an earlier term".into() };
+        match cmd {
+            CoreCmd::Found(c) => {
+                // the first one names the cluster for ever
+                if self.kept.view.cluster == 0 {
+                    self.emit(index, Event::Cluster(c));
+                    self.emit(index, Event::Slots(vec![1; STORE_SLOTS as usize]));
+                }
+                CoreTell::Agreed(index)
+            }
+            CoreCmd::Config { base, change, text, config } => self.put_config(index, base, change, text, *config),
+            CoreCmd::List { name, group, addr, cell } => self.list(index, name, group, addr, cell),
+            CoreCmd::Leave(n) => self.leave(index, &n),
+            CoreCmd::Remove(n) => {
+                if !self.kept.view.servers.contains_key(&n) {
+                    return CoreTell::Unknown(format!("no server {n} is listed"));
+                }
+                self.emit(index, Event::Gone(n));
+                self.done(index)
+            }
+            CoreCmd::Evacuate { cell, out } => self.evacuate(index, cell, out),
+            CoreCmd::Retire(n) => self.retire(index, n),
+            // decided by a leader whose term is over: void
+            CoreCmd::Emptied { term: t, .. } | CoreCmd::Stores { term: t, .. } | CoreCmd::Decided { term: t, .. }
+                if t != term =>
+            {
+                stale
+            }
+            CoreCmd::Emptied { group, server, .. } => {
+                let Some(mut spots) = self.kept.view.places.get(&group).cloned() else {
+                    return CoreTell::Agreed(index);
+                };
+                if spots.get(&server).is_some_and(|s| s.draining) {
+                    spots.remove(&server);
+                    self.emit(index, Event::Places { group, spots });
+                }
+                self.done(index)
+            }
+            CoreCmd::Stores { group, is, .. } => {
+                self.emit(index, Event::Stores { group, is });
+                CoreTell::Agreed(index)
+            }
+            CoreCmd::Decided { decision, sample, .. } => {
+                self.decided(index, term, *decision, *sample);
+                CoreTell::Agreed(index)
+            }
+        }
+    }
+
+    fn members_agreed(&mut self, index: u64, m: &Members) -> CoreTell {
+        self.members = m.clone();
+        self.emit(index, Event::Cores(m.voters.clone()));
+        CoreTell::Duty(Duty { cluster: self.kept.view.cluster, cores: m.voters.clone(), ..Duty::default() })
+    }
+
+    fn capture(&self) -> Vec<u8> {
+        to_bytes(&self.kept)
+    }
+
+    fn restore(&mut self, data: &[u8]) {
+        self.kept = minicbor::decode(data).unwrap_or_default();
+        // what came before the capture can only be fed whole
+        self.journal = Journal::new(FEED_EVENTS, self.kept.view.rev);
+    }
+
+    fn rose(&mut self, st: Stand) {
+        self.ledger = Ledger::new(st.now);
+        self.bothies.clear();
+        self.merged.clear();
+        self.seen.clear();
+        self.check_at = st.now + CHECK_MS;
+    }
+
+    fn fell(&mut self) {
+        self.ledger = Ledger::default();
+    }
+
+    fn tick(&mut self, st: Stand, raft: &Raft) -> Vec<Todo<Scene>> {
+        let mut out = vec![];
+        self.members = raft.members().clone();
+        self.ledger.sweep(st.now);
+        if st.now >= self.last_change + CHECK_IN_MS {
+            self.last_change = st.now;
+            self.own(st, &mut out);
+            out.extend(self.next_core(st.now, raft).map(Todo::Change));
+        }
+        out.extend(self.think(st).map(Todo::Think));
+        out
+    }
+
+    fn denied(&self, why: Denial, leader: Option<Member>) -> CoreTell {
+        match why {
+            Denial::NotLeader => CoreTell::NotLeader(leader),
+            Denial::Busy => CoreTell::Busy,
+            Denial::Lost => CoreTell::Lost,
+            Denial::Unsafe(why) => CoreTell::Refused { code: "unsafe".into(), why },
+        }
+    }
+}
+
+impl Core {
+    /// The core's own members: newcomers learn, then vote; a dead one goes once enough others live.
+    fn next_core(&self, now: u64, raft: &Raft) -> Option<Change> {
+        let m = raft.members();
+        let heard = raft.heard();
+        let of = |id: u64| heard.iter().find(|(p, _, _)| *p == id);
+        let live = |id: u64| id == raft.id || of(id).is_some_and(|h| now < h.2 + REPAIR_MS);
+        let dead = m.voters.iter().find(|v| !live(v.id));
+        let alive = m.voters.iter().filter(|v| live(v.id)).count();
+        if let Some(d) = dead.filter(|_| alive >= CORE_LEAST) {
+            return Some(Change::Remove(d.id));
+        }
+        let ready = |l: &&Member| of(l.id).is_some_and(|h| h.1 + PROMOTE_LAG >= raft.last() && now < h.2 + ELECTION_MS);
+        let room = m.voters.len() < CORE_VOTERS || dead.is_some();
+        m.learners.iter().find(ready).filter(|_| room).map(|l| Change::Promote(l.id))
+    }
+}
+
+/// The scaler's work on one scene; runs outside the core's thread.
+pub fn ponder(s: &Scene) -> CoreAsk {
+    CoreAsk::Thought { term: s.term, decision: Box::new(scaler::decide(s)), sample: Box::new(s.sample(OUTSIDE)) }
+}
--- /dev/null
+++ b/hutbook/src/coordination/edge.rs
@@ -0,0 +1,329 @@
+//! What one trailhead knows and may do: the view it follows, its licence, its
+//! waiting lines and its measurements. Each under its own lock.
+
+use super::core::{Grant, Renewal, Update, Window};
+use super::line::{Line, Placed, Refusal, Wait};
+use super::shares::Held;
+use super::view::View;
+use crate::constants::*;
+use crate::state::hist::Hist;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use tokio::sync::oneshot;
+
+type Tell = oneshot::Sender<Result<Seat, Refusal>>;
+type Lane = Arc<Mutex<Line<Tell>>>;
+
+/// A place held on a server; given back when it is dropped.
+#[derive(Debug)]
+pub struct Seat {
+    pub placed: Placed,
+    lane: Option<LaneRef>,
+}
+
+struct LaneRef(Lane);
+
+impl std::fmt::Debug for LaneRef {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("lane")
+    }
+}
+
+impl Seat {
+    /// The job has left its server.
+    pub fn done(mut self, now: u64, took: Option<u64>, ok: bool) {
+        if let Some(l) = self.lane.take() {
+            grip(&l.0).done(now, &self.placed.server, self.placed.since, took, ok);
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if let Some(l) = self.lane.take() {
+            grip(&l.0).give_back(&self.placed.server);
+        }
+    }
+}
+
+/// A panic elsewhere must not take the lane with it; counts stay usable.
+pub fn grip<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+#[derive(Default)]
+struct Licence {
+    until: u64,
+    no: u64,
+    term: u64,
+}
+
+#[derive(Default)]
+struct Book {
+    no: u64,
+    from: u64,
+    pairs: BTreeMap<(String, String), Hist>,
+    /// Sums over looks, and how many looks.
+    groups: BTreeMap<String, ([f64; 4], u32)>,
+    kept: VecDeque<(u64, Window)>,
+    /// Newest window that a renewal which was answered has carried.
+    told: u64,
+    sent: u64,
+}
+
+pub struct Edge {
+    pub id: u64,
+    pub cell: String,
+    pub addr: String,
+    view: RwLock<Arc<View>>,
+    licence: Mutex<Licence>,
+    lanes: RwLock<BTreeMap<String, Lane>>,
+    book: Mutex<Book>,
+    /// Retries saved up.
+    retries: Mutex<f64>,
+}
+
+impl Edge {
+    pub fn new(id: u64, cell: &str, addr: &str) -> Edge {
+        Edge {
+            id,
+            cell: cell.into(),
+            addr: addr.into(),
+            view: RwLock::default(),
+            licence: Mutex::default(),
+            lanes: RwLock::default(),
+            book: Mutex::default(),
+            retries: Mutex::new(RETRY_MOST),
+        }
+    }
+
+    pub fn view(&self) -> Arc<View> {
+        self.view.read().unwrap_or_else(|e| e.into_inner()).clone()
+    }
+
+    pub fn licensed(&self, now: u64) -> bool {
+        now < grip(&self.licence).until
+    }
+
+    /// The last look before anything goes out: may this server get work now?
+    pub fn may(&self, now: u64, server: &str, since: u64) -> bool {
+        // the licence is held while the view is read, so a grant can't slip between
+        let l = grip(&self.licence);
+        let v = self.view();
+        now < l.until && v.usable(server) && v.servers.get(server).is_some_and(|s| s.since == since)
+    }
+
+    fn lane(&self, group: &str) -> Option<Lane> {
+        self.lanes.read().unwrap_or_else(|e| e.into_inner()).get(group).cloned()
+    }
+
+    fn all_lanes(&self) -> Vec<Lane> {
+        self.lanes.read().unwrap_or_else(|e| e.into_inner()).values().cloned().collect()
+    }
+
+    pub fn renewal(&self, now: u64) -> Renewal {
+        let (have, seen) = (self.view().rev, grip(&self.licence).no);
+        let (mut demand, mut held) = (vec![], vec![]);
+        for l in self.all_lanes() {
+            let l = grip(&l);
+            demand.push((l.group.clone(), l.demand()));
+            held.extend(l.servers.iter().map(|(n, s)| Held {
+                server: n.clone(),
+                share: s.share,
+                busy: s.busy,
+                done: s.done,
+                since: s.since,
+            }));
+        }
+        let mut b = grip(&self.book);
+        b.sent = b.no;
+        let told = b.told;
+        let fresh = b.kept.iter().filter(|(_, w)| w.no > told);
+        let windows = fresh.map(|(at, w)| Window { age: now - at, ..w.clone() }).collect();
+        Renewal { node: self.id, cell: self.cell.clone(), addr: self.addr.clone(), have, seen, demand, held, windows }
+    }
+
+    /// Takes the core's answer to the renewal that was sent at `sent`.
+    pub fn granted(&self, sent: u64, g: Grant) {
+        let mut l = grip(&self.licence);
+        let mut v = (*self.view()).clone();
+        match g.update {
+            Update::Whole(w) => {
+                // never back to an older belief
+                if w.rev >= v.rev {
+                    v = *w;
+                }
+            }
+            Update::Events(es) => {
+                // several events may share a revision: what is new is settled before the first fold
+                let have = v.rev;
+                es.iter().filter(|(r, _)| *r > have).for_each(|(r, e)| v.fold(*r, e));
+            }
+        }
+        let mut b = grip(&self.book);
+        // a new leader remembers nothing: it gets every window again
+        b.told = if g.term == l.term { b.sent } else { 0 };
+        drop(b);
+        (l.no, l.term) = (g.no, g.term);
+        // the licence counts only on what has been applied
+        if v.rev >= g.rev {
+            l.until = sent + LICENCE_MS - DRIFT_MS;
+        }
+        self.follow(&v, &g.shares);
+        *self.view.write().unwrap_or_else(|e| e.into_inner()) = Arc::new(v);
+    }
+
+    fn follow(&self, v: &View, shares: &BTreeMap<String, u32>) {
+        let mut ls = self.lanes.write().unwrap_or_else(|e| e.into_inner());
+        if let Some(c) = &v.config {
+            for (n, g) in &c.groups {
+                if !ls.contains_key(n) {
+                    let line = Line::new(n, &self.cell, g.clone(), c.work.clone());
+                    ls.insert(n.clone(), Arc::new(Mutex::new(line)));
+                }
+            }
+        }
+        ls.values().for_each(|l| grip(l).follow(v, shares));
+    }
+
+    /// Without a licence shares are worth nothing either.
+    pub fn lapse(&self, now: u64) {
+        if !self.licensed(now) {
+            for l in self.all_lanes() {
+                grip(&l).servers.values_mut().for_each(|s| s.share = 0);
+            }
+        }
+    }
+
+    pub fn join(&self, now: u64, group: &str, w: Wait<()>) -> oneshot::Receiver<Result<Seat, Refusal>> {
+        let (tx, rx) = oneshot::channel();
+        let w = Wait { work: w.work, since: w.since, ends: w.ends, affinity: w.affinity, avoid: w.avoid, tell: tx };
+        let refused = match self.lane(group) {
+            Some(l) => grip(&l).join(now, w).err(),
+            None => Some((w.tell, Refusal::Overloaded)),
+        };
+        if let Some((tx, why)) = refused {
+            // a caller that has gone needs no answer
+            let _ = tx.send(Err(why));
+        }
+        self.pump(now, group);
+        rx
+    }
+
+    pub fn pump(&self, now: u64, group: &str) {
+        let Some(l) = self.lane(group) else { return };
+        let ok = self.licensed(now);
+        let told = grip(&l).pump(now, ok, |t| t.is_closed());
+        for (tx, r) in told {
+            let r = r.map(|placed| Seat { placed, lane: Some(LaneRef(l.clone())) });
+            // a seat nobody takes any more is given back by its drop
+            let _ = tx.send(r);
+        }
+    }
+
+    pub fn pump_all(&self, now: u64) {
+        let groups: Vec<String> = self.lanes.read().unwrap_or_else(|e| e.into_inner()).keys().cloned().collect();
+        groups.iter().for_each(|g| self.pump(now, g));
+    }
+
+    pub fn starved(&self, now: u64) -> bool {
+        self.all_lanes().iter().any(|l| grip(l).starved(now))
+    }
+
+    /// Every job that comes earns a part of a retry.
+    pub fn earn_retry(&self) {
+        let mut r = grip(&self.retries);
+        *r = (*r + RETRY_SHARE).min(RETRY_MOST);
+    }
+
+    pub fn may_retry(&self) -> bool {
+        let mut r = grip(&self.retries);
+        let ok = *r >= 1.0;
+        if ok {
+            *r -= 1.0;
+        }
+        ok
+    }
+
+    /// What a back end said of its load.
+    pub fn heard_load(&self, group: &str, server: &str, pressure: f64, cache: f64) {
+        if let Some(l) = self.lane(group) {
+            if let Some(s) = grip(&l).servers.get_mut(server) {
+                (s.pressure, s.cache) = (pressure, cache);
+            }
+        }
+    }
+
+    /// One caller-callee edge was routed and took this long, waiting included.
+    pub fn timed(&self, now: u64, caller: &str, callee: &str, ms: u64) {
+        let mut b = grip(&self.book);
+        self.turn_page(now, &mut b);
+        b.pairs.entry((caller.into(), callee.into())).or_default().add(ms);
+    }
+
+    /// Looks at every lane for the window's group metrics.
+    pub fn look(&self, now: u64) {
+        let mut b = grip(&self.book);
+        self.turn_page(now, &mut b);
+        for l in self.all_lanes() {
+            let l = grip(&l);
+            let n = l.servers.len().max(1) as f64;
+            let p = l.servers.values().map(|s| s.pressure).fold(0.0, f64::max);
+            let c = l.servers.values().map(|s| s.cache).sum::<f64>() / n;
+            let e = b.groups.entry(l.group.clone()).or_default();
+            for (x, y) in e.0.iter_mut().zip([l.queued as f64, f64::from(l.busy), p, c]) {
+                *x += y;
+            }
+            e.1 += 1;
+        }
+    }
+
+    fn turn_page(&self, now: u64, b: &mut Book) {
+        if now < b.from + WINDOW_MS {
+            return;
+        }
+        let at = now / WINDOW_MS * WINDOW_MS;
+        if b.from == 0 {
+            b.from = at.max(1);
+            return;
+        }
+        let old = std::mem::replace(&mut b.from, at);
+        let pairs = std::mem::take(&mut b.pairs).into_iter().map(|((x, y), h)| (x, y, h)).collect();
+        let mean = |(g, (v, n)): (String, ([f64; 4], u32))| {
+            let n = f64::from(n.max(1));
+            (g, v[0] / n, v[1] / n, v[2] / n, v[3] / n)
+        };
+        let groups = std::mem::take(&mut b.groups).into_iter().map(mean).collect();
+        b.no += 1;
+        let w = Window { no: b.no, age: 0, pairs, groups };
+        // kept by the middle of its time, which no rounding moves into the next slot
+        b.kept.push_back((old + WINDOW_MS / 2, w));
+        while b.kept.len() > WINDOWS_KEPT {
+            b.kept.pop_front();
+        }
+    }
+
+    /// (group, queued, under way, limit, longest wait as a share of its set point) for metrics.
+    pub fn lanes_now(&self, now: u64) -> Vec<(String, usize, u32, f64, f64)> {
+        let of = |l: &Lane| {
+            let l = grip(l);
+            (l.group.clone(), l.queued, l.busy, l.limit(), l.worst(now))
+        };
+        self.all_lanes().iter().map(of).collect()
+    }
+
+    /// Servers to ask for their load: (group, server, address).
+    pub fn neighbours(&self) -> Vec<(String, String, String)> {
+        let mut out = vec![];
+        for l in self.all_lanes() {
+            let l = grip(&l);
+            out.extend(
+                l.servers
+                    .iter()
+                    .filter(|(_, s)| s.share > 0)
+                    .map(|(n, s)| (l.group.clone(), n.clone(), s.addr.clone())),
+            );
+        }
+        out
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/line.rs
@@ -0,0 +1,410 @@
+//! One group's waiting line at one edge: in what order, how many, and where.
+
+use super::view::{hash, Spot, View};
+use crate::constants::*;
+use crate::state::config::{Group, Work};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Why a job was turned away before it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// It could not have been done in its time.
+    NoTime,
+    /// It waited longer than its kind of work may.
+    Overloaded,
+    QueueFull,
+}
+
+impl Refusal {
+    pub fn code(self) -> &'static str {
+        match self {
+            Refusal::NoTime => "no_time_left",
+            Refusal::Overloaded => "overloaded",
+            Refusal::QueueFull => "queue_full",
+        }
+    }
+}
+
+/// A job that waits; `T` is how its request is told.
+pub struct Wait<T> {
+    pub work: String,
+    pub since: u64,
+    /// When its time is over, on this node's clock.
+    pub ends: u64,
+    /// Hash of what makes servers alike or different to it: its prefix or program.
+    pub affinity: u64,
+    /// A server it has failed on already.
+    pub avoid: Option<String>,
+    pub tell: T,
+}
+
+/// Where a job was placed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placed {
+    pub server: String,
+    pub addr: String,
+    pub since: u64,
+    pub waited: u64,
+}
+
+pub type Told<T> = (T, Result<Placed, Refusal>);
+
+#[derive(Default, Clone)]
+pub struct Srv {
+    pub addr: String,
+    pub cell: String,
+    pub since: u64,
+    pub share: u32,
+    pub busy: u32,
+    pub done: u64,
+    pub usable: bool,
+    /// Jobs waiting there and share of its KV cache in use, as it last said.
+    pub pressure: f64,
+    pub cache: f64,
+    fails: u32,
+    out_until: u64,
+    salt: u64,
+}
+
+impl Srv {
+    /// Slots open to new work: one probe for a server that failed, none while it is out.
+    fn open(&self, now: u64) -> bool {
+        let most = match self.fails >= EJECT_AFTER {
+            true if now < self.out_until => 0,
+            true => self.share.min(1),
+            false => self.share,
+        };
+        self.usable && self.busy < most
+    }
+}
+
+pub struct Line<T> {
+    pub group: String,
+    cell: String,
+    set: Group,
+    works: BTreeMap<String, Work>,
+    waits: BTreeMap<String, Kind<T>>,
+    pub servers: BTreeMap<String, Srv>,
+    pub queued: usize,
+    pub busy: u32,
+    limit: f64,
+    /// Doubling until the first time it was too much.
+    steep: bool,
+    recent: VecDeque<u64>,
+    judged_at: u64,
+    /// ms. How long a job takes to its answer's first piece, smoothed.
+    est: f64,
+    no: u64,
+}
+
+struct Kind<T> {
+    /// By time left, then by arrival.
+    by_end: BTreeMap<(u64, u64), Wait<T>>,
+    by_age: BTreeMap<u64, (u64, u64)>,
+}
+
+impl<T> Default for Kind<T> {
+    fn default() -> Self {
+        Kind { by_end: BTreeMap::new(), by_age: BTreeMap::new() }
+    }
+}
+
+impl<T> Kind<T> {
+    fn take(&mut self, k: (u64, u64)) -> Option<Wait<T>> {
+        self.by_age.remove(&k.1);
+        self.by_end.remove(&k)
+    }
+
+    fn oldest(&self) -> Option<u64> {
+        let (_, k) = self.by_age.first_key_value()?;
+        self.by_end.get(k).map(|w| w.since)
+    }
+}
+
+impl<T> Line<T> {
+    pub fn new(group: &str, cell: &str, set: Group, works: BTreeMap<String, Work>) -> Self {
+        Line {
+            group: group.into(),
+            cell: cell.into(),
+            set,
+            works,
+            waits: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            queued: 0,
+            busy: 0,
+            limit: LIMIT_START,
+            steep: true,
+            recent: VecDeque::new(),
+            judged_at: 0,
+            est: 0.0,
+            no: 0,
+        }
+    }
+
+    /// Takes the core's newest word. Work under way keeps what it began with.
+    pub fn follow(&mut self, v: &View, shares: &BTreeMap<String, u32>) {
+        if let Some(c) = &v.config {
+            if let Some(g) = c.groups.get(&self.group) {
+                self.set = g.clone();
+            }
+            self.works = c.work.clone();
+        }
+        let none = BTreeMap::new();
+        let spots: &BTreeMap<String, Spot> = v.places.get(&self.group).unwrap_or(&none);
+        for (n, s) in &mut self.servers {
+            s.usable = v.usable(n) && spots.contains_key(n);
+            s.share = if s.usable { shares.get(n).copied().unwrap_or(0) } else { 0 };
+        }
+        for n in spots.keys().filter(|n| v.usable(n)) {
+            let Some(l) = v.servers.get(n) else { continue };
+            let s = self.servers.entry(n.clone()).or_default();
+            if s.since != l.since {
+                // listed anew: nothing known of the old one counts
+                *s = Srv { busy: s.busy, salt: hash(n), since: l.since, ..Srv::default() };
+            }
+            s.addr = l.addr.clone();
+            s.cell = l.cell.clone();
+            s.usable = true;
+            s.share = shares.get(n).copied().unwrap_or(0);
+        }
+        self.servers.retain(|_, s| s.usable || s.busy > 0);
+    }
+
+    pub fn demand(&self) -> u32 {
+        self.queued as u32 + self.busy
+    }
+
+    /// True when jobs wait and no slot is open: worth an early renewal.
+    pub fn starved(&self, now: u64) -> bool {
+        self.queued > 0 && !self.servers.values().any(|s| s.open(now))
+    }
+
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
+    /// Longest wait of any kind, as a share of its set point.
+    pub fn worst(&self, now: u64) -> f64 {
+        self.waits.iter().filter_map(|(k, w)| Some(self.ripe(now, k, w.oldest()?))).fold(0.0, f64::max)
+    }
+
+    fn ripe(&self, now: u64, kind: &str, since: u64) -> f64 {
+        let point = self.works.get(kind).map_or(1_000, |w| w.wait_ms).max(1);
+        now.saturating_sub(since) as f64 / point as f64
+    }
+
+    fn wait_bound(&self, kind: &str) -> u64 {
+        let point = self.works.get(kind).map_or(1_000, |w| w.wait_ms);
+        (point * WAIT_POINTS).max(WAIT_LEAST_MS)
+    }
+
+    pub fn join(&mut self, now: u64, w: Wait<T>) -> Result<(), (T, Refusal)> {
+        if self.queued >= QUEUE_JOBS {
+            return Err((w.tell, Refusal::QueueFull));
+        }
+        if w.ends <= now + self.est as u64 {
+            return Err((w.tell, Refusal::NoTime));
+        }
+        self.no += 1;
+        let k = self.waits.entry(w.work.clone()).or_default();
+        k.by_age.insert(self.no, (w.ends, self.no));
+        k.by_end.insert((w.ends, self.no), w);
+        self.queued += 1;
+        Ok(())
+    }
+
+    /// Places what can be placed and turns away what can't be served in time.
+    /// Without a licence nothing is placed.
+    pub fn pump(&mut self, now: u64, licensed: bool, gone: impl Fn(&T) -> bool) -> Vec<Told<T>> {
+        let mut out = self.shed(now, &gone);
+        while licensed && self.queued > 0 && f64::from(self.busy) < self.limit.floor().max(1.0) {
+            // the kind whose oldest wait has used up most of its set point; then its rank
+            let next = self.waits.iter().filter_map(|(k, w)| {
+                let r = self.works.get(k).map_or(u32::MAX, |w| w.rank);
+                Some((self.ripe(now, k, w.oldest()?), std::cmp::Reverse(r), k.clone()))
+            });
+            let Some((_, _, kind)) = next.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))) else { break };
+            let k = self.waits.get_mut(&kind).expect("just seen");
+            let (key, w) = k.by_end.first_key_value().expect("a kind with an oldest has a first");
+            let key = *key;
+            let (aff, avoid) = (w.affinity, w.avoid.clone());
+            let Some(server) = self.place(now, aff, avoid.as_deref()) else { break };
+            let k = self.waits.get_mut(&kind).expect("just seen");
+            let w = k.take(key).expect("just seen");
+            self.queued -= 1;
+            self.busy += 1;
+            let s = self.servers.get_mut(&server).expect("placed on a known server");
+            s.busy += 1;
+            let p = Placed { server, addr: s.addr.clone(), since: s.since, waited: now - w.since };
+            out.push((w.tell, Ok(p)));
+        }
+        out
+    }
+
+    fn shed(&mut self, now: u64, gone: &impl Fn(&T) -> bool) -> Vec<Told<T>> {
+        let mut out = vec![];
+        let kinds: Vec<String> = self.waits.keys().cloned().collect();
+        for kind in kinds {
+            let bound = self.wait_bound(&kind);
+            let est = self.est as u64;
+            let k = self.waits.get_mut(&kind).expect("just listed");
+            let late: Vec<((u64, u64), Refusal)> = k
+                .by_end
+                .iter()
+                .filter_map(|(key, w)| {
+                    let why = if w.ends <= now + est { Refusal::NoTime } else { Refusal::Overloaded };
+                    (w.ends <= now + est || now >= w.since + bound || gone(&w.tell)).then_some((*key, why))
+                })
+                .collect();
+            for (key, why) in late {
+                let w = k.take(key).expect("just listed");
+                self.queued -= 1;
+                out.push((w.tell, Err(why)));
+            }
+            if k.by_end.is_empty() {
+                self.waits.remove(&kind);
+            }
+        }
+        out
+    }
+
+    /// Same cell first, then the order a rendezvous hash gives, so that a shared
+    /// prefix finds its cache; a pressed server is passed over while another is not.
+    fn place(&self, now: u64, affinity: u64, avoid: Option<&str>) -> Option<String> {
+        let eased = |s: &Srv| s.pressure <= self.set.pressure_most && s.cache <= self.set.cache_most;
+        let open = self.servers.iter().filter(|(_, s)| s.open(now));
+        let best = open.max_by_key(|(n, s)| {
+            let turn = (affinity ^ s.salt).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            (avoid != Some(n.as_str()), eased(s), s.cell == self.cell, turn ^ (turn >> 29))
+        });
+        best.map(|(n, _)| n.clone())
+    }
+
+    /// A job left its server. `took` is the time to its answer's first piece, if one came.
+    pub fn done(&mut self, now: u64, server: &str, since: u64, took: Option<u64>, ok: bool) {
+        self.busy -= 1;
+        if let Some(s) = self.servers.get_mut(server) {
+            s.busy = s.busy.saturating_sub(1);
+            if ok && s.since == since {
+                s.done += 1;
+                s.fails = 0;
+            } else if !ok {
+                s.fails += 1;
+                s.out_until = now + EJECT_MS;
+            }
+        }
+        let Some(ms) = took else { return };
+        self.est = if self.est == 0.0 { ms as f64 } else { self.est * 0.9 + ms as f64 * 0.1 };
+        self.recent.push_back(ms);
+        if ms <= self.set.slo_ms && f64::from(self.busy) + 2.0 >= self.limit {
+            self.limit += if self.steep { 1.0 } else { 1.0 / self.limit };
+        }
+        self.judge(now);
+    }
+
+    /// Once a second: too slow by P90 takes a fifth off the limit.
+    fn judge(&mut self, now: u64) {
+        if now < self.judged_at + JUDGE_MS {
+            return;
+        }
+        self.judged_at = now;
+        let mut v: Vec<u64> = self.recent.drain(..).collect();
+        v.sort_unstable();
+        if v.get(v.len() * 9 / 10).is_some_and(|p| *p > self.set.slo_ms) {
+            self.limit = (self.limit * LIMIT_CUT).max(1.0);
+            self.steep = false;
+        }
+        let slots: u32 = self.servers.values().map(|s| s.share).sum();
+        // no more room than there are slots, or a later raise would come as a flood
+        self.limit = self.limit.min(f64::from(slots.max(1)) + LIMIT_START);
+    }
+
+    /// Back after a job was never sent: neither done nor failed.
+    pub fn give_back(&mut self, server: &str) {
+        self.busy -= 1;
+        if let Some(s) = self.servers.get_mut(server) {
+            s.busy = s.busy.saturating_sub(1);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::config::Kind as GroupKind;
+
+    fn line() -> Line<u32> {
+        let set = Group {
+            kind: GroupKind::Model,
+            slo_ms: 500,
+            least: 1,
+            most: 4,
+            in_flight: 8,
+            warm_jobs: 1,
+            pressure_most: 4.0,
+            cache_most: 0.9,
+        };
+        let work = |w, r| Work { wait_ms: w, rank: r };
+        let works = BTreeMap::from([("urgent".to_string(), work(100, 0)), ("review".to_string(), work(4_000, 2))]);
+        let mut l = Line::new("lang", "a", set, works);
+        for (n, cell, share) in [("s1", "a", 1), ("s2", "a", 1), ("s3", "b", 1)] {
+            let s = Srv { addr: n.into(), cell: cell.into(), share, usable: true, salt: hash(n), ..Srv::default() };
+            l.servers.insert(n.into(), s);
+        }
+        l
+    }
+
+    fn wait(work: &str, since: u64, ends: u64, tell: u32) -> Wait<u32> {
+        Wait { work: work.into(), since, ends, affinity: 7, avoid: None, tell }
+    }
+
+    fn told(v: Vec<Told<u32>>) -> Vec<(u32, Option<String>)> {
+        v.into_iter().map(|(t, r)| (t, r.ok().map(|p| p.server))).collect()
+    }
+
+    #[test]
+    fn the_wait_nearest_its_set_point_goes_first_and_nobody_starves() {
+        // given a review that has waited half its set point and urgent work that has just come
+        let mut l = line();
+        l.join(2_000, wait("review", 0, 60_000, 1)).unwrap();
+        l.join(2_000, wait("urgent", 2_000, 60_000, 2)).unwrap();
+        // when places open, then the review goes first, and urgent work before it at its own point
+        assert_eq!(told(l.pump(2_000, true, |_| false)).iter().map(|x| x.0).collect::<Vec<_>>(), vec![1, 2]);
+        l.join(2_000, wait("review", 1_000, 60_000, 3)).unwrap();
+        l.join(2_000, wait("urgent", 1_900, 60_000, 4)).unwrap();
+        assert_eq!(told(l.pump(2_000, true, |_| false)).iter().map(|x| x.0).collect::<Vec<_>>(), vec![4]);
+    }
+
+    #[test]
+    fn no_licence_places_nothing_and_shares_bound_what_is_placed() {
+        // given more jobs than slots
+        let mut l = line();
+        (0..5).for_each(|i| l.join(0, wait("urgent", 0, 60_000, i)).unwrap());
+        // when there is no licence, then nothing is placed
+        assert!(l.pump(10, false, |_| false).is_empty());
+        // when there is one, then three slots take three jobs, the own cell first
+        let p = told(l.pump(10, true, |_| false));
+        assert_eq!(p.len(), 3);
+        assert_eq!(p[2].1.as_deref(), Some("s3"));
+        // and the rest are told once they can't be served any more
+        assert_eq!(told(l.pump(WAIT_LEAST_MS, true, |_| false)), vec![(3, None), (4, None)]);
+    }
+
+    #[test]
+    fn a_failing_server_is_left_out_then_probed_by_one_job() {
+        // given a server that failed three times
+        let mut l = line();
+        l.servers.retain(|n, _| n == "s1");
+        l.servers.get_mut("s1").unwrap().share = 5;
+        for i in 0..3 {
+            l.join(0, wait("urgent", 0, 60_000, i)).unwrap();
+        }
+        for (_, p) in l.pump(0, true, |_| false) {
+            l.done(0, &p.unwrap().server, 0, None, false);
+        }
+        // when jobs come, then none is placed until its time is up, and then just one
+        (0..3).for_each(|i| l.join(1, wait("urgent", 1, 60_000, i)).unwrap());
+        assert!(l.pump(1, true, |_| false).is_empty());
+        assert_eq!(l.pump(EJECT_MS + 1, true, |_| false).len(), 1);
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/mod.rs
@@ -0,0 +1,10 @@
+//! Coordination: how many nodes act as one. Synchronous; given the time.
+pub mod core;
+pub mod edge;
+pub mod line;
+pub mod raft;
+pub mod replica;
+pub mod scaler;
+pub mod shares;
+pub mod store;
+pub mod view;
--- /dev/null
+++ b/hutbook/src/coordination/raft.rs
@@ -0,0 +1,863 @@
+//! The agreement both the core and the store groups run on.
+//!
+//! `step(now, input)` is the whole of it: no clock, socket or disk of its own.
+//! What must be on disk before it may be said is held back until the driver
+//! reports the matching mark as synced.
+
+use crate::constants::*;
+use crate::state::disk::{Boot, DiskOp};
+use crate::state::entry::{Capture, Entry, Member, Members, What};
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+messages! {
+    pub enum RaftMsg {
+        #[n(0)] Ask { #[n(0)] term: u64, #[n(1)] last: u64, #[n(2)] last_term: u64, #[n(3)] pre: bool, #[n(4)] forced: bool },
+        #[n(1)] Say { #[n(0)] term: u64, #[n(1)] pre: bool, #[n(2)] yes: bool },
+        #[n(2)] Append { #[n(0)] term: u64, #[n(1)] prev: u64, #[n(2)] prev_term: u64, #[n(3)] entries: Vec<Entry>, #[n(4)] commit: u64, #[n(5)] round: u64 },
+        #[n(3)] Appended { #[n(0)] term: u64, #[n(1)] yes: bool, #[n(2)] at: u64, #[n(3)] round: u64 },
+        #[n(4)] Piece { #[n(0)] term: u64, #[n(1)] index: u64, #[n(2)] index_term: u64, #[n(3)] members: Members, #[n(4)] from: u64, #[n(5)] total: u64, #[cbor(n(6), with = "minicbor::bytes")] bytes: Vec<u8> },
+        #[n(5)] Pieced { #[n(0)] term: u64, #[n(1)] index: u64, #[n(2)] upto: u64 },
+        #[n(6)] RiseNow { #[n(0)] term: u64 },
+    }
+    pub enum Change {
+        #[n(0)] AddLearner(#[n(0)] Member),
+        #[n(1)] Promote(#[n(0)] u64),
+        #[n(2)] Remove(#[n(0)] u64),
+    }
+}
+
+#[derive(Debug)]
+pub enum In {
+    Tick,
+    Msg {
+        from: u64,
+        msg: RaftMsg,
+    },
+    Propose {
+        ticket: u64,
+        bytes: Vec<u8>,
+    },
+    Read {
+        ticket: u64,
+    },
+    Change {
+        ticket: u64,
+        change: Change,
+    },
+    /// The disk thread has synced everything up to this mark.
+    Synced(u64),
+    /// Hand leadership to the best partner.
+    StepAside,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Out {
+    Send { to: u64, msg: RaftMsg },
+    Persist { mark: u64, ops: Vec<DiskOp> },
+    Apply(Entry),
+    Restore(Arc<Capture>),
+    Accepted { ticket: u64, index: u64 },
+    Readable { ticket: u64 },
+    Denied { ticket: u64, why: Denial },
+    Rose { term: u64 },
+    Fell,
+}
+
+messages! {
+    /// Why a proposal, read or change was not taken.
+    pub enum Denial {
+        #[n(0)] NotLeader,
+        /// Taken but its outcome is unknown to this node.
+        #[n(1)] Lost,
+        #[n(2)] Busy,
+        #[n(3)] Unsafe(#[n(0)] String),
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Role {
+    Follower,
+    PreCandidate,
+    Candidate,
+    Leader,
+}
+
+struct Partner {
+    next: u64,
+    matched: u64,
+    round: u64,
+    heard: u64,
+    /// Bytes of a capture already taken by the partner, while one is under way.
+    piece: Option<(u64, u64)>,
+}
+
+struct Held {
+    mark: u64,
+    since: u64,
+    last: u64,
+    outs: Vec<Out>,
+}
+
+pub struct Raft {
+    pub id: u64,
+    pub term: u64,
+    voted: Option<u64>,
+    pub role: Role,
+    pub leader: Option<u64>,
+    /// Entries after `base`.
+    log: VecDeque<Entry>,
+    base: u64,
+    base_term: u64,
+    capture: Option<Arc<Capture>>,
+    member_log: Vec<(u64, Members)>,
+    pub commit: u64,
+    applied: u64,
+    synced: u64,
+    mark: u64,
+    held: VecDeque<Held>,
+    partners: BTreeMap<u64, Partner>,
+    votes: BTreeMap<u64, bool>,
+    rng: ChaCha8Rng,
+    election_at: u64,
+    heard_leader: u64,
+    beat_at: u64,
+    round: u64,
+    round_sent: u64,
+    reads: VecDeque<(u64, u64, u64)>,
+    aside: Option<u64>,
+    incoming: Option<(u64, Vec<u8>)>,
+    outs: Vec<Out>,
+    /// Sends of this step that may not pass the sync of `mark`.
+    stuck: bool,
+}
+
+impl Raft {
+    pub fn new(id: u64, boot: Boot, seed: u64, now: u64) -> Raft {
+        let cap = boot.capture.map(Arc::new);
+        let (base, base_term) = cap.as_ref().map_or((0, 0), |c| (c.index, c.term));
+        let mut member_log = vec![(base, cap.as_ref().map_or(Members::default(), |c| c.members.clone()))];
+        let mut log = VecDeque::new();
+        for e in boot.entries.into_iter().filter(|e| e.index > base) {
+            if let What::Members(m) = &e.what {
+                member_log.push((e.index, m.clone()));
+            }
+            log.push_back(e);
+        }
+        let last = log.back().map_or(base, |e| e.index);
+        let mut r = Raft {
+            id,
+            term: boot.term,
+            voted: boot.voted,
+            role: Role::Follower,
+            leader: None,
+            log,
+            base,
+            base_term,
+            capture: cap.clone(),
+            member_log,
+            commit: base,
+            applied: base,
+            synced: last,
+            mark: 0,
+            held: VecDeque::new(),
+            partners: BTreeMap::new(),
+            votes: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed ^ id),
+            election_at: 0,
+            heard_leader: 0,
+            beat_at: 0,
+            round: 0,
+            round_sent: 0,
+            reads: VecDeque::new(),
+            aside: None,
+            incoming: None,
+            outs: vec![],
+            stuck: false,
+        };
+        if let Some(c) = cap {
+            r.outs.push(Out::Restore(c));
+        }
+        r.rest(now);
+        r
+    }
+
+    pub fn members(&self) -> &Members {
+        &self.member_log.last().expect("the base is always there").1
+    }
+
+    pub fn last(&self) -> u64 {
+        self.log.back().map_or(self.base, |e| e.index)
+    }
+
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    pub fn log_len(&self) -> usize {
+        self.log.len()
+    }
+
+    /// Every partner's last word to this leader: id, matched index, time heard.
+    pub fn heard(&self) -> Vec<(u64, u64, u64)> {
+        self.partners.iter().map(|(p, x)| (*p, x.matched, x.heard)).collect()
+    }
+
+    /// A disk that has not answered within its bound: no vote, no yes, no lead.
+    pub fn disk_late(&self, now: u64) -> bool {
+        self.held.front().is_some_and(|h| now.saturating_sub(h.since) > DISK_BOUND_MS)
+    }
+
+    pub fn step(&mut self, now: u64, input: In) -> Vec<Out> {
+        match input {
+            In::Tick => self.tick(now),
+            In::Msg { from, msg } => self.hear(now, from, msg),
+            In::Propose { ticket, bytes } => self.propose(now, ticket, What::Command(bytes)),
+            In::Read { ticket } => self.read(ticket),
+            In::Change { ticket, change } => self.change(now, ticket, change),
+            In::Synced(m) => self.on_synced(m),
+            In::StepAside => self.step_aside(now),
+        }
+        self.advance(now);
+        std::mem::take(&mut self.outs)
+    }
+
+    /// Keeps the state up to `index` as a capture and lets the log before it go.
+    pub fn keep_capture(&mut self, now: u64, index: u64, data: Vec<u8>) -> Vec<Out> {
+        if index <= self.base || index > self.applied {
+            return vec![];
+        }
+        let term = self.term_at(index).expect("applied entries are in the log");
+        let members = self.members_at(index);
+        let c = Arc::new(Capture { index, term, members, data });
+        while self.log.front().is_some_and(|e| e.index <= index) {
+            self.log.pop_front();
+        }
+        self.rebase(c.clone());
+        self.persist(now, vec![DiskOp::Capture { capture: c, clear: false }]);
+        std::mem::take(&mut self.outs)
+    }
+
+    fn rebase(&mut self, c: Arc<Capture>) {
+        self.base = c.index;
+        self.base_term = c.term;
+        self.member_log.retain(|(i, _)| *i > c.index);
+        self.member_log.insert(0, (c.index, c.members.clone()));
+        self.capture = Some(c);
+    }
+
+    fn members_at(&self, index: u64) -> Members {
+        let it = self.member_log.iter().rev().find(|(i, _)| *i <= index);
+        it.map_or(Members::default(), |(_, m)| m.clone())
+    }
+
+    fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base {
+            return Some(self.base_term);
+        }
+        if index < self.base {
+            return None;
+        }
+        self.log.get((index - self.base - 1) as usize).map(|e| e.term)
+    }
+
+    fn is_voter(&self, id: u64) -> bool {
+        self.members().voters.iter().any(|m| m.id == id)
+    }
+
+    fn quorum(&self) -> usize {
+        self.members().voters.len() / 2 + 1
+    }
+
+    /// The value a quorum of voters has reached, by `f` for partners and `own` for this node.
+    fn quorum_value(&self, own: u64, f: impl Fn(&Partner) -> u64) -> u64 {
+        let mut v: Vec<u64> = self
+            .members()
+            .voters
+            .iter()
+            .map(|m| if m.id == self.id { own } else { self.partners.get(&m.id).map_or(0, &f) })
+            .collect();
+        v.sort_unstable_by(|a, b| b.cmp(a));
+        v.get(self.quorum() - 1).copied().unwrap_or(0)
+    }
+
+    fn rest(&mut self, now: u64) {
+        let spread = self.rng.next_u64() % ELECTION_SPREAD_MS;
+        self.election_at = now + ELECTION_MS + spread;
+    }
+
+    fn send(&mut self, to: u64, msg: RaftMsg) {
+        let o = Out::Send { to, msg };
+        // a promise made in this step may not leave before what it promises is synced
+        match self.held.back_mut() {
+            Some(h) if self.stuck => h.outs.push(o),
+            _ => self.outs.push(o),
+        }
+    }
+
+    fn persist(&mut self, now: u64, ops: Vec<DiskOp>) {
+        self.mark += 1;
+        self.held.push_back(Held { mark: self.mark, since: now, last: self.last(), outs: vec![] });
+        self.outs.push(Out::Persist { mark: self.mark, ops });
+    }
+
+    fn persist_meta(&mut self, now: u64) {
+        let op = DiskOp::Meta { term: self.term, voted: self.voted };
+        self.persist(now, vec![op]);
+    }
+
+    fn on_synced(&mut self, m: u64) {
+        while self.held.front().is_some_and(|h| h.mark <= m) {
+            let h = self.held.pop_front().expect("just seen");
+            self.synced = self.synced.max(h.last).min(self.last());
+            self.outs.extend(h.outs);
+        }
+    }
+
+    fn tick(&mut self, now: u64) {
+        if self.role == Role::Leader {
+            // a leader whose disk or whose quorum has gone quiet must stop leading
+            let heard = self.quorum_value(now, |p| p.heard);
+            if self.disk_late(now) || now.saturating_sub(heard) > ELECTION_MS {
+                return self.fall(now);
+            }
+            if self.aside.is_some_and(|t| now > t) {
+                self.aside = None;
+            }
+            if now >= self.beat_at {
+                self.beat(now);
+            }
+        } else if now >= self.election_at {
+            self.rest(now);
+            if self.is_voter(self.id) && !self.disk_late(now) {
+                self.campaign(now, true, false);
+            }
+        }
+    }
+
+    fn beat(&mut self, now: u64) {
+        self.beat_at = now + HEARTBEAT_MS;
+        self.round += 1;
+        self.round_sent = now;
+        self.broadcast(now);
+    }
+
+    fn broadcast(&mut self, now: u64) {
+        let ids: Vec<u64> = self.partners.keys().copied().collect();
+        for p in ids {
+            self.feed(now, p);
+        }
+    }
+
+    fn campaign(&mut self, now: u64, pre: bool, forced: bool) {
+        self.leader = None;
+        self.votes = BTreeMap::from([(self.id, true)]);
+        let term = if pre {
+            self.role = Role::PreCandidate;
+            self.term + 1
+        } else {
+            self.role = Role::Candidate;
+            self.term += 1;
+            self.voted = Some(self.id);
+            self.persist_meta(now);
+            self.stuck = true;
+            self.term
+        };
+        let (last, last_term) = (self.last(), self.term_at(self.last()).unwrap_or(0));
+        let ids: Vec<u64> = self.members().voters.iter().map(|m| m.id).filter(|i| *i != self.id).collect();
+        for to in ids {
+            self.send(to, RaftMsg::Ask { term, last, last_term, pre, forced });
+        }
+        self.stuck = false;
+        self.count_votes(now);
+    }
+
+    fn count_votes(&mut self, now: u64) {
+        let yes = self.members().voters.iter().filter(|m| self.votes.get(&m.id) == Some(&true)).count();
+        if yes < self.quorum() {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.campaign(now, false, false),
+            // our own vote counts only once it is on disk
+            Role::Candidate if self.held.is_empty() => self.rise(now),
+            _ => {}
+        }
+    }
+
+    fn rise(&mut self, now: u64) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        self.aside = None;
+        self.reads.clear();
+        self.partners.clear();
+        self.follow_members(now);
+        self.outs.push(Out::Rose { term: self.term });
+        self.append_own(now, What::Blank);
+        self.beat(now);
+    }
+
+    fn follow_members(&mut self, now: u64) {
+        let next = self.last() + 1;
+        let ids: Vec<u64> = self.members().all().map(|m| m.id).filter(|i| *i != self.id).collect();
+        self.partners.retain(|p, _| ids.contains(p));
+        for p in ids {
+            self.partners.entry(p).or_insert(Partner { next, matched: 0, round: 0, heard: now, piece: None });
+        }
+    }
+
+    fn fall(&mut self, now: u64) {
+        if self.role == Role::Leader {
+            for (ticket, _, _) in std::mem::take(&mut self.reads) {
+                self.outs.push(Out::Denied { ticket, why: Denial::NotLeader });
+            }
+            self.outs.push(Out::Fell);
+            self.leader = None;
+        }
+        self.role = Role::Follower;
+        self.rest(now);
+    }
+
+    fn take_term(&mut self, now: u64, term: u64) {
+        if term > self.term {
+            self.fall(now);
+            self.leader = None;
+            self.term = term;
+            self.voted = None;
+            self.persist_meta(now);
+        }
+    }
+
+    fn hear(&mut self, now: u64, from: u64, msg: RaftMsg) {
+        match msg {
+            RaftMsg::Ask { term, last, last_term, pre, forced } => {
+                self.on_ask(now, from, term, (last_term, last), pre, forced)
+            }
+            RaftMsg::Say { term, pre, yes } => {
+                if !pre || !yes {
+                    self.take_term(now, term);
+                }
+                let waited = if pre { Role::PreCandidate } else { Role::Candidate };
+                let right = if pre { self.term + 1 } else { self.term };
+                if self.role == waited && (term == right || !yes) {
+                    self.votes.insert(from, yes);
+                    self.count_votes(now);
+                }
+            }
+            RaftMsg::Append { term, prev, prev_term, entries, commit, round } => {
+                if self.obey(now, from, term) {
+                    self.on_append(now, from, prev, prev_term, entries, commit, round);
+                } else {
+                    let at = self.last();
+                    self.send(from, RaftMsg::Appended { term: self.term, yes: false, at, round: 0 });
+                }
+            }
+            RaftMsg::Appended { term, yes, at, round } => {
+                self.take_term(now, term);
+                if self.role == Role::Leader && term == self.term {
+                    self.on_appended(now, from, yes, at, round);
+                }
+            }
+            RaftMsg::Piece { term, index, index_term, members, from: off, total, bytes } => {
+                if self.obey(now, from, term) {
+                    self.on_piece(now, from, (index, index_term), members, off, total, bytes);
+                }
+            }
+            RaftMsg::Pieced { term, index, upto } => {
+                self.take_term(now, term);
+                if let (Role::Leader, Some(p)) = (self.role, self.partners.get_mut(&from)) {
+                    p.heard = now;
+                    if p.piece.is_some_and(|(i, _)| i == index) {
+                        p.piece = Some((index, upto));
+                        self.feed(now, from);
+                    }
+                }
+            }
+            RaftMsg::RiseNow { term } => {
+                if term == self.term && self.is_voter(self.id) && !self.disk_late(now) {
+                    self.campaign(now, false, true);
+                }
+            }
+        }
+    }
+
+    fn on_ask(&mut self, now: u64, from: u64, term: u64, theirs: (u64, u64), pre: bool, forced: bool) {
+        // a live leader is not unseated by a node that merely lost sight of it
+        let led = self.role == Role::Leader || (self.leader.is_some() && now < self.heard_leader + ELECTION_MS);
+        if led && !forced {
+            return;
+        }
+        if !pre {
+            self.take_term(now, term);
+        }
+        let mine = (self.term_at(self.last()).unwrap_or(0), self.last());
+        let free = if pre { term > self.term } else { term == self.term && self.voted.is_none_or(|v| v == from) };
+        let yes = free && theirs >= mine && !self.disk_late(now);
+        if yes && !pre && self.voted.is_none() {
+            self.voted = Some(from);
+            self.persist_meta(now);
+        }
+        if yes && !pre {
+            self.rest(now);
+        }
+        // a vote leaves only behind the sync that keeps it
+        self.stuck = yes && !pre;
+        let said = if pre && yes { term } else { self.term };
+        self.send(from, RaftMsg::Say { term: said, pre, yes });
+        self.stuck = false;
+    }
+
+    /// Takes `from` as this term's leader; false when its term is over.
+    fn obey(&mut self, now: u64, from: u64, term: u64) -> bool {
+        self.take_term(now, term);
+        if term < self.term {
+            return false;
+        }
+        if self.role != Role::Follower {
+            self.fall(now);
+        }
+        self.leader = Some(from);
+        self.heard_leader = now;
+        self.rest(now);
+        true
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_append(
+        &mut self,
+        now: u64,
+        from: u64,
+        prev: u64,
+        prev_term: u64,
+        entries: Vec<Entry>,
+        commit: u64,
+        round: u64,
+    ) {
+        // a stalled disk takes nothing more: memory stays bounded and no yes is given
+        if self.disk_late(now) {
+            return;
+        }
+        if prev >= self.base && self.term_at(prev) != Some(prev_term) {
+            let at = self.last().min(prev.saturating_sub(1));
+            return self.send(from, RaftMsg::Appended { term: self.term, yes: false, at, round });
+        }
+        let upto = (prev + entries.len() as u64).max(self.base);
+        let mut fresh = vec![];
+        for e in entries {
+            if e.index <= self.base {
+                continue;
+            }
+            match self.term_at(e.index) {
+                Some(t) if t == e.term => {}
+                Some(_) => {
+                    self.cut(e.index);
+                    self.push(e.clone());
+                    fresh.push(e);
+                }
+                None => {
+                    self.push(e.clone());
+                    fresh.push(e);
+                }
+            }
+        }
+        if !fresh.is_empty() {
+            self.persist(now, vec![DiskOp::Append { entries: fresh }]);
+        }
+        self.commit = self.commit.max(commit.min(upto));
+        self.stuck = upto > self.synced;
+        self.send(from, RaftMsg::Appended { term: self.term, yes: true, at: upto, round });
+        self.stuck = false;
+    }
+
+    fn cut(&mut self, from: u64) {
+        assert!(from > self.commit, "a committed entry may not be replaced");
+        self.log.truncate((from - self.base - 1) as usize);
+        self.member_log.retain(|(i, _)| *i < from);
+        for h in &mut self.held {
+            h.last = h.last.min(from - 1);
+        }
+        self.synced = self.synced.min(from - 1);
+    }
+
+    fn push(&mut self, e: Entry) {
+        if let What::Members(m) = &e.what {
+            self.member_log.push((e.index, m.clone()));
+        }
+        self.log.push_back(e);
+    }
+
+    fn append_own(&mut self, now: u64, what: What) -> u64 {
+        let e = Entry { index: self.last() + 1, term: self.term, what };
+        let index = e.index;
+        self.push(e.clone());
+        self.persist(now, vec![DiskOp::Append { entries: vec![e] }]);
+        index
+    }
+
+    fn on_appended(&mut self, now: u64, from: u64, yes: bool, at: u64, round: u64) {
+        let last = self.last();
+        let Some(p) = self.partners.get_mut(&from) else { return };
+        p.heard = now;
+        p.round = p.round.max(round);
+        if yes {
+            p.matched = p.matched.max(at);
+            p.next = p.next.max(at + 1);
+            p.piece = None;
+            if p.next <= last {
+                self.feed(now, from);
+            }
+        } else if at + 1 < p.next {
+            // never below what it has already synced
+            p.next = (at + 1).max(p.matched + 1);
+            self.feed(now, from);
+        }
+        if self.aside.is_some() {
+            self.try_aside(now);
+        }
+    }
+
+    fn feed(&mut self, now: u64, to: u64) {
+        let (last, base) = (self.last(), self.base);
+        let Some(p) = self.partners.get_mut(&to) else { return };
+        if p.next <= base {
+            return self.feed_capture(to);
+        }
+        // a silent partner gets bare heartbeats, not the log again and again
+        let quiet = now.saturating_sub(p.heard) > ELECTION_MS;
+        let prev = p.next - 1;
+        let mut entries = vec![];
+        let mut size = 0;
+        if !quiet {
+            let skip = (prev - base) as usize;
+            for e in self.log.iter().skip(skip).take(APPEND_ENTRIES) {
+                size += e.size();
+                entries.push(e.clone());
+                if size > APPEND_BYTES {
+                    break;
+                }
+            }
+            p.next = (prev + entries.len() as u64 + 1).min(last + 1);
+        }
+        let prev_term = self.term_at(prev).unwrap_or(0);
+        let msg = RaftMsg::Append { term: self.term, prev, prev_term, entries, commit: self.commit, round: self.round };
+        self.send(to, msg);
+    }
+
+    fn feed_capture(&mut self, to: u64) {
+        let Some(c) = self.capture.clone() else { return };
+        let p = self.partners.get_mut(&to).expect("fed partners are known");
+        let off = p.piece.filter(|(i, _)| *i == c.index).map_or(0, |(_, o)| o);
+        p.piece = Some((c.index, off));
+        let end = (off as usize + PIECE_BYTES).min(c.data.len());
+        let msg = RaftMsg::Piece {
+            term: self.term,
+            index: c.index,
+            index_term: c.term,
+            members: c.members.clone(),
+            from: off,
+            total: c.data.len() as u64,
+            bytes: c.data[off as usize..end].to_vec(),
+        };
+        self.send(to, msg);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_piece(
+        &mut self,
+        now: u64,
+        from: u64,
+        at: (u64, u64),
+        members: Members,
+        off: u64,
+        total: u64,
+        bytes: Vec<u8>,
+    ) {
+        if self.disk_late(now) {
+            return;
+        }
+        let (index, term) = at;
+        // what it covers is here already: say so and go on with the log
+        if index <= self.commit {
+            let at = self.commit.min(self.synced);
+            return self.send(from, RaftMsg::Appended { term: self.term, yes: true, at, round: 0 });
+        }
+        let mut buf = match self.incoming.take() {
+            Some((i, b)) if i == index => b,
+            _ => vec![],
+        };
+        if buf.len() as u64 == off {
+            buf.extend_from_slice(&bytes);
+        }
+        let upto = buf.len() as u64;
+        if upto < total {
+            self.incoming = Some((index, buf));
+            return self.send(from, RaftMsg::Pieced { term: self.term, index, upto });
+        }
+        let c = Arc::new(Capture { index, term, members, data: buf });
+        self.log.clear();
+        self.member_log.clear();
+        self.rebase(c.clone());
+        self.synced = index;
+        self.commit = index;
+        self.applied = index;
+        for h in &mut self.held {
+            h.last = index;
+        }
+        self.persist(now, vec![DiskOp::Capture { capture: c.clone(), clear: true }]);
+        self.outs.push(Out::Restore(c));
+        self.stuck = true;
+        self.send(from, RaftMsg::Appended { term: self.term, yes: true, at: index, round: 0 });
+        self.stuck = false;
+    }
+
+    fn ready_to_lead(&self) -> bool {
+        self.role == Role::Leader && self.term_at(self.commit) == Some(self.term)
+    }
+
+    fn deny(&mut self, ticket: u64, why: Denial) {
+        self.outs.push(Out::Denied { ticket, why });
+    }
+
+    fn propose(&mut self, now: u64, ticket: u64, what: What) {
+        if self.role != Role::Leader {
+            return self.deny(ticket, Denial::NotLeader);
+        }
+        let open = self.last() - self.commit;
+        if self.aside.is_some() || open > OPEN_PROPOSALS || self.disk_late(now) {
+            return self.deny(ticket, Denial::Busy);
+        }
+        let index = self.append_own(now, what);
+        self.outs.push(Out::Accepted { ticket, index });
+        self.broadcast(now);
+    }
+
+    fn read(&mut self, ticket: u64) {
+        if !self.ready_to_lead() {
+            return self.deny(ticket, Denial::NotLeader);
+        }
+        if self.reads.len() >= OPEN_READS {
+            return self.deny(ticket, Denial::Busy);
+        }
+        self.reads.push_back((ticket, self.round + 1, self.commit));
+    }
+
+    fn change(&mut self, now: u64, ticket: u64, c: Change) {
+        if !self.ready_to_lead() {
+            return self.deny(ticket, Denial::NotLeader);
+        }
+        // one change at a time: the last one must be committed
+        if self.member_log.last().is_some_and(|(i, _)| *i > self.commit) {
+            return self.deny(ticket, Denial::Busy);
+        }
+        match self.changed(now, c) {
+            Ok(m) => {
+                let index = self.append_own(now, What::Members(m));
+                self.follow_members(now);
+                self.outs.push(Out::Accepted { ticket, index });
+                self.broadcast(now);
+            }
+            Err(why) => self.deny(ticket, Denial::Unsafe(why)),
+        }
+    }
+
+    fn changed(&self, now: u64, c: Change) -> Result<Members, String> {
+        let mut m = self.members().clone();
+        match c {
+            Change::AddLearner(x) => {
+                if m.all().any(|y| y.id == x.id) {
+                    return Err("it is a member already".into());
+                }
+                m.learners.push(x);
+            }
+            Change::Promote(id) => {
+                let Some(i) = m.learners.iter().position(|x| x.id == id) else {
+                    return Err("it is not a learner".into());
+                };
+                let p = self.partners.get(&id).ok_or("it is not known yet")?;
+                // a voter that is far behind would weaken the group it joins
+                if p.matched + PROMOTE_LAG < self.last() || now.saturating_sub(p.heard) > ELECTION_MS {
+                    return Err("it has not caught up yet".into());
+                }
+                let x = m.learners.remove(i);
+                m.voters.push(x);
+            }
+            Change::Remove(id) => {
+                if !m.all().any(|x| x.id == id) {
+                    return Err("it is not a member".into());
+                }
+                m.learners.retain(|x| x.id != id);
+                m.voters.retain(|x| x.id != id);
+                let live = |x: &&Member| {
+                    x.id == self.id
+                        || self.partners.get(&x.id).is_some_and(|p| now.saturating_sub(p.heard) <= ELECTION_MS)
+                };
+                let alive = m.voters.iter().filter(live).count();
+                if alive < m.voters.len() / 2 + 1 {
+                    return Err("the voters left would have no live quorum".into());
+                }
+            }
+        }
+        Ok(m)
+    }
+
+    fn step_aside(&mut self, now: u64) {
+        if self.role == Role::Leader {
+            self.aside = Some(now + ELECTION_MS);
+            self.try_aside(now);
+        }
+    }
+
+    fn try_aside(&mut self, now: u64) {
+        let last = self.last();
+        let best = self.members().voters.iter().filter_map(|m| self.partners.get_key_value(&m.id));
+        let best = best.filter(|(_, p)| p.matched == last && now.saturating_sub(p.heard) <= ELECTION_MS);
+        if let Some(to) = best.map(|(i, _)| *i).next() {
+            self.send(to, RaftMsg::RiseNow { term: self.term });
+        }
+    }
+
+    /// Moves commit, reads and apply as far as they go.
+    fn advance(&mut self, now: u64) {
+        if self.role == Role::Candidate {
+            self.count_votes(now);
+        }
+        if self.role == Role::Leader {
+            let n = self.quorum_value(self.synced, |p| p.matched);
+            // only an entry of this term proves the ones before it
+            if n > self.commit && self.term_at(n) == Some(self.term) {
+                self.commit = n;
+                if !self.is_voter(self.id) && self.member_log.last().is_some_and(|(i, _)| *i <= n) {
+                    self.broadcast(now);
+                    self.apply_ready();
+                    return self.fall(now);
+                }
+            }
+            let done = self.quorum_value(self.round, |p| p.round);
+            while self.reads.front().is_some_and(|(_, r, i)| *r <= done && *i <= self.commit) {
+                let (ticket, _, _) = self.reads.pop_front().expect("just seen");
+                self.apply_ready();
+                self.outs.push(Out::Readable { ticket });
+            }
+            // one round serves every read that waits; a lost round is asked again by the heartbeat
+            if self.reads.back().is_some_and(|(_, r, _)| *r > self.round)
+                && (done == self.round || now > self.round_sent + HEARTBEAT_MS)
+            {
+                self.beat(now);
+                if self.partners.is_empty() {
+                    self.advance(now);
+                }
+            }
+        }
+        self.apply_ready();
+    }
+
+    fn apply_ready(&mut self) {
+        while self.applied < self.commit {
+            let Some(e) = self.log.get((self.applied - self.base) as usize) else { break };
+            self.outs.push(Out::Apply(e.clone()));
+            self.applied += 1;
+        }
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/scaler/forest.rs
@@ -0,0 +1,169 @@
+//! R1: will these counts hold the SLOs under this workload? By random forest
+//! once its history carries it, by a stated capacity rule until then.
+
+use super::{tail_mean, GroupNow, Sample, Scene};
+use smartcore::ensemble::random_forest_classifier::{RandomForestClassifier, RandomForestClassifierParameters};
+use smartcore::linalg::basic::matrix::DenseMatrix;
+use std::collections::BTreeMap;
+
+/// Share of a group's slots that may be needed before it is expected to queue.
+const FULL: f64 = 0.8;
+/// Balanced accuracy on held-back samples below which the forest is no help.
+const HELPS: f64 = 0.65;
+/// One sample in this many is held back to see whether the forest helps.
+const HELD_BACK: usize = 4;
+const TREES: u16 = 40;
+
+type Forest = RandomForestClassifier<f64, u32, DenseMatrix<f64>, Vec<u32>>;
+
+pub struct Judge {
+    forest: Option<Forest>,
+    names: Vec<String>,
+}
+
+fn row(names: &[String], counts: &dyn Fn(&str) -> f64, load: &dyn Fn(&str) -> f64) -> Vec<f64> {
+    // load per server is what both vectors say together, and what a tree splits on best
+    names.iter().flat_map(|n| [counts(n), load(n), load(n) / counts(n).max(1.0)]).collect()
+}
+
+fn row_of(names: &[String], s: &Sample) -> Vec<f64> {
+    let c = |n: &str| f64::from(s.counts.get(n).copied().unwrap_or(0));
+    row(names, &c, &|n| s.load.get(n).copied().unwrap_or(0.0))
+}
+
+fn fit(names: &[String], samples: &[&Sample], seed: u64) -> Option<Forest> {
+    let x: Vec<Vec<f64>> = samples.iter().map(|s| row_of(names, s)).collect();
+    let y: Vec<u32> = samples.iter().map(|s| u32::from(s.ok)).collect();
+    let p = RandomForestClassifierParameters::default().with_n_trees(TREES).with_max_depth(8).with_seed(seed);
+    Forest::fit(&DenseMatrix::from_2d_vec(&x).ok()?, &y, p).ok()
+}
+
+fn says(f: &Forest, x: Vec<f64>) -> Option<u32> {
+    let m = DenseMatrix::from_2d_vec(&vec![x]).ok()?;
+    f.predict(&m).ok()?.first().copied()
+}
+
+/// Mean of the hit rates on both labels.
+fn balanced(names: &[String], f: &Forest, held: &[&Sample]) -> f64 {
+    let rate = |ok: bool| {
+        let of: Vec<_> = held.iter().filter(|s| s.ok == ok).collect();
+        let hit = of.iter().filter(|s| says(f, row_of(names, s)) == Some(u32::from(ok))).count();
+        if of.is_empty() {
+            0.0
+        } else {
+            hit as f64 / of.len() as f64
+        }
+    };
+    (rate(true) + rate(false)) / 2.0
+}
+
+impl Judge {
+    pub fn new(s: &Scene, why: &mut Vec<String>) -> Judge {
+        let names: Vec<String> = s.groups.iter().map(|g| g.name.clone()).collect();
+        let good = s.samples.iter().filter(|x| x.ok).count() as u32;
+        let bad = s.samples.len() as u32 - good;
+        if good.min(bad) < s.tuning.label_least {
+            why.push(format!(
+                "capacity rule: {good} samples held and {bad} broke, {} of each are wanted",
+                s.tuning.label_least
+            ));
+            return Judge { forest: None, names };
+        }
+        let seen = s.samples.iter().enumerate();
+        let (held, taught): (Vec<_>, Vec<_>) = seen.partition(|(i, _)| i % HELD_BACK == HELD_BACK - 1);
+        let refs = |v: Vec<(usize, &'_ Sample)>| v.into_iter().map(|(_, x)| x.clone()).collect::<Vec<_>>();
+        let (held, taught) = (refs(held), refs(taught));
+        let trial = fit(&names, &taught.iter().collect::<Vec<_>>(), s.seed);
+        let score = trial.map_or(0.0, |f| balanced(&names, &f, &held.iter().collect::<Vec<_>>()));
+        if score < HELPS {
+            why.push(format!("capacity rule: the forest scored {score:.2} on samples it had not seen"));
+            return Judge { forest: None, names };
+        }
+        why.push(format!("forest: {score:.2} balanced accuracy on samples it had not seen"));
+        let forest = fit(&names, &s.samples.iter().collect::<Vec<_>>(), s.seed);
+        Judge { forest, names }
+    }
+
+    pub fn name(&self) -> &'static str {
+        if self.forest.is_some() {
+            "forest"
+        } else {
+            "capacity"
+        }
+    }
+
+    pub fn holds(&self, s: &Scene, counts: &BTreeMap<&str, u32>, load: &BTreeMap<String, f64>) -> bool {
+        let c = |n: &str| f64::from(counts.get(n).copied().unwrap_or(0));
+        let l = |n: &str| load.get(n).copied().unwrap_or(0.0);
+        match &self.forest {
+            Some(f) => says(f, row(&self.names, &c, &l)) == Some(1),
+            None => s.groups.iter().all(|g| capacity(g, c(&g.name), s.span)),
+        }
+    }
+}
+
+/// The capacity rule: what is queued and under way fits into the slots with room to spare.
+fn capacity(g: &GroupNow, count: f64, span: usize) -> bool {
+    let need: f64 = g.metrics.iter().take(2).map(|m| tail_mean(m, span)).sum();
+    // a group nobody can give more servers to must not veto the others
+    need <= FULL * count * f64::from(g.in_flight) || count >= f64::from(g.room)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::config::Tuning;
+
+    fn scene(samples: Vec<Sample>) -> Scene {
+        let g = GroupNow {
+            name: "lang".into(),
+            count: 2,
+            least: 1,
+            room: 12,
+            slo_ms: 1000,
+            in_flight: 4,
+            load: vec![10.0; 6],
+            metrics: vec![vec![6.0; 6], vec![8.0; 6]],
+        };
+        Scene {
+            groups: vec![g],
+            pairs: vec![],
+            samples,
+            tuning: Tuning::default(),
+            seed: 3,
+            term: 1,
+            keep: None,
+            span: 3,
+        }
+    }
+
+    fn sample(n: u32, load: f64, ok: bool) -> Sample {
+        Sample { counts: BTreeMap::from([("lang".into(), n)]), load: BTreeMap::from([("lang".into(), load)]), ok }
+    }
+
+    #[test]
+    fn the_forest_speaks_only_when_its_history_carries_it() {
+        let load = BTreeMap::from([("lang".to_string(), 20.0)]);
+        let (few, many) = (BTreeMap::from([("lang", 2)]), BTreeMap::from([("lang", 8)]));
+        // given no history, then the capacity rule answers: 14 jobs need more than two servers of four
+        let s = scene(vec![]);
+        let j = Judge::new(&s, &mut vec![]);
+        assert_eq!(j.name(), "capacity");
+        assert!(!j.holds(&s, &few, &load) && j.holds(&s, &many, &load));
+        // given a history in which three a second for each server is too much, then the forest has learnt it
+        let h =
+            (0..120).map(|i| (1 + i % 10, f64::from(4 + i % 7 * 4))).map(|(n, l)| sample(n, l, l / f64::from(n) < 3.0));
+        let s = scene(h.collect());
+        let j = Judge::new(&s, &mut vec![]);
+        assert_eq!(j.name(), "forest");
+        assert!(!j.holds(&s, &few, &load) && j.holds(&s, &many, &load));
+        // given labels that follow nothing, then it is not trusted
+        let s = scene(
+            (0..120u32)
+                .map(|i| sample(1 + i % 10, 8.0, crate::coordination::view::hash(&i.to_string()).is_multiple_of(2)))
+                .collect(),
+        );
+        let mut why = vec![];
+        assert_eq!(Judge::new(&s, &mut why).name(), "capacity", "{why:?}");
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/scaler/genetic.rs
@@ -0,0 +1,84 @@
+//! The genetic search: tournament, two-point crossover, mutation, elites.
+
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+
+/// Individuals that pass on unchanged.
+const ELITES: usize = 2;
+/// Individuals compared in one tournament.
+const TOURNAMENT: usize = 3;
+/// One gene in this many is drawn anew.
+const MUTATION: u64 = 8;
+
+/// The best vector within `range` (both ends included) and its fitness.
+pub fn search(
+    range: &[(u32, u32)],
+    flock: u32,
+    rounds: u32,
+    seed: u64,
+    fit: &dyn Fn(&[u32]) -> f64,
+) -> (Vec<u32>, f64) {
+    let mut r = ChaCha8Rng::seed_from_u64(seed);
+    let pick = |r: &mut ChaCha8Rng, (lo, hi): (u32, u32)| lo + (r.next_u64() % u64::from(hi - lo + 1)) as u32;
+    let mut pop: Vec<(Vec<u32>, f64)> = Vec::new();
+    // the cheapest vector is always looked at
+    let low: Vec<u32> = range.iter().map(|(lo, _)| *lo).collect();
+    let f = fit(&low);
+    pop.push((low, f));
+    for _ in 1..flock.max(4) {
+        let x: Vec<u32> = range.iter().map(|g| pick(&mut r, *g)).collect();
+        let f = fit(&x);
+        pop.push((x, f));
+    }
+    // equal fitness goes to the smaller vector, so the outcome doesn't hang on the order of a sort
+    let order = |a: &(Vec<u32>, f64), b: &(Vec<u32>, f64)| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0));
+    for _ in 0..rounds {
+        pop.sort_by(order);
+        let mut next: Vec<(Vec<u32>, f64)> = pop[..ELITES.min(pop.len())].to_vec();
+        while next.len() < pop.len() {
+            let mut win = || {
+                let i = (0..TOURNAMENT).map(|_| (r.next_u64() % pop.len() as u64) as usize).min();
+                pop[i.expect("a tournament has entrants")].0.clone()
+            };
+            let (mut x, y) = (win(), win());
+            // genes between two cut points come from the other parent
+            let n = x.len() as u64;
+            let (a, b) = ((r.next_u64() % (n + 1)) as usize, (r.next_u64() % (n + 1)) as usize);
+            let (a, b) = (a.min(b), a.max(b));
+            x[a..b].copy_from_slice(&y[a..b]);
+            for (g, lim) in x.iter_mut().zip(range) {
+                if r.next_u64().is_multiple_of(MUTATION) {
+                    *g = pick(&mut r, *lim);
+                }
+            }
+            let f = fit(&x);
+            next.push((x, f));
+        }
+        pop = next;
+    }
+    pop.sort_by(order);
+    pop.swap_remove(0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_search_finds_the_smallest_counts_that_hold_and_repeats_itself() {
+        // given counts that hold from (5, 3) on, and a price on every server
+        let range = [(2, 12), (1, 8)];
+        let fit = |x: &[u32]| {
+            let r1 = f64::from(u8::from(x[0] >= 5 && x[1] >= 3));
+            0.7 * r1 + 0.3 * (1.0 - f64::from(x[0] + x[1]) / 20.0)
+        };
+        // when it is searched with several seeds, then each finds the best and stays in range
+        for seed in 0..20 {
+            let a = search(&range, 24, 20, seed, &fit);
+            assert_eq!(a.0, vec![5, 3], "seed {seed}");
+            assert_eq!(a, search(&range, 24, 20, seed, &fit));
+        }
+        // and a range of one value is no trouble
+        assert_eq!(search(&[(4, 4)], 24, 20, 1, &|_| 0.0).0, vec![4]);
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/scaler/toporank.rs
@@ -0,0 +1,168 @@
+//! TopoRank: personalised PageRank on the abnormal subgraph, weighted by
+//! correlation and started by anomaly potential.
+
+use super::Scene;
+use crate::state::hist::Hist;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Steps after which the walk has converged far below any difference that matters.
+const STEPS: usize = 100;
+
+/// Abnormal groups, most suspected first.
+pub fn rank(s: &Scene, bad: &BTreeSet<String>) -> Vec<(String, f64)> {
+    let n: Vec<&String> = bad.iter().collect();
+    let at: BTreeMap<&String, usize> = n.iter().enumerate().map(|(i, g)| (*g, i)).collect();
+    let mut next: Vec<BTreeSet<usize>> = vec![BTreeSet::new(); n.len()];
+    for p in &s.pairs {
+        if let (Some(i), Some(j)) = (at.get(&p.caller), at.get(&p.callee)) {
+            if i != j {
+                next[*i].insert(*j);
+            }
+        }
+    }
+    let a: Vec<f64> = n.iter().map(|g| degree(s, g)).collect();
+    let mut u = potential(&next, &a, s.tuning.sigma);
+    let sum: f64 = u.iter().sum();
+    // no violation counted at all: every start is as good
+    u = u.iter().map(|x| if sum > 0.0 { x / sum } else { 1.0 / n.len() as f64 }).collect();
+    let tails: Vec<Vec<f64>> = n.iter().map(|g| tail(s, g)).collect();
+    let w: Vec<Vec<(usize, f64)>> = next
+        .iter()
+        .enumerate()
+        .map(|(i, js)| js.iter().map(|j| (*j, weight(s, &tails[i], n[*j], &tails[*j]))).collect())
+        .collect();
+    let v = walk(&w, &u, s.tuning.delta);
+    let mut out: Vec<(String, f64)> = n.into_iter().cloned().zip(v).collect();
+    out.sort_by(|x, y| y.1.total_cmp(&x.1).then(x.0.cmp(&y.0)));
+    out
+}
+
+/// Requests into the group over its bound, within one check.
+fn degree(s: &Scene, g: &str) -> f64 {
+    let Some(x) = s.groups.iter().find(|x| x.name == g) else { return 0.0 };
+    let bound = x.slo_ms as f64 * (1.0 + s.tuning.alpha / 2.0);
+    let into = s.pairs.iter().filter(|p| p.callee == g);
+    into.flat_map(|p| p.windows.iter().rev().take(s.span)).map(|w| w.over(bound) as f64).sum()
+}
+
+/// φ_i = a_i + Σ over upstream j of a_j·e^{−(h_ji/σ)²}
+pub fn potential(next: &[BTreeSet<usize>], a: &[f64], sigma: f64) -> Vec<f64> {
+    let mut u = a.to_vec();
+    for (j, aj) in a.iter().enumerate() {
+        for (i, h) in hops(next, j) {
+            u[i] += aj * (-(f64::from(h) / sigma).powi(2)).exp();
+        }
+    }
+    u
+}
+
+/// Fewest hops from `j` to everything downstream of it; a cycle back to `j` doesn't count.
+fn hops(next: &[BTreeSet<usize>], j: usize) -> BTreeMap<usize, u32> {
+    let mut seen = BTreeMap::from([(j, 0)]);
+    let mut q = VecDeque::from([j]);
+    while let Some(x) = q.pop_front() {
+        for y in &next[x] {
+            if !seen.contains_key(y) {
+                seen.insert(*y, seen[&x] + 1);
+                q.push_back(*y);
+            }
+        }
+    }
+    seen.remove(&j);
+    seen
+}
+
+/// Tail latency of the edges into a group, by window.
+fn tail(s: &Scene, g: &str) -> Vec<f64> {
+    let into: Vec<_> = s.pairs.iter().filter(|p| p.callee == g).collect();
+    let n = into.iter().map(|p| p.windows.len()).max().unwrap_or(0);
+    (0..n)
+        .map(|i| {
+            let mut h = Hist::default();
+            into.iter().filter_map(|p| p.windows.get(i)).for_each(|w| h.merge(w));
+            h.quantile(0.9).unwrap_or(0.0)
+        })
+        .collect()
+}
+
+/// P_ij: the strongest correlation of i's tail latency with any metric of j.
+fn weight(s: &Scene, ti: &[f64], j: &str, tj: &[f64]) -> f64 {
+    let g = s.groups.iter().find(|g| g.name == j);
+    let ms = g.into_iter().flat_map(|g| g.metrics.iter().chain([&g.load]));
+    ms.map(Vec::as_slice).chain([tj]).filter_map(|m| pearson(ti, m)).fold(0.0, f64::max)
+}
+
+/// None where it is undefined: too short, or one side doesn't move.
+pub fn pearson(x: &[f64], y: &[f64]) -> Option<f64> {
+    let n = x.len().min(y.len());
+    if n < 3 {
+        return None;
+    }
+    let (x, y) = (&x[x.len() - n..], &y[y.len() - n..]);
+    let m = |v: &[f64]| v.iter().sum::<f64>() / n as f64;
+    let (mx, my) = (m(x), m(y));
+    let dot = |f: &dyn Fn(usize) -> f64| (0..n).map(f).sum::<f64>();
+    let (xx, yy) = (dot(&|i| (x[i] - mx).powi(2)), dot(&|i| (y[i] - my).powi(2)));
+    let xy = dot(&|i| (x[i] - mx) * (y[i] - my));
+    (xx > 0.0 && yy > 0.0).then(|| xy / (xx * yy).sqrt())
+}
+
+/// v = (1−δ)·Pᵀv + δ·u on row-normalised weights. The printed formula has P
+/// itself; with P_ij running from i to downstream j that moves suspicion
+/// upstream, against the text and the figure, so the transpose is taken.
+pub fn walk(w: &[Vec<(usize, f64)>], u: &[f64], delta: f64) -> Vec<f64> {
+    let mut v = u.to_vec();
+    for _ in 0..STEPS {
+        let mut x = vec![0.0; v.len()];
+        let mut lost = 0.0;
+        for (i, row) in w.iter().enumerate() {
+            let sum: f64 = row.iter().map(|(_, p)| p).sum();
+            if sum > 0.0 {
+                row.iter().for_each(|(j, p)| x[*j] += v[i] * p / sum);
+            } else {
+                // nowhere to go from here: start again by preference
+                lost += v[i];
+            }
+        }
+        let y: Vec<f64> = x.iter().zip(u).map(|(x, u)| (1.0 - delta) * (x + lost * u) + delta * u).collect();
+        let moved: f64 = y.iter().zip(&v).map(|(a, b)| (a - b).abs()).sum();
+        v = y;
+        if moved < 1e-12 {
+            break;
+        }
+    }
+    v
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_chain_blames_its_end_though_its_head_complains_most() {
+        // given A → C → E, as in the paper's figure: anomalies pile up upstream
+        let next = vec![BTreeSet::from([1]), BTreeSet::from([2]), BTreeSet::new()];
+        let a = [12.0, 8.0, 5.0];
+        let phi = potential(&next, &a, 1.0);
+        // then the potential of C is the one the paper works out
+        assert!((phi[1] - 12.41).abs() < 0.01, "{phi:?}");
+        let sum: f64 = phi.iter().sum();
+        let u: Vec<f64> = phi.iter().map(|x| x / sum).collect();
+        let w = vec![vec![(1, 0.9)], vec![(2, 0.9)], vec![]];
+        // when the walk has converged, then E is suspected first and the mass is kept
+        let v = walk(&w, &u, 0.15);
+        assert!(v[2] > v[0] && v[2] > v[1], "{v:?}");
+        assert!((v.iter().sum::<f64>() - 1.0).abs() < 1e-9);
+    }
+
+    #[test]
+    fn cycles_and_dead_metrics_have_an_outcome() {
+        // given two groups that call each other, one of them with no correlation
+        let next = vec![BTreeSet::from([1]), BTreeSet::from([0])];
+        assert_eq!(potential(&next, &[1.0, 0.0], 1.0), vec![1.0, (-1.0f64).exp()]);
+        let v = walk(&[vec![(1, 1.0)], vec![(0, 0.0)]], &[0.5, 0.5], 0.15);
+        assert!(v.iter().all(|x| x.is_finite()));
+        assert_eq!(pearson(&[1.0, 1.0, 1.0], &[1.0, 2.0, 3.0]), None);
+        assert_eq!(pearson(&[1.0, 2.0], &[1.0, 2.0]), None);
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/scaler/ttest.rs
@@ -0,0 +1,91 @@
+//! Redundancy: is the present workload significantly below β of the past one?
+
+use super::{GroupNow, Scene};
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+/// Checks in a row that make up the past's busiest stretch.
+const STRETCH: usize = 4;
+
+/// Welch's one-sided test that `c` has a lower mean than `p`: (t, p-value).
+/// None where neither side varies.
+pub fn welch(c: &[f64], p: &[f64]) -> Option<(f64, f64)> {
+    let stat = |v: &[f64]| {
+        let n = v.len() as f64;
+        let m = v.iter().sum::<f64>() / n;
+        (n, m, v.iter().map(|x| (x - m).powi(2)).sum::<f64>() / (n - 1.0))
+    };
+    let ((nc, mc, vc), (np, mp, vp)) = (stat(c), stat(p));
+    let (sc, sp) = (vc / nc, vp / np);
+    if sc + sp <= 0.0 {
+        return None;
+    }
+    let t = (mc - mp) / (sc + sp).sqrt();
+    let df = (sc + sp).powi(2) / (sc * sc / (nc - 1.0) + sp * sp / (np - 1.0));
+    let d = StudentsT::new(0.0, 1.0, df).ok()?;
+    Some((t, d.cdf(t)))
+}
+
+pub fn redundant(s: &Scene, g: &GroupNow, why: &mut Vec<String>) -> bool {
+    let now: Vec<f64> = g.load.iter().rev().take(s.span).copied().collect();
+    if now.len() < s.span || now.len() < 2 {
+        why.push(format!("{}: too few windows to call it redundant", g.name));
+        return false;
+    }
+    let past = past(s, g);
+    // nothing came in all the time we know of: no test is needed to see that it idles
+    if now.iter().chain(&past).all(|x| *x == 0.0) && past.len() >= STRETCH {
+        why.push(format!("{}: no request in the whole past", g.name));
+        return true;
+    }
+    if past.len() < 2 {
+        why.push(format!("{}: too little past to call it redundant", g.name));
+        return false;
+    }
+    let past: Vec<f64> = past.iter().map(|x| x * s.tuning.beta).collect();
+    match welch(&now, &past) {
+        Some((t, p)) => {
+            let yes = t < 0.0 && p < s.tuning.p;
+            if yes {
+                why.push(format!("{}: workload below {} of its past (t = {t:.2}, p = {p:.4})", g.name, s.tuning.beta));
+            }
+            yes
+        }
+        None => {
+            // neither side varies, so the means alone decide
+            let yes = now[0] < past[0];
+            if yes {
+                why.push(format!("{}: workload steady and below {} of its past", g.name, s.tuning.beta));
+            }
+            yes
+        }
+    }
+}
+
+/// The busiest stretch of the history that the core keeps; where there is none
+/// yet, the windows before this check.
+fn past(s: &Scene, g: &GroupNow) -> Vec<f64> {
+    let h: Vec<f64> = s.samples.iter().filter_map(|x| x.load.get(&g.name).copied()).collect();
+    let sum = |w: &[f64]| w.iter().sum::<f64>();
+    match h.windows(STRETCH).max_by(|a, b| sum(a).total_cmp(&sum(b))) {
+        Some(w) => w.to_vec(),
+        None => g.load[..g.load.len() - s.span].to_vec(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_clear_drop_is_seen_and_noise_is_not() {
+        // given a past around ten a second
+        let past = [10.0, 11.0, 9.5, 10.5];
+        // when the present is far lower, level, or without any variance
+        let low = welch(&[3.0, 3.5, 2.5], &past).unwrap();
+        let level = welch(&[9.8, 10.6, 10.1], &past).unwrap();
+        // then only the drop is significant
+        assert!(low.0 < 0.0 && low.1 < 0.05, "{low:?}");
+        assert!(level.1 > 0.05, "{level:?}");
+        assert_eq!(welch(&[1.0, 1.0], &[2.0, 2.0]), None);
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/store.rs
@@ -0,0 +1,483 @@
+//! The store's agreed state: programs with their allowance, time left and
+//! history, and every job by its key.
+
+use super::raft::{Change, Denial, Raft};
+use super::replica::{Machine, Plan, Stand, Todo};
+use crate::constants::*;
+use crate::state::entry::{to_bytes, Member, Members};
+use std::collections::BTreeMap;
+
+messages! {
+    pub struct Turn {
+        #[n(0)] pub said: String,
+        #[n(1)] pub answer: String,
+        #[n(2)] pub key: String,
+    }
+    pub struct Program {
+        #[n(0)] pub id: String,
+        #[n(1)] pub allowance: u64,
+        #[n(2)] pub spent: u64,
+        /// Caps of turns that may still hand out tokens.
+        #[n(3)] pub reserved: u64,
+        /// ms on the store's clock.
+        #[n(4)] pub ends: u64,
+        #[n(5)] pub forget: u64,
+        #[n(6)] pub retention_ms: u64,
+        #[n(7)] pub history: Vec<Turn>,
+        /// Group of the last turn: the caller of the tool calls that follow it.
+        #[n(8)] pub last_group: String,
+    }
+    #[derive(Copy, Eq)]
+    pub enum Verdict {
+        #[n(0)] Done,
+        /// It ran and the back end said no.
+        #[n(1)] Failed,
+        /// It did not run and never will.
+        #[n(2)] Refused,
+        /// It may have run; it will not be run again.
+        #[n(3)] InDoubt,
+    }
+    pub struct Ended {
+        #[n(0)] pub verdict: Verdict,
+        #[n(1)] pub code: String,
+        /// What the caller was told: a turn's text or a tool's JSON.
+        #[n(2)] pub body: String,
+        #[n(3)] pub tokens: u64,
+    }
+    pub enum JobState {
+        /// An intent: `until` is when, on the store's clock, it can no longer be under way.
+        #[n(0)] Open { #[n(0)] edge: u64, #[n(1)] attempt: u32, #[n(2)] server: String, #[n(3)] until: u64, #[n(4)] cap: u64, #[n(5)] nonce: u64 },
+        #[n(1)] Ended(#[n(0)] Ended),
+    }
+    pub struct Job {
+        #[n(0)] pub digest: u64,
+        #[n(1)] pub route: String,
+        #[n(2)] pub once_only: bool,
+        #[n(3)] pub state: JobState,
+        #[n(4)] pub forget: u64,
+        #[n(5)] pub retention_ms: u64,
+    }
+    /// What an edge means to do, said before it does it.
+    pub struct Intent {
+        #[n(0)] pub program: String,
+        #[n(1)] pub key: String,
+        #[n(2)] pub digest: u64,
+        #[n(3)] pub route: String,
+        #[n(4)] pub once_only: bool,
+        #[n(5)] pub edge: u64,
+        #[n(6)] pub attempt: u32,
+        #[n(7)] pub server: String,
+        #[n(8)] pub cap: u64,
+        #[n(9)] pub run_ms: u64,
+        #[n(10)] pub retention_ms: u64,
+        /// Group, for turns only.
+        #[n(11)] pub group: String,
+        /// Distinguishes one asking from another by the same edge.
+        #[n(12)] pub nonce: u64,
+    }
+    pub enum StoreAsk {
+        #[n(0)] Put { #[n(0)] id: String, #[n(1)] allowance: u64, #[n(2)] time_left_ms: u64, #[n(3)] retention_ms: u64 },
+        #[n(1)] Program { #[n(0)] id: String },
+        /// What is known of a job, and its program.
+        #[n(2)] Look { #[n(0)] program: String, #[n(1)] key: String, #[n(2)] digest: u64 },
+        #[n(3)] Begin(#[n(0)] Intent),
+        /// The end of a run that an intent of this edge began.
+        #[n(4)] Settle { #[n(0)] program: String, #[n(1)] key: String, #[n(2)] edge: u64, #[n(3)] attempt: u32, #[n(4)] ended: Ended, #[n(5)] turn: Option<Turn> },
+        /// A refusal of a job that has not begun.
+        #[n(5)] Refuse { #[n(0)] program: String, #[n(1)] key: String, #[n(2)] digest: u64, #[n(3)] route: String, #[n(4)] code: String, #[n(5)] retention_ms: u64 },
+        #[n(6)] Status,
+    }
+    pub enum StoreTell {
+        #[n(0)] Program(#[n(0)] Program, #[n(1)] u64),
+        #[n(1)] NoProgram,
+        #[n(2)] Conflict,
+        /// Nothing is known of this key; the program stands as given, at this store time.
+        #[n(3)] Unknown(#[n(0)] Program, #[n(1)] u64),
+        #[n(4)] Running,
+        #[n(5)] Ended(#[n(0)] Ended),
+        #[n(6)] Go(#[n(0)] Vec<Turn>),
+        #[n(7)] OtherBody,
+        #[n(8)] Settled,
+        #[n(9)] Status { #[n(0)] programs: u64, #[n(1)] jobs: u64, #[n(2)] clock: u64 },
+        #[n(10)] NotLeader(#[n(0)] Option<Member>),
+        /// Taken, but whether it came to pass is not known here.
+        #[n(11)] Lost,
+        #[n(12)] Busy,
+        #[n(13)] WrongGroup,
+    }
+    struct StoreCmd {
+        /// ms. The store's clock as the leader counts it.
+        #[n(0)] clock: u64,
+        #[n(1)] ask: Option<StoreAsk>,
+    }
+    #[derive(Default)]
+    struct Kept {
+        #[n(0)] clock: u64,
+        #[n(1)] programs: BTreeMap<String, Program>,
+        #[n(2)] jobs: BTreeMap<String, Job>,
+        #[n(3)] ends: BTreeMap<u64, Vec<String>>,
+    }
+}
+
+/// What the core asks of this group's leader.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Orders {
+    pub wanted: Vec<Member>,
+}
+
+#[derive(Default)]
+pub struct Store {
+    kept: Kept,
+    /// The leader's clock: the committed one, run on from when it rose.
+    base: Option<(u64, u64)>,
+    clock_at: u64,
+    pub orders: Orders,
+}
+
+/// Jobs are named within their program; 0x1f stands in no key or id.
+fn job_id(program: &str, key: &str) -> String {
+    format!("{program}\u{1f}{key}")
+}
+
+impl Store {
+    fn clock(&self, now: u64) -> u64 {
+        self.base.map_or(self.kept.clock, |(c, t)| c + now.saturating_sub(t)).max(self.kept.clock)
+    }
+
+    pub fn counts(&self) -> (usize, usize, u64) {
+        (self.kept.programs.len(), self.kept.jobs.len(), self.kept.clock)
+    }
+
+    fn known(&self, program: &str, key: &str, digest: u64) -> Option<StoreTell> {
+        let j = self.kept.jobs.get(&job_id(program, key))?;
+        // a digest of 0 asks for whatever stands under the key
+        if digest != 0 && j.digest != digest {
+            return Some(StoreTell::OtherBody);
+        }
+        Some(match &j.state {
+            JobState::Open { .. } => StoreTell::Running,
+            JobState::Ended(e) => StoreTell::Ended(e.clone()),
+        })
+    }
+
+    fn note_time(&mut self, at: u64, id: &str) {
+        self.kept.ends.entry(at).or_default().push(id.to_string());
+    }
+
+    fn put(&mut self, id: &str, allowance: u64, time_left: u64, retention: u64) -> StoreTell {
+        let c = self.kept.clock;
+        if let Some(p) = self.kept.programs.get(id) {
+            // the same again is fine; another allowance for a running program is not
+            if p.allowance == allowance && p.retention_ms == retention {
+                return StoreTell::Program(p.clone(), c);
+            }
+            return StoreTell::Conflict;
+        }
+        let p = Program {
+            id: id.to_string(),
+            allowance,
+            spent: 0,
+            reserved: 0,
+            ends: c + time_left,
+            forget: c + time_left + retention,
+            retention_ms: retention,
+            history: vec![],
+            last_group: String::new(),
+        };
+        self.note_time(p.forget, id);
+        self.kept.programs.insert(id.to_string(), p.clone());
+        StoreTell::Program(p, c)
+    }
+
+    fn end_job(&mut self, id: &str, ended: Ended) {
+        let c = self.kept.clock;
+        let Some(j) = self.kept.jobs.get_mut(id) else { return };
+        j.state = JobState::Ended(ended);
+        j.forget = c + j.retention_ms;
+        let at = j.forget;
+        self.note_time(at, id);
+    }
+
+    fn refuse(&mut self, i: &Intent, code: &str) -> StoreTell {
+        let ended = Ended { verdict: Verdict::Refused, code: code.to_string(), body: String::new(), tokens: 0 };
+        let id = job_id(&i.program, &i.key);
+        let state = JobState::Ended(ended.clone());
+        let j = Job {
+            digest: i.digest,
+            route: i.route.clone(),
+            once_only: i.once_only,
+            state,
+            forget: 0,
+            retention_ms: i.retention_ms,
+        };
+        self.kept.jobs.insert(id.clone(), j);
+        self.end_job(&id, ended.clone());
+        StoreTell::Ended(ended)
+    }
+
+    fn begin(&mut self, i: Intent) -> StoreTell {
+        let id = job_id(&i.program, &i.key);
+        let c = self.kept.clock;
+        let again = match self.kept.jobs.get(&id) {
+            None => false,
+            Some(j) => match &j.state {
+                // a repeatable job's next attempt, by the request that holds the intent
+                JobState::Open { edge, attempt, nonce, .. }
+                    if !j.once_only && (*edge, *nonce) == (i.edge, i.nonce) && i.attempt > *attempt =>
+                {
+                    true
+                }
+                // its answer was lost and the same request asks again
+                JobState::Open { edge, attempt, nonce, .. }
+                    if (*edge, *attempt, *nonce) == (i.edge, i.attempt, i.nonce) =>
+                {
+                    let h = self.kept.programs.get(&i.program).map(|p| p.history.clone());
+                    return h.map_or(StoreTell::NoProgram, StoreTell::Go);
+                }
+                _ => return self.known(&i.program, &i.key, i.digest).expect("it is there"),
+            },
+        };
+        let Some(p) = self.kept.programs.get_mut(&i.program) else { return StoreTell::NoProgram };
+        if !again {
+            if c >= p.ends {
+                return self.refuse(&i, "program_ended");
+            }
+            // only turns hand out tokens
+            if i.cap > 0 && p.spent + p.reserved >= p.allowance {
+                return self.refuse(&i, "allowance_spent");
+            }
+            p.reserved += i.cap;
+        }
+        if !i.group.is_empty() {
+            p.last_group = i.group.clone();
+        }
+        p.forget = p.forget.max(c + p.retention_ms);
+        let (f, h) = (p.forget, p.history.clone());
+        self.note_time(f, &i.program);
+        let until = c + DISPATCH_MS + i.run_ms;
+        let state =
+            JobState::Open { edge: i.edge, attempt: i.attempt, server: i.server, until, cap: i.cap, nonce: i.nonce };
+        let j = Job {
+            digest: i.digest,
+            route: i.route,
+            once_only: i.once_only,
+            state,
+            forget: 0,
+            retention_ms: i.retention_ms,
+        };
+        self.kept.jobs.insert(id.clone(), j);
+        self.note_time(until, &id);
+        StoreTell::Go(h)
+    }
+
+    fn settle(&mut self, program: &str, key: &str, by: u64, att: u32, ended: Ended, turn: Option<Turn>) -> StoreTell {
+        let id = job_id(program, key);
+        let Some(j) = self.kept.jobs.get(&id) else { return StoreTell::NoProgram };
+        let cap = match &j.state {
+            JobState::Open { edge, attempt, cap, .. } if *edge == by && *attempt == att => *cap,
+            JobState::Open { .. } => return StoreTell::Running,
+            JobState::Ended(e) => return StoreTell::Ended(e.clone()),
+        };
+        self.release(program, cap, ended.tokens);
+        let c = self.kept.clock;
+        if let (Some(t), Some(p)) = (turn, self.kept.programs.get_mut(program)) {
+            p.history.push(t);
+            p.forget = p.forget.max(c + p.retention_ms);
+            let f = p.forget;
+            self.note_time(f, program);
+        }
+        self.end_job(&id, ended.clone());
+        StoreTell::Ended(ended)
+    }
+
+    fn release(&mut self, program: &str, cap: u64, tokens: u64) {
+        if let Some(p) = self.kept.programs.get_mut(program) {
+            p.reserved -= cap;
+            p.spent += tokens;
+        }
+    }
+
+    /// Ends and forgets what the store's clock has passed.
+    fn pass_time(&mut self) {
+        let c = self.kept.clock;
+        while let Some((at, _)) = self.kept.ends.first_key_value() {
+            if *at > c {
+                break;
+            }
+            let (_, ids) = self.kept.ends.pop_first().expect("just seen");
+            for id in ids {
+                self.pass(&id, c);
+            }
+        }
+    }
+
+    fn pass(&mut self, id: &str, c: u64) {
+        if let Some(p) = self.kept.programs.get(id) {
+            // use has extended many of these; only the last one counts
+            if p.forget <= c && p.reserved == 0 {
+                self.kept.programs.remove(id);
+            } else if p.forget <= c {
+                self.note_time(c + RUN_MS, id);
+            }
+            return;
+        }
+        let Some(j) = self.kept.jobs.get(id) else { return };
+        match &j.state {
+            JobState::Open { until, cap, .. } if *until <= c => {
+                // its edge is gone: it can no longer run, and it may have handed out all it reserved
+                let cap = *cap;
+                let program = id.split('\u{1f}').next().unwrap_or_default().to_string();
+                self.release(&program, cap, cap);
+                let code = "edge_lost".to_string();
+                self.end_job(id, Ended { verdict: Verdict::InDoubt, code, body: String::new(), tokens: cap });
+            }
+            JobState::Ended(_) if j.forget <= c => {
+                self.kept.jobs.remove(id);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Machine for Store {
+    type Ask = StoreAsk;
+    type Tell = StoreTell;
+    type Think = ();
+
+    fn plan(&mut self, st: Stand, ask: &StoreAsk) -> Plan<StoreTell> {
+        match ask {
+            StoreAsk::Program { .. } | StoreAsk::Look { .. } | StoreAsk::Status => Plan::Read,
+            _ => {
+                self.clock_at = st.now;
+                Plan::Propose(to_bytes(&StoreCmd { clock: self.clock(st.now), ask: Some(ask.clone()) }))
+            }
+        }
+    }
+
+    fn answer(&mut self, st: Stand, ask: StoreAsk) -> StoreTell {
+        let c = self.clock(st.now);
+        match ask {
+            StoreAsk::Program { id } => match self.kept.programs.get(&id) {
+                Some(p) => StoreTell::Program(p.clone(), c),
+                None => StoreTell::NoProgram,
+            },
+            StoreAsk::Look { program, key, digest } => match self.known(&program, &key, digest) {
+                Some(t) => t,
+                None => match self.kept.programs.get(&program) {
+                    Some(p) => StoreTell::Unknown(p.clone(), c),
+                    None => StoreTell::NoProgram,
+                },
+            },
+            _ => {
+                let (p, j, clock) = self.counts();
+                StoreTell::Status { programs: p as u64, jobs: j as u64, clock }
+            }
+        }
+    }
+
+    fn apply(&mut self, _index: u64, _term: u64, bytes: &[u8]) -> StoreTell {
+        let Ok(cmd) = minicbor::decode::<StoreCmd>(bytes) else {
+            // the same bytes fail the same way on every replica
+            return StoreTell::Lost;
+        };
+        self.kept.clock = self.kept.clock.max(cmd.clock);
+        self.pass_time();
+        match cmd.ask {
+            None => StoreTell::Settled,
+            Some(StoreAsk::Put { id, allowance, time_left_ms, retention_ms }) => {
+                self.put(&id, allowance, time_left_ms, retention_ms)
+            }
+            Some(StoreAsk::Begin(i)) => self.begin(i),
+            Some(StoreAsk::Settle { program, key, edge, attempt, ended, turn }) => {
+                self.settle(&program, &key, edge, attempt, ended, turn)
+            }
+            Some(StoreAsk::Refuse { program, key, digest, route, code, retention_ms }) => {
+                if let Some(t) = self.known(&program, &key, digest) {
+                    return t;
+                }
+                let i = Intent {
+                    program,
+                    key,
+                    digest,
+                    route,
+                    once_only: true,
+                    edge: 0,
+                    attempt: 0,
+                    server: String::new(),
+                    cap: 0,
+                    run_ms: 0,
+                    retention_ms,
+                    group: String::new(),
+                    nonce: 0,
+                };
+                self.refuse(&i, &code)
+            }
+            Some(_) => StoreTell::Lost,
+        }
+    }
+
+    fn members_agreed(&mut self, _index: u64, _m: &Members) -> StoreTell {
+        StoreTell::Settled
+    }
+
+    fn capture(&self) -> Vec<u8> {
+        to_bytes(&self.kept)
+    }
+
+    fn restore(&mut self, data: &[u8]) {
+        // a capture is checked when it is read from disk or taken from the leader's frame
+        self.kept = minicbor::decode(data).unwrap_or_default();
+    }
+
+    fn rose(&mut self, st: Stand) {
+        self.base = Some((self.kept.clock, st.now));
+        self.clock_at = st.now;
+    }
+
+    fn fell(&mut self) {
+        self.base = None;
+    }
+
+    fn tick(&mut self, st: Stand, raft: &Raft) -> Vec<Todo<()>> {
+        let mut todo: Vec<Todo<()>> =
+            follow_orders(&self.orders.wanted, raft, st.now).into_iter().map(Todo::Change).collect();
+        if st.now >= self.clock_at + CLOCK_MS {
+            self.clock_at = st.now;
+            todo.push(Todo::Propose(to_bytes(&StoreCmd { clock: self.clock(st.now), ask: None })));
+        }
+        todo
+    }
+
+    fn denied(&self, why: Denial, leader: Option<Member>) -> StoreTell {
+        match why {
+            Denial::NotLeader => StoreTell::NotLeader(leader),
+            Denial::Busy => StoreTell::Busy,
+            Denial::Lost | Denial::Unsafe(_) => StoreTell::Lost,
+        }
+    }
+}
+
+/// The next single change that brings a group nearer to the members wanted:
+/// learners in, then votes, and only then old members out.
+pub fn follow_orders(wanted: &[Member], raft: &Raft, now: u64) -> Option<Change> {
+    if wanted.is_empty() {
+        return None;
+    }
+    let m = raft.members();
+    let want = |id: u64| wanted.iter().any(|w| w.id == id);
+    if let Some(w) = wanted.iter().find(|w| m.all().all(|x| x.id != w.id)) {
+        return Some(Change::AddLearner(w.clone()));
+    }
+    let caught = |id: u64| {
+        let p = raft.heard().into_iter().find(|(p, _, _)| *p == id);
+        p.is_some_and(|(_, at, heard)| at + PROMOTE_LAG >= raft.last() && now.saturating_sub(heard) <= ELECTION_MS)
+    };
+    if let Some(l) = m.learners.iter().find(|l| want(l.id) && caught(l.id)) {
+        return Some(Change::Promote(l.id));
+    }
+    if m.learners.iter().any(|l| want(l.id)) {
+        return None;
+    }
+    let odd = m.all().find(|x| !want(x.id) && x.id != raft.id).or(m.all().find(|x| !want(x.id)));
+    odd.map(|x| Change::Remove(x.id))
+}
--- /dev/null
+++ b/hutbook/src/coordination/view.rs
@@ -0,0 +1,176 @@
+//! What the core has agreed on, folded from its events. The core folds them as
+//! it applies its log; every edge folds the same events from the feed.
+
+use crate::state::config::Config;
+use crate::state::entry::Member;
+use std::collections::{BTreeMap, BTreeSet};
+
+messages! {
+    pub struct Server {
+        #[n(0)] pub name: String,
+        #[n(1)] pub group: String,
+        #[n(2)] pub addr: String,
+        #[n(3)] pub cell: String,
+        #[n(4)] pub leaving: bool,
+        /// Revision at which it was listed (anew): its warm-up counts from here.
+        #[n(5)] pub since: u64,
+    }
+    pub struct Spot {
+        #[n(0)] pub since: u64,
+        /// Gets nothing new; leaves its place when its last job is done.
+        #[n(1)] pub draining: bool,
+    }
+    #[derive(Default)]
+    pub struct StoreGroup {
+        /// Members as the core wants them; the group's leader carries it out.
+        #[n(0)] pub wanted: Vec<Member>,
+        /// The one node that may form the group, once.
+        #[n(1)] pub founder: u64,
+        /// Members as the group last reported them.
+        #[n(2)] pub actual: Vec<Member>,
+    }
+    pub enum Event {
+        #[n(0)] Cluster(#[n(0)] u64),
+        #[n(1)] Config { #[n(0)] text: String, #[n(1)] config: Config },
+        #[n(2)] Server(#[n(0)] Server),
+        #[n(3)] Gone(#[n(0)] String),
+        #[n(4)] Cell { #[n(0)] cell: String, #[n(1)] out: bool },
+        #[n(5)] Places { #[n(0)] group: String, #[n(1)] spots: BTreeMap<String, Spot> },
+        #[n(6)] Wanted { #[n(0)] group: String, #[n(1)] count: u32 },
+        #[n(7)] Stores { #[n(0)] group: u32, #[n(1)] is: StoreGroup },
+        #[n(8)] Slots(#[n(0)] Vec<u32>),
+        #[n(9)] Cores(#[n(0)] Vec<Member>),
+    }
+    #[derive(Default)]
+    pub struct View {
+        /// Index of the last log entry that changed anything here.
+        #[n(0)] pub rev: u64,
+        #[n(1)] pub cluster: u64,
+        /// Revision of the config: the rev at which it was taken; 0 is none yet.
+        #[n(2)] pub config_rev: u64,
+        #[n(3)] pub config_text: String,
+        #[n(4)] pub config: Option<Config>,
+        #[n(5)] pub servers: BTreeMap<String, Server>,
+        /// Evacuated cells, with the revision of the order.
+        #[n(6)] pub out: BTreeMap<String, u64>,
+        #[n(7)] pub places: BTreeMap<String, BTreeMap<String, Spot>>,
+        #[n(8)] pub wanted: BTreeMap<String, u32>,
+        #[n(9)] pub stores: BTreeMap<u32, StoreGroup>,
+        #[n(10)] pub slots: Vec<u32>,
+        #[n(11)] pub cores: Vec<Member>,
+    }
+}
+
+impl View {
+    pub fn fold(&mut self, rev: u64, e: &Event) {
+        self.rev = rev;
+        match e.clone() {
+            Event::Cluster(c) => self.cluster = c,
+            Event::Config { text, config } => {
+                self.config_rev = rev;
+                self.config_text = text;
+                self.config = Some(config);
+            }
+            Event::Server(s) => {
+                self.servers.insert(s.name.clone(), s);
+            }
+            Event::Gone(n) => {
+                self.servers.remove(&n);
+            }
+            Event::Cell { cell, out: true } => {
+                self.out.insert(cell, rev);
+            }
+            Event::Cell { cell, out: false } => {
+                self.out.remove(&cell);
+            }
+            Event::Places { group, spots } => {
+                self.places.insert(group, spots);
+            }
+            Event::Wanted { group, count } => {
+                self.wanted.insert(group, count);
+            }
+            Event::Stores { group, is } => {
+                self.stores.insert(group, is);
+            }
+            Event::Slots(s) => self.slots = s,
+            Event::Cores(c) => self.cores = c,
+        }
+    }
+
+    /// May this server be given new work, as far as the core's word goes?
+    pub fn usable(&self, name: &str) -> bool {
+        let Some(s) = self.servers.get(name) else { return false };
+        let spot = self.places.get(&s.group).and_then(|p| p.get(name));
+        !s.leaving && !self.out.contains_key(&s.cell) && spot.is_some_and(|p| !p.draining)
+    }
+
+    /// Servers that could hold a place in this group.
+    fn fit(&self, group: &str) -> Vec<&Server> {
+        let ok = |s: &&Server| s.group == group && !s.leaving && !self.out.contains_key(&s.cell);
+        self.servers.values().filter(ok).collect()
+    }
+
+    /// The most servers the group could hold now, and its wanted count.
+    pub fn room(&self, group: &str) -> (u32, u32) {
+        let g = self.config.as_ref().and_then(|c| c.groups.get(group));
+        let Some(g) = g else { return (0, 0) };
+        let fit = self.fit(group).len() as u32;
+        (fit.min(g.most), self.wanted.get(group).copied().unwrap_or(g.least).clamp(g.least, g.most))
+    }
+
+    /// The places every group should have now: what stays, stays; spares fill up;
+    /// the newest drain first. Only groups whose places change are listed.
+    pub fn settle(&self, rev: u64) -> Vec<(String, BTreeMap<String, Spot>)> {
+        let mut out = vec![];
+        let none = BTreeMap::new();
+        let groups: BTreeSet<&String> = match &self.config {
+            Some(c) => c.groups.keys().chain(self.places.keys()).collect(),
+            None => return out,
+        };
+        for g in groups {
+            let old = self.places.get(g).unwrap_or(&none);
+            let fit: BTreeMap<&str, &Server> = self.fit(g).into_iter().map(|s| (s.name.as_str(), s)).collect();
+            let (_, want) = self.room(g);
+            let mut new: BTreeMap<String, Spot> = old.clone();
+            // one that may get no work any more keeps a draining place until it is empty
+            for (n, s) in new.iter_mut() {
+                s.draining |= !fit.contains_key(n.as_str());
+            }
+            new.retain(|n, _| self.servers.contains_key(n));
+            let active = |m: &BTreeMap<String, Spot>| m.values().filter(|s| !s.draining).count() as u32;
+            while active(&new) < want {
+                // a draining one is warm still, so it goes before a cold spare
+                let back = new.iter().find(|(n, s)| s.draining && fit.contains_key(n.as_str())).map(|(n, _)| n.clone());
+                let per_cell = |c: &str| new.iter().filter(|(n, s)| !s.draining && fit[n.as_str()].cell == c).count();
+                let spare = fit.values().filter(|s| !new.contains_key(&s.name)).min_by_key(|s| per_cell(&s.cell));
+                let Some(n) = back.or(spare.map(|s| s.name.clone())) else { break };
+                new.insert(n, Spot { since: rev, draining: false });
+            }
+            while active(&new) > want {
+                let last = new.iter().filter(|(_, s)| !s.draining).max_by_key(|(_, s)| s.since);
+                let n = last.map(|(n, _)| n.clone()).expect("more than wanted are active");
+                new.get_mut(&n).expect("just seen").draining = true;
+            }
+            if &new != old {
+                out.push((g.clone(), new));
+            }
+        }
+        out
+    }
+
+    pub fn store_of(&self, program: &str) -> Option<u32> {
+        let h = slot_of(program);
+        self.slots.get(h as usize).copied()
+    }
+}
+
+/// A fixed hash: every node must agree on it for ever.
+pub fn hash(s: &str) -> u64 {
+    use sha2::Digest;
+    let d = sha2::Sha256::digest(s.as_bytes());
+    u64::from_be_bytes(d[..8].try_into().expect("a digest has 32 bytes"))
+}
+
+pub fn slot_of(program: &str) -> u64 {
+    hash(program) % crate::constants::STORE_SLOTS
+}
--- /dev/null
+++ b/hutbook/src/protocol/settings.rs
@@ -0,0 +1,191 @@
+//! Where a process stands: from a settings file, from flags, or both; flags win.
+
+use super::findings::{is_name, Finding, Reader};
+use getopts::Options;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Where other processes reach this one; absent for programs that only call.
+    pub wire: SocketAddr,
+    /// Where callers or operators reach it.
+    pub http: SocketAddr,
+    pub cell: String,
+    pub seeds: Vec<SocketAddr>,
+    pub data: Option<PathBuf>,
+    pub log: String,
+    /// Form a new cluster: asked for by hand, once, on one machine.
+    pub found: bool,
+}
+
+/// Which program reads its settings.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Who {
+    Refuge,
+    Bothy,
+    Trailhead,
+}
+
+impl Who {
+    pub fn name(self) -> &'static str {
+        match self {
+            Who::Refuge => "refuge",
+            Who::Bothy => "bothy",
+            Who::Trailhead => "trailhead",
+        }
+    }
+
+    fn about(self) -> &'static str {
+        match self {
+            Who::Refuge => "keeps the fleet's agreed state and steers it (core)",
+            Who::Bothy => "keeps programs and jobs (store)",
+            Who::Trailhead => "serves callers and dispatches their work (edge)",
+        }
+    }
+}
+
+pub enum Start {
+    Run(Settings),
+    /// Help or version: to be printed, then a good end.
+    Say(String),
+}
+
+fn options(who: Who) -> Options {
+    let mut o = Options::new();
+    o.optopt("s", "settings", "JSON file with the settings below, by their long names", "FILE");
+    o.optopt("w", "wire", "where other processes reach this one", "IP:PORT");
+    o.optopt("H", "http", "where callers and operators reach this one", "IP:PORT");
+    o.optopt("c", "cell", "the cell (zone) this process stands in", "NAME");
+    o.optmulti("S", "seed", "another process's wire address, for first contact (up to three)", "IP:PORT");
+    o.optopt("l", "log", "error, warn, info or debug (default info)", "LEVEL");
+    if who != Who::Trailhead {
+        o.optopt("d", "data", "data folder; made when it is missing", "DIR");
+    }
+    if who == Who::Refuge {
+        o.optflag("", "found", "form a new cluster; only ever on one machine, only once");
+    }
+    o.optflag("", "check", "read the settings, say what is wrong with them, start nothing");
+    o.optflag("h", "help", "this text");
+    o.optflag("V", "version", "the version");
+    o
+}
+
+pub fn read(who: Who, args: &[String]) -> Result<Start, Vec<Finding>> {
+    let o = options(who);
+    let flag = |e: getopts::Fail| vec![Finding { place: "flags".into(), what: e.to_string() }];
+    let m = o.parse(args).map_err(flag)?;
+    if m.opt_present("help") {
+        let head =
+            format!("{} {}: {}\n\nUsage: {} [options]", who.name(), env!("CARGO_PKG_VERSION"), who.about(), who.name());
+        return Ok(Start::Say(o.usage(&head)));
+    }
+    if m.opt_present("version") {
+        return Ok(Start::Say(format!("{} {}\n", who.name(), env!("CARGO_PKG_VERSION"))));
+    }
+    let mut r = Reader::default();
+    m.free.iter().for_each(|a| r.find("flags", format!("{a} is not understood")));
+    let file = m.opt_str("settings").map(|f| match std::fs::read_to_string(&f) {
+        Ok(t) => r.parse(&t).unwrap_or(jzon::JsonValue::Null),
+        Err(e) => {
+            r.find(&f, e.to_string());
+            jzon::JsonValue::Null
+        }
+    });
+    let none = jzon::object! {};
+    let file = file.as_ref().unwrap_or(&none);
+    let mut known = vec!["wire", "http", "cell", "seeds", "log"];
+    if who != Who::Trailhead {
+        known.push("data");
+    }
+    if !file.is_null() {
+        r.keys("", file, &known);
+    }
+    let pick = |r: &mut Reader, key: &str| {
+        m.opt_str(key).or_else(|| (!file[key].is_null()).then(|| r.text("", file, key, None)))
+    };
+    let address = |r: &mut Reader, key: &str, v: Option<String>| match v {
+        None => {
+            r.find(key, "is missing");
+            SocketAddr::from(([127, 0, 0, 1], 0))
+        }
+        Some(a) => socket(r, key, &a),
+    };
+    let (wire, http) = (pick(&mut r, "wire"), pick(&mut r, "http"));
+    let (wire, http) = (address(&mut r, "wire", wire), address(&mut r, "http", http));
+    if wire == http && wire.port() != 0 {
+        r.find("http", "is the same address as wire");
+    }
+    let cell = pick(&mut r, "cell").unwrap_or_default();
+    if !is_name(&cell) {
+        r.find("cell", "must be a name: up to 128 letters, digits, and -_.:");
+    }
+    let log = pick(&mut r, "log").unwrap_or_else(|| "info".into());
+    if !["error", "warn", "info", "debug"].contains(&log.as_str()) {
+        r.find("log", "must be error, warn, info or debug");
+    }
+    let data = if who == Who::Trailhead { None } else { pick(&mut r, "data").map(PathBuf::from) };
+    if who != Who::Trailhead && data.is_none() {
+        r.find("data", "is missing");
+    }
+    let mut seeds = m.opt_strs("seed");
+    if seeds.is_empty() && !file["seeds"].is_null() {
+        if !file["seeds"].is_array() {
+            r.find("seeds", "must be a list of addresses");
+        }
+        for (i, s) in file["seeds"].members().enumerate() {
+            match s.as_str() {
+                Some(s) => seeds.push(s.to_string()),
+                None => r.find(&format!("seeds[{i}]"), "must be a text"),
+            }
+        }
+    }
+    let found = who == Who::Refuge && m.opt_present("found");
+    if seeds.is_empty() && !found {
+        r.find("seeds", "are missing: a process needs another one's address to find its fleet");
+    }
+    if seeds.len() > 3 {
+        r.find("seeds", "must be three at the most");
+    }
+    let seeds = seeds.iter().enumerate().map(|(i, s)| socket(&mut r, &format!("seeds[{i}]"), s)).collect();
+    if !r.found.is_empty() {
+        return Err(r.found);
+    }
+    if m.opt_present("check") {
+        return Ok(Start::Say("the settings are in order\n".into()));
+    }
+    Ok(Start::Run(Settings { wire, http, cell, seeds, data, log, found }))
+}
+
+fn socket(r: &mut Reader, place: &str, a: &str) -> SocketAddr {
+    match a.parse::<SocketAddr>() {
+        Ok(s) if s.port() != 0 && !s.ip().is_unspecified() => s,
+        _ => {
+            r.find(place, format!("{a} must be an IP number and a port, as other machines reach it"));
+            SocketAddr::from(([127, 0, 0, 1], 0))
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read_words(who: Who, words: &str) -> Result<Start, Vec<Finding>> {
+        read(who, &words.split_whitespace().map(String::from).collect::<Vec<_>>())
+    }
+
+    #[test]
+    fn all_findings_come_together_and_good_settings_start() {
+        // given flags with four faults
+        let f = read_words(Who::Bothy, "--wire localhost:1 --http 127.0.0.1:80 --cell a/b --log loud").err().unwrap();
+        let p: Vec<&str> = f.iter().map(|f| f.place.as_str()).collect();
+        // then each is told, and what is missing too
+        assert_eq!(p, ["wire", "cell", "log", "data", "seeds"]);
+        // given good ones, then they are taken
+        let ok = "--wire 127.0.0.1:71 --http 127.0.0.1:81 --cell a --data /tmp/x --seed 127.0.0.1:70";
+        assert!(matches!(read_words(Who::Bothy, ok), Ok(Start::Run(s)) if s.seeds.len() == 1));
+        assert!(matches!(read_words(Who::Refuge, "--help"), Ok(Start::Say(t)) if t.contains("--found")));
+        assert!(read_words(Who::Trailhead, "--data x").is_err());
+    }
+}
--- /dev/null
+++ b/hutbook/src/state/config.rs
@@ -0,0 +1,104 @@
+//! The operators' configuration, as agreed: one document, taken whole.
+
+use std::collections::BTreeMap;
+
+messages! {
+    #[derive(Copy, Eq)]
+    pub enum Kind {
+        #[n(0)] Model,
+        #[n(1)] Tool,
+    }
+    pub struct Group {
+        #[n(0)] pub kind: Kind,
+        /// ms. P90 the group's edges should stay under.
+        #[n(1)] pub slo_ms: u64,
+        #[n(2)] pub least: u32,
+        #[n(3)] pub most: u32,
+        /// Jobs one server may have under way, over the whole fleet.
+        #[n(4)] pub in_flight: u32,
+        /// Finished jobs that earn a cold server one more slot.
+        #[n(5)] pub warm_jobs: u32,
+        /// Pressure (waiting jobs) and share of KV cache above which the preferred server is passed over.
+        #[n(6)] pub pressure_most: f64,
+        #[n(7)] pub cache_most: f64,
+    }
+    pub struct Route {
+        #[n(0)] pub group: String,
+        #[n(1)] pub work: String,
+        #[n(2)] pub once_only: bool,
+        #[n(3)] pub retention_ms: u64,
+        #[n(4)] pub run_ms: u64,
+        #[n(5)] pub path: String,
+        /// The back end can be asked by key what became of a job.
+        #[n(6)] pub lookup: bool,
+    }
+    pub struct Work {
+        /// ms. Set point: how long this kind of work may wait.
+        #[n(0)] pub wait_ms: u64,
+        /// Lower goes first where shares of the set point are equal.
+        #[n(1)] pub rank: u32,
+    }
+    pub struct Tuning {
+        #[n(0)] pub alpha: f64,
+        #[n(1)] pub beta: f64,
+        #[n(2)] pub p: f64,
+        #[n(3)] pub sigma: f64,
+        #[n(4)] pub delta: f64,
+        #[n(5)] pub k: u32,
+        #[n(6)] pub gamma: u32,
+        #[n(7)] pub lambda: f64,
+        #[n(8)] pub rounds: u32,
+        #[n(9)] pub flock: u32,
+        /// Share by which workload may move during a decision.
+        #[n(10)] pub moved: f64,
+        /// ms. Nothing is scaled for this long after a takeover.
+        #[n(11)] pub cooldown_ms: u64,
+        /// Samples of each label before the forest is trusted.
+        #[n(12)] pub label_least: u32,
+        /// Samples kept; every decision trains its forest on them anew.
+        #[n(13)] pub history: u32,
+    }
+    pub struct Limits {
+        #[n(0)] pub allowance_most: u64,
+        #[n(1)] pub turn_cap: u64,
+        #[n(2)] pub history_ms: u64,
+        #[n(3)] pub time_left_most_ms: u64,
+    }
+    pub struct Config {
+        #[n(0)] pub groups: BTreeMap<String, Group>,
+        #[n(1)] pub routes: BTreeMap<String, Route>,
+        #[n(2)] pub work: BTreeMap<String, Work>,
+        #[n(3)] pub scaler: Tuning,
+        #[n(4)] pub limits: Limits,
+    }
+}
+
+/// Starting values: the paper's where it has them, else ours.
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            alpha: 0.2,
+            beta: 0.9,
+            p: 0.05,
+            sigma: 1.0,
+            delta: 0.15,
+            k: 2,
+            gamma: 2,
+            // ours: an SLO kept is worth more than every server saved
+            lambda: 0.7,
+            // ours
+            rounds: 20,
+            flock: 24,
+            moved: 0.5,
+            cooldown_ms: 15_000,
+            label_least: 20,
+            history: 480,
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { allowance_most: 1_000_000, turn_cap: 2_000, history_ms: 86_400_000, time_left_most_ms: 86_400_000 }
+    }
+}
--- /dev/null
+++ b/hutbook/src/state/disk.rs
@@ -0,0 +1,290 @@
+//! The data folder of a node: who it is, its term and vote, its log, its capture.
+//!
+//! One redb file. A batch of operations is one transaction, and it is on disk
+//! when `write` returns, not before.
+
+use super::entry::{to_bytes, Capture, Entry};
+use crate::constants::DISK_VERSION;
+use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum DiskOp {
+    Meta {
+        term: u64,
+        voted: Option<u64>,
+    },
+    /// Replaces whatever stands at or after the first entry's index.
+    Append {
+        entries: Vec<Entry>,
+    },
+    /// Keeps a capture and drops the log it covers; `clear` drops the whole log.
+    Capture {
+        capture: Arc<Capture>,
+        clear: bool,
+    },
+}
+
+/// What a node finds when it starts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Boot {
+    pub term: u64,
+    pub voted: Option<u64>,
+    pub entries: Vec<Entry>,
+    pub capture: Option<Capture>,
+}
+
+#[derive(Debug)]
+pub enum DiskError {
+    /// The folder is not ours, or is damaged; says what to do about it.
+    Refused(String),
+    Failed(String),
+}
+
+impl std::fmt::Display for DiskError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            DiskError::Refused(s) | DiskError::Failed(s) => f.write_str(s),
+        }
+    }
+}
+
+impl From<redb::Error> for DiskError {
+    fn from(e: redb::Error) -> Self {
+        DiskError::Failed(e.to_string())
+    }
+}
+
+const FACTS: TableDefinition<&str, u64> = TableDefinition::new("facts");
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const BLOBS: TableDefinition<&str, &[u8]> = TableDefinition::new("blobs");
+
+pub struct Disk {
+    path: PathBuf,
+    db: Option<Database>,
+    pub id: u64,
+    pub cluster: u64,
+}
+
+impl Disk {
+    /// Opens the folder, or makes it when it is empty, drawing the node's id.
+    pub fn open(dir: &Path, kind: u64, draw: impl Fn() -> u64) -> Result<Disk, DiskError> {
+        let io = |e: std::io::Error| DiskError::Failed(format!("{}: {e}", dir.display()));
+        std::fs::create_dir_all(dir).map_err(io)?;
+        let path = dir.join("hut.redb");
+        let fresh = !path.exists();
+        // a folder with other things in it is somebody else's
+        if fresh && std::fs::read_dir(dir).map_err(io)?.next().is_some() {
+            let s = format!("{}: holds files but no hut.redb; give an empty folder or the right one", dir.display());
+            return Err(DiskError::Refused(s));
+        }
+        let mut d = Disk { path, db: None, id: 0, cluster: 0 };
+        d.reopen()?;
+        if fresh {
+            d.found_folder(kind, draw())?;
+            // the file's own name must last as well
+            std::fs::File::open(dir).and_then(|f| f.sync_all()).map_err(io)?;
+        }
+        d.check(kind)?;
+        Ok(d)
+    }
+
+    fn reopen(&mut self) -> Result<(), DiskError> {
+        self.db = None;
+        let db = Database::create(&self.path).map_err(|e| {
+            let s = format!(
+                "{}: can't be read as a data folder ({e}); start with an empty folder and let the group refill it",
+                self.path.display()
+            );
+            DiskError::Refused(s)
+        })?;
+        self.db = Some(db);
+        Ok(())
+    }
+
+    fn found_folder(&mut self, kind: u64, id: u64) -> Result<(), DiskError> {
+        self.transact(|t| {
+            let mut f = t.open_table(FACTS)?;
+            f.insert("version", DISK_VERSION)?;
+            f.insert("kind", kind)?;
+            f.insert("id", id)?;
+            t.open_table(LOG)?;
+            t.open_table(BLOBS)?;
+            Ok(())
+        })
+    }
+
+    fn check(&mut self, kind: u64) -> Result<(), DiskError> {
+        let p = self.path.display().to_string();
+        let (v, k, id) = (self.fact("version")?, self.fact("kind")?, self.fact("id")?);
+        if v != Some(DISK_VERSION) {
+            let s = format!("{p}: stored format {v:?}, this program reads {DISK_VERSION}; run the matching version");
+            return Err(DiskError::Refused(s));
+        }
+        if k != Some(kind) {
+            return Err(DiskError::Refused(format!("{p}: belongs to another kind of process; give it its own folder")));
+        }
+        self.id = id.ok_or_else(|| DiskError::Refused(format!("{p}: holds no node id; start with an empty folder")))?;
+        self.cluster = self.fact("cluster")?.unwrap_or(0);
+        Ok(())
+    }
+
+    fn db(&self) -> Result<&Database, DiskError> {
+        self.db.as_ref().ok_or_else(|| DiskError::Failed("the data file is closed".into()))
+    }
+
+    fn transact(&self, f: impl FnOnce(&redb::WriteTransaction) -> Result<(), redb::Error>) -> Result<(), DiskError> {
+        let mut t = self.db()?.begin_write().map_err(redb::Error::from)?;
+        t.set_durability(Durability::Immediate).map_err(redb::Error::from)?;
+        f(&t)?;
+        t.commit().map_err(redb::Error::from)?;
+        Ok(())
+    }
+
+    pub fn fact(&self, k: &str) -> Result<Option<u64>, DiskError> {
+        let t = self.db()?.begin_read().map_err(redb::Error::from)?;
+        let f = t.open_table(FACTS).map_err(redb::Error::from)?;
+        Ok(f.get(k).map_err(redb::Error::from)?.map(|v| v.value()))
+    }
+
+    pub fn set_cluster(&mut self, c: u64) -> Result<(), DiskError> {
+        self.cluster = c;
+        self.transact(|t| {
+            t.open_table(FACTS)?.insert("cluster", c)?;
+            Ok(())
+        })
+    }
+
+    /// Small named things kept beside the log, such as the last known core addresses.
+    pub fn note(&self, k: &str) -> Result<Option<Vec<u8>>, DiskError> {
+        let t = self.db()?.begin_read().map_err(redb::Error::from)?;
+        let b = t.open_table(BLOBS).map_err(redb::Error::from)?;
+        Ok(b.get(k).map_err(redb::Error::from)?.map(|v| v.value().to_vec()))
+    }
+
+    pub fn set_note(&self, k: &str, v: &[u8]) -> Result<(), DiskError> {
+        self.transact(|t| {
+            t.open_table(BLOBS)?.insert(k, v)?;
+            Ok(())
+        })
+    }
+
+    pub fn boot(&self) -> Result<Boot, DiskError> {
+        let bad = |what: &str| {
+            DiskError::Refused(format!(
+                "{}: {what} can't be read; start with an empty folder and let the group refill it",
+                self.path.display()
+            ))
+        };
+        let mut b = Boot { term: self.fact("term")?.unwrap_or(0), ..Boot::default() };
+        b.voted = self.fact("voted")?.filter(|v| *v != 0);
+        if let Some(c) = self.note("capture")? {
+            b.capture = Some(minicbor::decode(&c).map_err(|_| bad("the capture"))?);
+        }
+        let t = self.db()?.begin_read().map_err(redb::Error::from)?;
+        let l = t.open_table(LOG).map_err(redb::Error::from)?;
+        for kv in l.iter().map_err(redb::Error::from)? {
+            let (_, v) = kv.map_err(redb::Error::from)?;
+            b.entries.push(minicbor::decode(v.value()).map_err(|_| bad("a log entry"))?);
+        }
+        let mut next = b.capture.as_ref().map(|c| c.index + 1);
+        for e in &b.entries {
+            if next.is_some_and(|n| n != e.index) {
+                return Err(bad("the log has a gap and"));
+            }
+            next = Some(e.index + 1);
+        }
+        Ok(b)
+    }
+
+    /// Everything in `ops` is on disk when this returns, or none of it.
+    pub fn write(&mut self, ops: &[DiskOp]) -> Result<(), DiskError> {
+        if self.db.is_none() {
+            self.reopen()?;
+        }
+        let r = self.transact(|t| {
+            for op in ops {
+                match op {
+                    DiskOp::Meta { term, voted } => {
+                        let mut f = t.open_table(FACTS)?;
+                        f.insert("term", *term)?;
+                        f.insert("voted", voted.unwrap_or(0))?;
+                    }
+                    DiskOp::Append { entries } => {
+                        let mut l = t.open_table(LOG)?;
+                        if let Some(e) = entries.first() {
+                            l.retain_in(e.index.., |_, _| false)?;
+                        }
+                        for e in entries {
+                            l.insert(e.index, to_bytes(e).as_slice())?;
+                        }
+                    }
+                    DiskOp::Capture { capture, clear } => {
+                        let mut l = t.open_table(LOG)?;
+                        let upto = if *clear { u64::MAX } else { capture.index };
+                        l.retain_in(..=upto, |_, _| false)?;
+                        t.open_table(BLOBS)?.insert("capture", to_bytes(&**capture).as_slice())?;
+                    }
+                }
+            }
+            Ok(())
+        });
+        // after a failed write the file is opened anew before the next try
+        if r.is_err() {
+            self.db = None;
+        }
+        r
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::entry::{Members, What};
+    use super::*;
+
+    fn entry(index: u64, term: u64) -> Entry {
+        Entry { index, term, what: What::Command(vec![index as u8]) }
+    }
+
+    fn folder(name: &str) -> PathBuf {
+        let d = std::env::temp_dir().join(format!("corkdrum-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&d);
+        d
+    }
+
+    #[test]
+    fn what_was_written_is_read_back_and_identity_stays() {
+        // given a new folder with a log, a replaced tail and a capture
+        let d = folder("disk");
+        let mut k = Disk::open(&d, 1, || 77).unwrap();
+        k.write(&[DiskOp::Append { entries: (1..=5).map(|i| entry(i, 1)).collect() }]).unwrap();
+        k.write(&[DiskOp::Meta { term: 3, voted: Some(9) }, DiskOp::Append { entries: vec![entry(4, 3)] }]).unwrap();
+        let c = Arc::new(Capture { index: 2, term: 1, members: Members::default(), data: vec![1, 2] });
+        k.write(&[DiskOp::Capture { capture: c.clone(), clear: false }]).unwrap();
+        drop(k);
+        // when it is opened again
+        let k = Disk::open(&d, 1, || 78).unwrap();
+        let b = k.boot().unwrap();
+        // then it is the same node with the same state
+        assert_eq!((k.id, b.term, b.voted), (77, 3, Some(9)));
+        assert_eq!(b.entries, vec![entry(3, 1), entry(4, 3)]);
+        assert_eq!(b.capture, Some((*c).clone()));
+        // and another kind of process is refused
+        drop(k);
+        assert!(matches!(Disk::open(&d, 2, || 1), Err(DiskError::Refused(_))));
+        std::fs::remove_dir_all(&d).unwrap();
+    }
+
+    #[test]
+    fn a_foreign_or_damaged_folder_is_refused() {
+        // given a folder with something else in it, and one with a broken file
+        let d = folder("foreign");
+        std::fs::create_dir_all(&d).unwrap();
+        std::fs::write(d.join("notes.txt"), "x").unwrap();
+        assert!(matches!(Disk::open(&d, 1, || 1), Err(DiskError::Refused(_))));
+        std::fs::write(d.join("hut.redb"), vec![7u8; 9000]).unwrap();
+        assert!(matches!(Disk::open(&d, 1, || 1), Err(DiskError::Refused(_))));
+        std::fs::remove_dir_all(&d).unwrap();
+    }
+}
--- /dev/null
+++ b/hutbook/src/state/entry.rs
@@ -0,0 +1,53 @@
+//! What the replicated log is made of.
+
+messages! {
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct Member {
+        #[n(0)] pub id: u64,
+        /// An attribute only; identity is the id.
+        #[n(1)] pub addr: String,
+    }
+    #[derive(Default)]
+    pub struct Members {
+        #[n(0)] pub voters: Vec<Member>,
+        #[n(1)] pub learners: Vec<Member>,
+    }
+    pub enum What {
+        /// A new leader's first entry.
+        #[n(0)] Blank,
+        #[n(1)] Members(#[n(0)] Members),
+        #[n(2)] Command(#[cbor(n(0), with = "minicbor::bytes")] Vec<u8>),
+    }
+    pub struct Entry {
+        #[n(0)] pub index: u64,
+        #[n(1)] pub term: u64,
+        #[n(2)] pub what: What,
+    }
+    pub struct Capture {
+        #[n(0)] pub index: u64,
+        #[n(1)] pub term: u64,
+        #[n(2)] pub members: Members,
+        #[cbor(n(3), with = "minicbor::bytes")] pub data: Vec<u8>,
+    }
+}
+
+impl Members {
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.voters.iter().chain(&self.learners)
+    }
+}
+
+impl Entry {
+    /// bytes, roughly, for bounding messages.
+    pub fn size(&self) -> usize {
+        match &self.what {
+            What::Command(b) => b.len() + 24,
+            _ => 64,
+        }
+    }
+}
+
+/// Encodes any message of ours; writing to memory cannot fail.
+pub fn to_bytes<T: minicbor::Encode<()>>(t: &T) -> Vec<u8> {
+    minicbor::to_vec(t).expect("encoding to memory")
+}
--- /dev/null
+++ b/hutbook/src/transport/http.rs
@@ -0,0 +1,221 @@
+//! HTTP/1.1 by library, for callers and operators; and the one client for back ends.
+
+use crate::constants::*;
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode};
+use actix_server::Server;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// A call as it came in, read to its end.
+#[derive(Debug, Default)]
+pub struct Asked {
+    pub method: String,
+    pub path: Vec<String>,
+    pub query: BTreeMap<String, String>,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+}
+
+pub struct Said {
+    pub status: u16,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Out,
+}
+
+pub enum Out {
+    Whole(&'static str, String),
+    /// Server-sent events; what isn't taken holds its maker back.
+    Events(mpsc::Receiver<Bytes>),
+}
+
+impl Said {
+    pub fn json(status: u16, v: jzon::JsonValue) -> Said {
+        Said { status, headers: vec![], body: Out::Whole("application/json", v.dump()) }
+    }
+
+    /// A refusal with its stable code.
+    pub fn no(status: u16, code: &str, why: impl Into<String>) -> Said {
+        Said::json(status, jzon::object! { error: code, why: why.into() })
+    }
+
+    pub fn text(t: String) -> Said {
+        Said { status: 200, headers: vec![], body: Out::Whole("text/plain; charset=utf-8", t) }
+    }
+
+    pub fn with(mut self, k: &'static str, v: impl Into<String>) -> Said {
+        self.headers.push((k, v.into()));
+        self
+    }
+}
+
+/// Serves `f` until the server is stopped. While `closing` is set, sessions are let go after their answer.
+pub fn serve<F, R>(addr: SocketAddr, workers: usize, closing: Arc<AtomicBool>, f: F) -> std::io::Result<Server>
+where
+    F: Fn(Asked) -> R + Send + Clone + 'static,
+    R: Future<Output = Said> + 'static,
+{
+    let s = Server::build()
+        .workers(workers)
+        .disable_signals()
+        .shutdown_timeout(STOP_MS / 1_000)
+        .bind("http", addr, move || {
+            let f = f.clone();
+            let closing = closing.clone();
+            HttpService::build()
+                .keep_alive(Duration::from_millis(KEEP_ALIVE_MS))
+                .client_request_timeout(Duration::from_millis(HEAD_MS))
+                .client_disconnect_timeout(Duration::from_millis(WRITE_MS))
+                .finish(move |req: Request| {
+                    let f = f.clone();
+                    let closing = closing.clone();
+                    async move {
+                        let s = match read(req).await {
+                            Ok(a) => f(a).await,
+                            Err(s) => s,
+                        };
+                        Ok::<_, actix_http::Error>(reply(s, closing.load(Ordering::Relaxed)))
+                    }
+                })
+                .tcp()
+        })?
+        .run();
+    Ok(s)
+}
+
+async fn read(mut req: Request) -> Result<Asked, Said> {
+    let mut a = Asked { method: req.method().to_string(), ..Asked::default() };
+    a.path = req.path().split('/').filter(|s| !s.is_empty()).map(plain).collect();
+    for kv in req.uri().query().unwrap_or("").split('&').filter(|s| !s.is_empty()) {
+        let (k, v) = kv.split_once('=').unwrap_or((kv, ""));
+        a.query.insert(plain(k), plain(v));
+    }
+    for (k, v) in req.headers() {
+        a.headers.insert(k.as_str().to_string(), v.to_str().unwrap_or("").to_string());
+    }
+    let mut body = BytesMut::new();
+    let mut p = req.take_payload();
+    let whole = async {
+        while let Some(b) = p.next().await {
+            let b = b.map_err(|_| Said::no(400, "bad_body", "the body broke off"))?;
+            if body.len() + b.len() > BODY_BYTES {
+                return Err(Said::no(413, "body_too_large", format!("more than {BODY_BYTES} bytes")));
+            }
+            body.extend_from_slice(&b);
+        }
+        Ok(())
+    };
+    match actix_rt::time::timeout(Duration::from_millis(HEAD_MS), whole).await {
+        Ok(r) => r?,
+        Err(_) => return Err(Said::no(408, "slow_body", "the body did not come in time")),
+    }
+    a.body = String::from_utf8(body.to_vec()).map_err(|_| Said::no(400, "bad_body", "the body is not UTF-8"))?;
+    Ok(a)
+}
+
+/// Undoes percent escapes; one that makes no sense stays as it is.
+fn plain(s: &str) -> String {
+    let b = s.as_bytes();
+    let mut out = vec![];
+    let mut i = 0;
+    while i < b.len() {
+        let hex = b.get(i + 1..i + 3).and_then(|h| std::str::from_utf8(h).ok());
+        match (b[i], hex.and_then(|h| u8::from_str_radix(h, 16).ok())) {
+            (b'%', Some(x)) => {
+                out.push(x);
+                i += 3;
+            }
+            (x, _) => {
+                out.push(x);
+                i += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+fn reply(s: Said, closing: bool) -> Response<BoxBody> {
+    let mut b = Response::build(StatusCode::from_u16(s.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    for (k, v) in s.headers {
+        b.insert_header((k, v));
+    }
+    if closing {
+        b.insert_header(("connection", "close"));
+    }
+    match s.body {
+        Out::Whole(kind, t) => {
+            b.insert_header(("content-type", kind));
+            b.body(t).map_into_boxed_body()
+        }
+        Out::Events(rx) => {
+            b.insert_header(("content-type", "text/event-stream"));
+            b.insert_header(("cache-control", "no-store"));
+            let st = futures_util::stream::unfold(rx, |mut rx| async move {
+                rx.recv().await.map(|b| (Ok::<_, std::io::Error>(b), rx))
+            });
+            b.body(BodyStream::new(Box::pin(st))).map_into_boxed_body()
+        }
+    }
+}
+
+thread_local! {
+    // awc clients live on one thread each
+    static AWC: Rc<awc::Client> = Rc::new(
+        awc::Client::builder()
+            .disable_redirects()
+            .disable_timeout()
+            .connector(
+                awc::Connector::new()
+                    .timeout(Duration::from_millis(CONNECT_MS))
+                    .conn_keep_alive(Duration::from_millis(POOLED_MS))
+                    .limit(POOLED),
+            )
+            .finish(),
+    );
+}
+
+pub fn client() -> Rc<awc::Client> {
+    AWC.with(Rc::clone)
+}
+
+/// A whole call with a bounded answer: status, body. None when it didn't come.
+pub async fn call(
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: String,
+    ms: u64,
+) -> Result<(u16, String, BTreeMap<String, String>), Broke> {
+    let m = method.parse().map_err(|_| Broke { sent: false })?;
+    let mut r = client().request(m, url);
+    for (k, v) in headers {
+        r = r.insert_header((*k, *v));
+    }
+    let whole = async {
+        let mut a = r.send_body(body).await.map_err(|e| Broke { sent: was_sent(&e) })?;
+        let b = a.body().limit(BODY_BYTES).await.map_err(|_| Broke { sent: true })?;
+        let h = a.headers().iter().map(|(k, v)| (k.to_string(), v.to_str().unwrap_or("").to_string())).collect();
+        Ok((a.status().as_u16(), String::from_utf8_lossy(&b).into_owned(), h))
+    };
+    actix_rt::time::timeout(Duration::from_millis(ms), whole).await.unwrap_or(Err(Broke { sent: true }))
+}
+
+/// A back end that gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broke {
+    /// False only where it is certain that nothing went out.
+    pub sent: bool,
+}
+
+pub fn was_sent(e: &awc::error::SendRequestError) -> bool {
+    // no session was made, so nothing was written
+    !matches!(e, awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_))
+}
--- /dev/null
+++ b/hutbook/src/transport/hut.rs
@@ -0,0 +1,222 @@
+//! A replica on its own thread, with a disk thread beside it.
+
+use super::post::Post;
+use crate::constants::*;
+use crate::coordination::raft::RaftMsg;
+use crate::coordination::replica::{Feed, Fruit, Fruits, Machine, Replica};
+use crate::protocol::wire::Body;
+use crate::state::disk::{Disk, DiskOp};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, sync_channel, Receiver, RecvTimeoutError, Sender, SyncSender, TrySendError};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The process's own monotonic clock, in ms. Starts above zero, so zero means never.
+#[derive(Clone, Copy)]
+pub struct Clock(Instant);
+
+impl Clock {
+    pub fn start() -> Clock {
+        Clock(Instant::now())
+    }
+
+    pub fn now(&self) -> u64 {
+        self.0.elapsed().as_millis() as u64 + 1
+    }
+}
+
+type Answer<T> = Box<dyn FnOnce(T) + Send>;
+
+enum Input<M: Machine> {
+    Msg(u64, RaftMsg),
+    Synced(u64),
+    Ask(M::Ask, Answer<M::Tell>),
+    StepAside,
+}
+
+pub struct Hut<M: Machine> {
+    tx: SyncSender<Input<M>>,
+    pub replica: Arc<Mutex<Replica<M>>>,
+    /// ms the newest sync took, and syncs that failed.
+    pub sync_ms: Arc<AtomicU64>,
+    pub sync_failed: Arc<AtomicU64>,
+}
+
+/// What runs a long computation of the machine and says what came of it.
+pub type Thinker<M> = Arc<dyn Fn(<M as Machine>::Think) -> Option<<M as Machine>::Ask> + Send + Sync>;
+
+impl<M> Hut<M>
+where
+    M: Machine + Send + 'static,
+    M::Ask: Send + 'static,
+    M::Tell: Send + 'static,
+    M::Think: Send + 'static,
+{
+    pub fn start(
+        group: u32,
+        disk: Disk,
+        machine: M,
+        seed: u64,
+        clock: Clock,
+        post: Arc<Post>,
+        thinker: Thinker<M>,
+    ) -> Result<Arc<Hut<M>>, crate::state::disk::DiskError> {
+        let boot = disk.boot()?;
+        let (tx, rx) = sync_channel(INBOX);
+        let (disk_tx, disk_rx) = channel();
+        let (replica, first) = Replica::new(disk.id, boot, machine, seed, clock.now());
+        let hut = Arc::new(Hut {
+            tx: tx.clone(),
+            replica: Arc::new(Mutex::new(replica)),
+            sync_ms: Arc::default(),
+            sync_failed: Arc::default(),
+        });
+        let h = hut.clone();
+        let back = tx.clone();
+        let spawn =
+            |name: &str, f: Box<dyn FnOnce() + Send>| std::thread::Builder::new().name(name.into()).spawn(f).map(drop);
+        let io = |e: std::io::Error| crate::state::disk::DiskError::Failed(e.to_string());
+        spawn("disk", Box::new(move || h.write(disk, disk_rx, back))).map_err(io)?;
+        let h = hut.clone();
+        let run = Runner { group, clock, post, disk: disk_tx, tickets: HashMap::new(), next: 0, thinker, back: tx };
+        spawn("replica", Box::new(move || run.run(&h.replica, rx, first))).map_err(io)?;
+        Ok(hut)
+    }
+
+    pub fn msg(&self, from: u64, msg: RaftMsg) {
+        // full: dropped, as a network would
+        let _ = self.tx.try_send(Input::Msg(from, msg));
+    }
+
+    /// Asks the replica; where its inbox is full, `busy` is the answer.
+    pub fn ask(&self, ask: M::Ask, busy: M::Tell, f: impl FnOnce(M::Tell) + Send + 'static) {
+        match self.tx.try_send(Input::Ask(ask, Box::new(f))) {
+            Ok(()) => {}
+            Err(TrySendError::Full(Input::Ask(_, f)) | TrySendError::Disconnected(Input::Ask(_, f))) => f(busy),
+            Err(_) => {}
+        }
+    }
+
+    pub fn step_aside(&self) {
+        let _ = self.tx.try_send(Input::StepAside);
+    }
+
+    pub fn look<T>(&self, f: impl FnOnce(&Replica<M>) -> T) -> T {
+        f(&self.replica.lock().unwrap_or_else(|e| e.into_inner()))
+    }
+
+    /// One batch after the other, in order; a failed one is tried until it holds.
+    /// Meanwhile the replica sees no sync come back, and stands down by itself.
+    fn write(&self, mut disk: Disk, rx: Receiver<(u64, Vec<DiskOp>)>, back: SyncSender<Input<M>>) {
+        while let Ok((mut mark, mut ops)) = rx.recv() {
+            while let Ok((m, o)) = rx.try_recv() {
+                mark = m;
+                ops.extend(o);
+            }
+            let t = Instant::now();
+            while let Err(e) = disk.write(&ops) {
+                self.sync_failed.fetch_add(1, Ordering::Relaxed);
+                log::error!("the data folder takes no write; trying again: {e}");
+                std::thread::sleep(Duration::from_millis(DISK_AGAIN_MS));
+            }
+            self.sync_ms.store(t.elapsed().as_millis() as u64, Ordering::Relaxed);
+            if back.send(Input::Synced(mark)).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+struct Runner<M: Machine> {
+    group: u32,
+    clock: Clock,
+    post: Arc<Post>,
+    disk: Sender<(u64, Vec<DiskOp>)>,
+    tickets: HashMap<u64, Answer<M::Tell>>,
+    next: u64,
+    thinker: Thinker<M>,
+    back: SyncSender<Input<M>>,
+}
+
+impl<M> Runner<M>
+where
+    M: Machine + Send + 'static,
+    M::Ask: Send + 'static,
+    M::Tell: Send + 'static,
+    M::Think: Send + 'static,
+{
+    fn run(mut self, r: &Mutex<Replica<M>>, rx: Receiver<Input<M>>, first: Fruits<M>) {
+        self.spread(first);
+        let mut tick_at = 0;
+        loop {
+            let now = self.clock.now();
+            let wait = Duration::from_millis(TICK_MS.min(tick_at.max(now) - now));
+            let input = match rx.recv_timeout(wait) {
+                Ok(i) => Some(i),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut fruit = vec![];
+            {
+                let mut r = r.lock().unwrap_or_else(|e| e.into_inner());
+                let mut next = input;
+                // a bounded batch, so that a flood can't keep the ticks from coming
+                for _ in 0..BATCH {
+                    let Some(i) = next else { break };
+                    let f = self.feed(i);
+                    fruit.extend(r.step(self.clock.now(), f));
+                    next = rx.try_recv().ok();
+                }
+                if let Some(i) = next {
+                    let f = self.feed(i);
+                    fruit.extend(r.step(self.clock.now(), f));
+                }
+                let now = self.clock.now();
+                if now >= tick_at {
+                    tick_at = now + TICK_MS;
+                    fruit.extend(r.step(now, Feed::Tick));
+                }
+            }
+            self.spread(fruit);
+        }
+    }
+
+    fn feed(&mut self, i: Input<M>) -> Feed<M::Ask> {
+        match i {
+            Input::Msg(from, msg) => Feed::Msg { from, msg },
+            Input::Synced(m) => Feed::Synced(m),
+            Input::StepAside => Feed::StepAside,
+            Input::Ask(ask, f) => {
+                self.next += 1;
+                self.tickets.insert(self.next, f);
+                Feed::Ask { ticket: self.next, ask }
+            }
+        }
+    }
+
+    fn spread(&mut self, fruit: Fruits<M>) {
+        for f in fruit {
+            match f {
+                Fruit::Send { addr, msg, .. } => self.post.send(&addr, Body::Raft { group: self.group, msg }),
+                Fruit::Persist { mark, ops } => {
+                    // gone only when the process ends
+                    let _ = self.disk.send((mark, ops));
+                }
+                Fruit::Tell { ticket, tell } => {
+                    if let Some(f) = self.tickets.remove(&ticket) {
+                        f(tell);
+                    }
+                }
+                Fruit::Think(k) => {
+                    let (t, back) = (self.thinker.clone(), self.back.clone());
+                    let _ = std::thread::Builder::new().name("think".into()).spawn(move || {
+                        if let Some(ask) = t(k) {
+                            let _ = back.try_send(Input::Ask(ask, Box::new(|_| {})));
+                        }
+                    });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/hutbook/src/transport/mod.rs
@@ -0,0 +1,6 @@
+//! Transport: sessions, HTTP, timers, disk threads. All async lives here.
+pub mod http;
+pub mod hut;
+pub mod logs;
+pub mod post;
+pub mod serve;
