--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -27,11 +27,15 @@
 pub const OPEN_READS: usize = 8_192;
 /// entries. How far behind a learner may be when it becomes a voter.
 pub const PROMOTE_LAG: u64 = 64;
+/// addresses. Of partners, as they told them; far more than a group has members.
+pub const ADDRS_KEPT: usize = 64;
 /// entries. A capture is taken each time this many were applied.
 pub const CAPTURE_EVERY: u64 = 4_096;
 
 /// ms. How often a trailhead renews its licence.
 pub const RENEW_MS: u64 = 300;
+/// ms. One try at a renewal: three fit into a term.
+pub const RENEW_TRY_MS: u64 = 400;
 /// ms. Term of a licence, from the moment its renewal was sent.
 pub const LICENCE_MS: u64 = 1_500;
 /// ms. Taken off the term at the edge and added at the core: clocks drift far less than this.
@@ -128,6 +132,10 @@
 pub const LOAD_MS: u64 = 1_000;
 /// ms. Between looks at this edge's own lanes.
 pub const LOOK_MS: u64 = 250;
+/// ms. An operator's call is tried this long before it is said that no leader could be had.
+pub const OPERATOR_MS: u64 = 5_000;
+/// threads. Serving HTTP in one process.
+pub const HTTP_WORKERS: usize = 4;
 /// ms. Advice to a caller for when to come back.
 pub const COME_BACK_MS: u64 = 1_000;
 /// ms. Between early renewals of an edge whose jobs wait without a slot.
--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -38,6 +38,8 @@
         #[n(5)] pub demand: Vec<(String, u32)>,
         #[n(6)] pub held: Vec<Held>,
         #[n(7)] pub windows: Vec<Window>,
+        /// Term of the leader that gave the grant `seen`.
+        #[n(8)] pub term: u64,
     }
     pub enum Update {
         #[n(0)] Events(#[n(0)] Vec<(u64, Event)>),
@@ -114,6 +116,7 @@
         #[n(7)] Stores { #[n(0)] term: u64, #[n(1)] group: u32, #[n(2)] is: StoreGroup },
         #[n(8)] Decided { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
         #[n(9)] Retire(#[n(0)] u64),
+        #[n(10)] Dismiss(#[n(0)] u64),
     }
     pub struct Noted {
         #[n(0)] pub index: u64,
@@ -162,6 +165,8 @@
     check_at: u64,
     last_change: u64,
     members: Members,
+    /// Voters heard from lately.
+    alive: std::collections::BTreeSet<u64>,
 }
 
 impl Core {
@@ -177,6 +182,7 @@
             check_at: 0,
             last_change: 0,
             members: Members::default(),
+            alive: Default::default(),
         }
     }
 
@@ -319,7 +325,9 @@
 
     fn grant(&mut self, st: Stand, r: Renewal) -> CoreTell {
         self.take_windows(st.now, r.node, r.windows);
-        self.ledger.hear(st.now, r.node, r.seen, r.have, &r.cell, &r.addr, r.demand, r.held);
+        // a number given under another term means nothing here
+        let seen = if r.term == st.term { r.seen } else { 0 };
+        self.ledger.hear(st.now, r.node, seen, r.have, &r.cell, &r.addr, r.demand, r.held);
         let (no, shares) = self.ledger.grant(st.now, &self.kept.view, r.node);
         let update = match self.journal.since(r.have) {
             Some(e) if r.have <= self.kept.view.rev && (r.have > 0 || self.kept.view.rev == 0) => Update::Events(e),
@@ -666,13 +674,25 @@
                 None => return Plan::Read,
             },
             CoreAsk::Join(m) => {
-                let known = self.members.all().find(|x| x.id == m.id);
-                return match known {
-                    Some(_) => Plan::Read,
+                if self.kept.retired.contains(&m.id) {
+                    let why = "it was removed by an operator; start it with an empty folder".to_string();
+                    return Plan::Tell(CoreTell::Refused { code: "removed".into(), why });
+                }
+                return match self.members.all().find(|x| x.id == m.id) {
+                    Some(x) if x.addr == m.addr => Plan::Read,
+                    Some(_) => Plan::Change(Change::Readdress(m)),
                     None => Plan::Change(Change::AddLearner(m)),
                 };
             }
-            CoreAsk::RemoveCore(id) => return Plan::Change(Change::Remove(id)),
+            CoreAsk::RemoveCore(id) => {
+                let rest: Vec<&Member> = self.members.voters.iter().filter(|m| m.id != id).collect();
+                let alive = rest.iter().filter(|m| self.alive.contains(&m.id)).count();
+                if alive < rest.len() / 2 + 1 {
+                    let why = "the members left would have no live quorum".to_string();
+                    return Plan::Tell(CoreTell::Refused { code: "no_quorum".into(), why });
+                }
+                CoreCmd::Dismiss(id)
+            }
             CoreAsk::PutConfig { base, change, text, config } => {
                 if let Some(t) = self.changed(&change) {
                     return Plan::Tell(t);
@@ -739,6 +759,14 @@
             }
             CoreCmd::Evacuate { cell, out } => self.evacuate(index, cell, out),
             CoreCmd::Retire(n) => self.retire(index, n),
+            CoreCmd::Dismiss(n) => {
+                let known = self.kept.view.cores.iter().any(|m| m.id == n);
+                if !known && !self.kept.retired.contains(&n) {
+                    return CoreTell::Unknown("no such core member".into());
+                }
+                self.kept.retired.push(n);
+                CoreTell::Agreed(index)
+            }
             // decided by a leader whose term is over: void
             CoreCmd::Emptied { term: t, .. } | CoreCmd::Stores { term: t, .. } | CoreCmd::Decided { term: t, .. }
                 if t != term =>
@@ -797,6 +825,8 @@
     fn tick(&mut self, st: Stand, raft: &Raft) -> Vec<Todo<Scene>> {
         let mut out = vec![];
         self.members = raft.members().clone();
+        self.alive = raft.heard().into_iter().filter(|h| st.now < h.2 + ELECTION_MS).map(|h| h.0).collect();
+        self.alive.insert(raft.id);
         self.ledger.sweep(st.now);
         if st.now >= self.last_change + CHECK_IN_MS {
             self.last_change = st.now;
@@ -829,7 +859,14 @@
         if let Some(d) = dead.filter(|_| alive >= CORE_LEAST) {
             return Some(Change::Remove(d.id));
         }
-        let ready = |l: &&Member| of(l.id).is_some_and(|h| h.1 + PROMOTE_LAG >= raft.last() && now < h.2 + ELECTION_MS);
+        let ready = |l: &&Member| {
+            of(l.id).is_some_and(|h| h.1 > 0 && h.1 + PROMOTE_LAG >= raft.last() && now < h.2 + ELECTION_MS)
+        };
+        // removed by an operator: the leader itself goes last
+        let gone = m.all().filter(|x| self.kept.retired.contains(&x.id));
+        if let Some(g) = gone.max_by_key(|x| x.id != raft.id) {
+            return Some(Change::Remove(g.id));
+        }
         let room = m.voters.len() < CORE_VOTERS || dead.is_some();
         m.learners.iter().find(ready).filter(|_| room).map(|l| Change::Promote(l.id))
     }
--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -122,7 +122,11 @@
     }
 
     pub fn renewal(&self, now: u64) -> Renewal {
-        let (have, seen) = (self.view().rev, grip(&self.licence).no);
+        let have = self.view().rev;
+        let (seen, term) = {
+            let l = grip(&self.licence);
+            (l.no, l.term)
+        };
         let (mut demand, mut held) = (vec![], vec![]);
         for l in self.all_lanes() {
             let l = grip(&l);
@@ -140,7 +144,17 @@
         let told = b.told;
         let fresh = b.kept.iter().filter(|(_, w)| w.no > told);
         let windows = fresh.map(|(at, w)| Window { age: now - at, ..w.clone() }).collect();
-        Renewal { node: self.id, cell: self.cell.clone(), addr: self.addr.clone(), have, seen, demand, held, windows }
+        Renewal {
+            node: self.id,
+            cell: self.cell.clone(),
+            addr: self.addr.clone(),
+            have,
+            seen,
+            demand,
+            held,
+            windows,
+            term,
+        }
     }
 
     /// Takes the core's answer to the renewal that was sent at `sent`.
--- a/hutbook/src/coordination/raft.rs
+++ b/hutbook/src/coordination/raft.rs
@@ -26,6 +26,8 @@
         #[n(0)] AddLearner(#[n(0)] Member),
         #[n(1)] Promote(#[n(0)] u64),
         #[n(2)] Remove(#[n(0)] u64),
+        /// The same member at another address.
+        #[n(3)] Readdress(#[n(0)] Member),
     }
 }
 
@@ -777,12 +779,17 @@
                 };
                 let p = self.partners.get(&id).ok_or("it is not known yet")?;
                 // a voter that is far behind would weaken the group it joins
-                if p.matched + PROMOTE_LAG < self.last() || now.saturating_sub(p.heard) > ELECTION_MS {
+                if p.matched == 0 || p.matched + PROMOTE_LAG < self.last() || now.saturating_sub(p.heard) > ELECTION_MS
+                {
                     return Err("it has not caught up yet".into());
                 }
                 let x = m.learners.remove(i);
                 m.voters.push(x);
             }
+            Change::Readdress(x) => {
+                let it = m.voters.iter_mut().chain(&mut m.learners).find(|y| y.id == x.id);
+                it.ok_or("it is not a member")?.addr = x.addr;
+            }
             Change::Remove(id) => {
                 if !m.all().any(|x| x.id == id) {
                     return Err("it is not a member".into());
--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -51,9 +51,17 @@
 
 pub enum Feed<A> {
     Tick,
-    Msg { from: u64, msg: RaftMsg },
+    /// `at` is where the sender says it is reached.
+    Msg {
+        from: u64,
+        at: String,
+        msg: RaftMsg,
+    },
     Synced(u64),
-    Ask { ticket: u64, ask: A },
+    Ask {
+        ticket: u64,
+        ask: A,
+    },
     StepAside,
 }
 
@@ -115,7 +123,11 @@
                 self.own(now, &mut fruit);
                 self.capture(now, &mut fruit);
             }
-            Feed::Msg { from, msg } => {
+            Feed::Msg { from, at, msg } => {
+                // a learner hears its leader before it knows any member; strangers don't fill the table
+                if self.addrs.len() < ADDRS_KEPT || self.addrs.contains_key(&from) {
+                    self.addrs.insert(from, at);
+                }
                 let o = self.raft.step(now, In::Msg { from, msg });
                 self.take(now, o, &mut fruit);
             }
--- a/hutbook/src/coordination/view.rs
+++ b/hutbook/src/coordination/view.rs
@@ -158,6 +158,32 @@
         out
     }
 
+    /// All of it that two nodes should agree on, for people and for `cairn`.
+    pub fn json(&self) -> jzon::JsonValue {
+        let mut servers = jzon::object! {};
+        for s in self.servers.values() {
+            servers[s.name.as_str()] = jzon::object! {
+                group: s.group.as_str(), address: s.addr.as_str(), cell: s.cell.as_str(), leaving: s.leaving, since: s.since,
+            };
+        }
+        let mut places = jzon::object! {};
+        for (g, p) in &self.places {
+            let mut o = jzon::object! {};
+            p.iter().for_each(|(n, s)| o[n.as_str()] = if s.draining { "draining".into() } else { "active".into() });
+            places[g.as_str()] = o;
+        }
+        let ids = |m: &[Member]| m.iter().map(|x| format!("{:016x}@{}", x.id, x.addr)).collect::<Vec<_>>();
+        let mut stores = jzon::object! {};
+        for (g, s) in &self.stores {
+            stores[g.to_string()] = jzon::object! { wanted: ids(&s.wanted), actual: ids(&s.actual) };
+        }
+        jzon::object! {
+            cluster: format!("{:016x}", self.cluster), revision: self.rev, config_revision: self.config_rev,
+            config_digest: format!("{:016x}", hash(&self.config_text)), core: ids(&self.cores), servers: servers,
+            places: places, evacuated: self.out.keys().cloned().collect::<Vec<_>>(), stores: stores,
+        }
+    }
+
     pub fn store_of(&self, program: &str) -> Option<u32> {
         let h = slot_of(program);
         self.slots.get(h as usize).copied()
--- a/hutbook/src/protocol/wire.rs
+++ b/hutbook/src/protocol/wire.rs
@@ -8,7 +8,7 @@
 
 messages! {
     pub enum Body {
-        #[n(0)] Raft { #[n(0)] group: u32, #[n(1)] msg: RaftMsg },
+        #[n(0)] Raft { #[n(0)] group: u32, #[n(1)] msg: RaftMsg, #[n(2)] at: String },
         #[n(1)] Core(#[n(0)] Box<CoreAsk>),
         #[n(2)] CoreSaid(#[n(0)] Box<CoreTell>),
         #[n(3)] Store { #[n(0)] group: u32, #[n(1)] ask: Box<StoreAsk> },
--- a/hutbook/src/state/disk.rs
+++ b/hutbook/src/state/disk.rs
@@ -3,7 +3,7 @@
 //! One redb file. A batch of operations is one transaction, and it is on disk
 //! when `write` returns, not before.
 
-use super::entry::{to_bytes, Capture, Entry};
+use super::entry::{to_bytes, Capture, Entry, Member, Members, What};
 use crate::constants::DISK_VERSION;
 use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
 use std::path::{Path, PathBuf};
@@ -148,14 +148,33 @@
         Ok(f.get(k).map_err(redb::Error::from)?.map(|v| v.value()))
     }
 
-    pub fn set_cluster(&mut self, c: u64) -> Result<(), DiskError> {
-        self.cluster = c;
+    pub fn set_fact(&self, k: &str, v: u64) -> Result<(), DiskError> {
         self.transact(|t| {
-            t.open_table(FACTS)?.insert("cluster", c)?;
+            t.open_table(FACTS)?.insert(k, v)?;
             Ok(())
         })
     }
 
+    /// The cluster is learnt once; a folder never changes hands.
+    pub fn set_cluster(&mut self, c: u64) -> Result<(), DiskError> {
+        self.cluster = c;
+        self.set_fact("cluster", c)
+    }
+
+    /// Forms a new group with this node as its only member, unless there is a log already.
+    pub fn found(&mut self, addr: &str, first: Option<Vec<u8>>) -> Result<bool, DiskError> {
+        let b = self.boot()?;
+        if !b.entries.is_empty() || b.capture.is_some() {
+            return Ok(false);
+        }
+        let voters = vec![Member { id: self.id, addr: addr.into() }];
+        let members = What::Members(Members { voters, learners: vec![] });
+        let whats = std::iter::once(members).chain(first.map(What::Command));
+        let entries = whats.zip(1..).map(|(what, index)| Entry { index, term: 1, what }).collect();
+        self.write(&[DiskOp::Meta { term: 1, voted: None }, DiskOp::Append { entries }])?;
+        Ok(true)
+    }
+
     /// Small named things kept beside the log, such as the last known core addresses.
     pub fn note(&self, k: &str) -> Result<Option<Vec<u8>>, DiskError> {
         let t = self.db()?.begin_read().map_err(redb::Error::from)?;
@@ -240,7 +259,6 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::entry::{Members, What};
     use super::*;
 
     fn entry(index: u64, term: u64) -> Entry {
--- a/hutbook/src/state/entry.rs
+++ b/hutbook/src/state/entry.rs
@@ -51,3 +51,8 @@
 pub fn to_bytes<T: minicbor::Encode<()>>(t: &T) -> Vec<u8> {
     minicbor::to_vec(t).expect("encoding to memory")
 }
+
+/// None where the bytes are not what they should be.
+pub fn from_bytes<'b, T: minicbor::Decode<'b, ()>>(b: &'b [u8]) -> Option<T> {
+    minicbor::decode(b).ok()
+}
--- /dev/null
+++ b/hutbook/src/transport/callers.rs
@@ -0,0 +1,332 @@
+//! What callers say to a trailhead over HTTP.
+
+use super::field::Field;
+use super::http::{Asked, Out, Said};
+use super::serve::{tool, turn, Ground, Heard, Job, Told};
+use crate::constants::*;
+use crate::coordination::store::{Ended, Program, StoreAsk, StoreTell, Verdict};
+use crate::coordination::view::hash;
+use crate::protocol::findings::{is_name, Reader};
+use crate::state::config::{Config, Kind};
+use bytes::Bytes;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// Counts that the operators' metrics show.
+#[derive(Default)]
+pub struct Tally {
+    pub done: AtomicU64,
+    pub failed: AtomicU64,
+    pub refused: AtomicU64,
+    pub in_doubt: AtomicU64,
+    pub unavailable: AtomicU64,
+    pub under_way: AtomicU64,
+}
+
+impl Tally {
+    fn count(&self, t: &Told) {
+        let c = match t {
+            Told::Ended(e) => match e.verdict {
+                Verdict::Done => &self.done,
+                Verdict::Failed => &self.failed,
+                Verdict::Refused => &self.refused,
+                Verdict::InDoubt => &self.in_doubt,
+            },
+            Told::Unavailable(_) => &self.unavailable,
+            _ => return,
+        };
+        c.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Work under way is counted for as long as its function runs.
+struct UnderWay(Arc<Tally>);
+
+impl UnderWay {
+    fn new(t: &Arc<Tally>) -> UnderWay {
+        t.under_way.fetch_add(1, Ordering::Relaxed);
+        UnderWay(t.clone())
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.under_way.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+pub async fn answer(f: Arc<Field>, tally: Arc<Tally>, a: Asked) -> Said {
+    let path: Vec<&str> = a.path.iter().map(String::as_str).collect();
+    match (a.method.as_str(), path.as_slice()) {
+        ("PUT", ["v1", "programs", id]) => put(&f, id, &a).await,
+        ("GET", ["v1", "programs", id]) => get(&f, id).await,
+        ("POST", ["v1", "programs", id, "turns"]) => run_turn(f, tally, id, &a).await,
+        ("POST", ["v1", "programs", id, "tools", r]) => run_tool(f, tally, id, r, &a).await,
+        ("GET", ["v1", "jobs", key]) => job(&f, key, &a).await,
+        (_, ["v1", "programs", ..] | ["v1", "jobs", ..]) => Said::no(405, "wrong_method", "not with this method"),
+        _ => Said::no(404, "unknown_path", "nothing is served there"),
+    }
+}
+
+fn config(f: &Field) -> Result<Config, Said> {
+    match &f.edge.view().config {
+        Some(c) => Ok(c.clone()),
+        None => Err(later(503, "no_config", "no configuration is in force yet", "same_key")),
+    }
+}
+
+fn later(status: u16, code: &str, why: &str, with: &str) -> Said {
+    let j = jzon::object! { error: code, why: why, retry_after_ms: COME_BACK_MS, retry_with: with };
+    Said::json(status, j).with("retry-after", COME_BACK_MS.div_ceil(1_000).to_string())
+}
+
+fn bad(r: Reader) -> Said {
+    let f: Vec<jzon::JsonValue> =
+        r.found.iter().map(|x| jzon::object! { place: x.place.as_str(), what: x.what.as_str() }).collect();
+    Said::json(422, jzon::object! { error: "bad_input", findings: f })
+}
+
+fn program_json(p: &Program, clock: u64) -> jzon::JsonValue {
+    let turns: Vec<jzon::JsonValue> = p
+        .history
+        .iter()
+        .map(|t| jzon::object! { key: t.key.as_str(), said: t.said.as_str(), answer: t.answer.as_str() })
+        .collect();
+    jzon::object! {
+        program: p.id.as_str(), allowance: p.allowance, spent: p.spent, reserved: p.reserved,
+        time_left_ms: p.ends.saturating_sub(clock), history: turns,
+    }
+}
+
+async fn put(f: &Field, id: &str, a: &Asked) -> Said {
+    let c = match config(f) {
+        Ok(c) => c,
+        Err(s) => return s,
+    };
+    let mut r = Reader::default();
+    let Some(v) = r.parse(&a.body) else { return bad(r) };
+    if !is_name(id) {
+        r.find("program", "is not a name: up to 128 letters, digits, and -_.:");
+    }
+    if !r.keys("", &v, &["allowance", "time_left_ms", "retention_s"]) {
+        return bad(r);
+    }
+    let allowance = r.whole("", &v, "allowance", None, 1, c.limits.allowance_most);
+    let time = r.whole("", &v, "time_left_ms", None, 1, c.limits.time_left_most_ms);
+    let most = c.limits.history_ms / 1_000;
+    let retention = r.whole("", &v, "retention_s", Some(most), 1, most) * 1_000;
+    if !r.found.is_empty() {
+        return bad(r);
+    }
+    let ask = StoreAsk::Put { id: id.into(), allowance, time_left_ms: time, retention_ms: retention };
+    match f.store(id, ask).await {
+        Some(StoreTell::Program(p, t)) => Said::json(200, program_json(&p, t)),
+        Some(StoreTell::Conflict) => Said::no(409, "program_differs", "this program exists with other terms"),
+        _ => later(503, "store_unreachable", "nothing could be decided", "same_key"),
+    }
+}
+
+async fn get(f: &Field, id: &str) -> Said {
+    match f.store(id, StoreAsk::Program { id: id.into() }).await {
+        Some(StoreTell::Program(p, t)) => Said::json(200, program_json(&p, t)),
+        Some(StoreTell::NoProgram) => Said::no(404, "no_program", "no such program is kept"),
+        _ => later(503, "store_unreachable", "nothing could be decided", "same_key"),
+    }
+}
+
+async fn job(f: &Field, key: &str, a: &Asked) -> Said {
+    let Some(p) = a.query.get("program").filter(|p| is_name(p)) else {
+        return Said::no(400, "no_program_named", "say which program the key belongs to: ?program=ID");
+    };
+    let ask = StoreAsk::Look { program: p.clone(), key: key.into(), digest: 0 };
+    match f.store(p, ask).await {
+        Some(StoreTell::Ended(e)) => Said::json(200, verdict_json(&Told::Ended(e), key)),
+        Some(StoreTell::Running) => Said::json(200, verdict_json(&Told::Running, key)),
+        Some(StoreTell::Unknown(..) | StoreTell::NoProgram) => Said::no(404, "no_job", "no such key is kept"),
+        _ => later(503, "store_unreachable", "nothing could be decided", "same_key"),
+    }
+}
+
+/// What both kinds of job need: a known program name, a key, a route of the right kind.
+fn prepare(f: &Field, kind: Kind, id: &str, route: &str, a: &Asked) -> Result<(Job, Config), Said> {
+    let c = config(f)?;
+    if !is_name(id) {
+        return Err(Said::no(400, "bad_program", "the program's id is not a name"));
+    }
+    let key = a.headers.get("idempotency-key").cloned().unwrap_or_default();
+    if key.is_empty() {
+        return Err(Said::no(400, "no_key", "every job needs an Idempotency-Key"));
+    }
+    if !is_name(&key) {
+        return Err(Said::no(400, "bad_key", "a key has up to 128 letters, digits, and -_.:"));
+    }
+    let found = c.routes.get(route).filter(|r| c.groups.get(&r.group).is_some_and(|g| g.kind == kind));
+    let Some(r) = found.cloned() else {
+        return Err(Said::no(404, "unknown_route", format!("no such route: {route}")));
+    };
+    let digest = hash(&format!("{route}\u{1f}{}", a.body)) | 1;
+    let job = Job {
+        program: id.into(),
+        key,
+        digest,
+        name: route.into(),
+        route: r,
+        body: a.body.clone(),
+        prefix: String::new(),
+        cap: 0,
+    };
+    Ok((job, c))
+}
+
+async fn run_tool(f: Arc<Field>, tally: Arc<Tally>, id: &str, route: &str, a: &Asked) -> Said {
+    let (j, _) = match prepare(&f, Kind::Tool, id, route, a) {
+        Ok(x) => x,
+        Err(s) => return s,
+    };
+    if jzon::parse(&a.body).is_err() {
+        return Said::no(400, "bad_json", "the body is not JSON");
+    }
+    let key = j.key.clone();
+    let under = UnderWay::new(&tally);
+    // its own task: a caller that goes away must not stop a once-only job half way
+    let t = actix_rt::spawn(async move {
+        let t = tool(&*f, &f.edge, j).await;
+        tally.count(&t);
+        drop(under);
+        t
+    });
+    match t.await {
+        Ok(t) => verdict(&t, &key),
+        Err(_) => verdict(&Told::Unavailable("fault"), &key),
+    }
+}
+
+async fn run_turn(f: Arc<Field>, tally: Arc<Tally>, id: &str, a: &Asked) -> Said {
+    let mut r = Reader::default();
+    let Some(v) = r.parse(&a.body) else {
+        return Said::no(400, "bad_json", "the body is not JSON");
+    };
+    if !r.keys("", &v, &["route", "text", "cap", "prefix"]) {
+        return bad(r);
+    }
+    let (route, said) = (r.text("", &v, "route", None), r.text("", &v, "text", None));
+    let prefix = v["prefix"].as_str().unwrap_or("").to_string();
+    if !r.found.is_empty() {
+        return bad(r);
+    }
+    let (mut j, c) = match prepare(&f, Kind::Model, id, &route, a) {
+        Ok(x) => x,
+        Err(s) => return s,
+    };
+    let cap = r.whole("", &v, "cap", Some(c.limits.turn_cap), 1, c.limits.turn_cap);
+    if !r.found.is_empty() {
+        return bad(r);
+    }
+    (j.cap, j.prefix) = (cap, prefix);
+    let key = j.key.clone();
+    let (tx, mut rx) = mpsc::channel(PIECES);
+    let under = UnderWay::new(&tally);
+    actix_rt::spawn(async move {
+        turn(&*f, &f.edge, j, said, tx).await;
+        drop(under);
+    });
+    // an early verdict is a plain answer with its own status; a stream begins with its first piece
+    match rx.recv().await {
+        Some(Heard::Told(t)) => {
+            tally.count(&t);
+            verdict(&t, &key)
+        }
+        Some(p) => {
+            let (out, events) = mpsc::channel(PIECES);
+            actix_rt::spawn(async move {
+                let mut next = Some(p);
+                while let Some(h) = next {
+                    if let Heard::Told(t) = &h {
+                        tally.count(t);
+                    }
+                    if out.send(event(&h, &key)).await.is_err() {
+                        // dropping the receiver tells the run that its caller has gone
+                        return;
+                    }
+                    next = rx.recv().await;
+                }
+            });
+            Said { status: 200, headers: vec![], body: Out::Events(events) }
+        }
+        None => verdict(&Told::Unavailable("fault"), &key),
+    }
+}
+
+fn event(h: &Heard, key: &str) -> Bytes {
+    let (name, v) = match h {
+        Heard::Piece { run, seq, text } => ("piece", jzon::object! { run: *run, seq: *seq, text: text.as_str() }),
+        Heard::Told(t) => ("verdict", verdict_json(t, key)),
+    };
+    Bytes::from(format!("event: {name}\ndata: {}\n\n", v.dump()))
+}
+
+pub fn word(v: Verdict) -> &'static str {
+    match v {
+        Verdict::Done => "done",
+        Verdict::Failed => "failed",
+        Verdict::Refused => "refused",
+        Verdict::InDoubt => "in_doubt",
+    }
+}
+
+fn verdict_json(t: &Told, key: &str) -> jzon::JsonValue {
+    match t {
+        Told::Ended(e) => {
+            let mut o = jzon::object! { key: key, verdict: word(e.verdict), code: e.code.as_str(), tokens: e.tokens };
+            if !e.body.is_empty() {
+                o["body"] = jzon::parse(&e.body).unwrap_or_else(|_| e.body.as_str().into());
+            }
+            if clears_up(e) {
+                o["retry_after_ms"] = COME_BACK_MS.into();
+                o["retry_with"] = "new_key".into();
+            }
+            o
+        }
+        Told::Running => {
+            jzon::object! { key: key, verdict: "running", retry_after_ms: COME_BACK_MS, retry_with: "same_key" }
+        }
+        Told::Unavailable(c) => {
+            jzon::object! { key: key, verdict: "unavailable", code: *c, retry_after_ms: COME_BACK_MS, retry_with: "same_key" }
+        }
+        Told::NoProgram => jzon::object! { error: "no_program", why: "no such program is kept" },
+        Told::OtherBody => jzon::object! { error: "key_reused", why: "this key was used with another body" },
+    }
+}
+
+fn clears_up(e: &Ended) -> bool {
+    e.verdict == Verdict::Refused && !["allowance_spent", "program_ended"].contains(&e.code.as_str())
+}
+
+fn verdict(t: &Told, key: &str) -> Said {
+    let status = match t {
+        Told::Ended(e) => match (e.verdict, e.code.as_str()) {
+            (Verdict::Done, _) => 200,
+            (Verdict::Failed, _) => 502,
+            (Verdict::Refused, "allowance_spent") => 403,
+            (Verdict::Refused, "program_ended") => 410,
+            (Verdict::Refused, "no_time_left") => 504,
+            (Verdict::Refused, _) => 503,
+            (Verdict::InDoubt, _) => 504,
+        },
+        Told::Running => 409,
+        Told::Unavailable(_) => 503,
+        Told::NoProgram => 404,
+        Told::OtherBody => 422,
+    };
+    let s = Said::json(status, verdict_json(t, key));
+    let back = match t {
+        Told::Ended(e) => clears_up(e),
+        Told::Running | Told::Unavailable(_) => true,
+        _ => false,
+    };
+    if back {
+        return s.with("retry-after", COME_BACK_MS.div_ceil(1_000).to_string());
+    }
+    s
+}
--- /dev/null
+++ b/hutbook/src/transport/daemon.rs
@@ -0,0 +1,97 @@
+//! What all daemons share: how they start, stop, and say that they are ready.
+
+use super::http::{Asked, Said};
+use super::logs;
+use crate::constants::*;
+use crate::protocol::settings::{self, Settings, Start, Who};
+use actix_rt::signal::unix::{signal, SignalKind};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+/// Exit code for settings or flags that are wrong.
+pub const BAD_SETTINGS: u8 = 2;
+/// Exit code for a data folder or an address that can't be used.
+pub const CANT_START: u8 = 3;
+
+/// Reads the settings, tells everything that is wrong with them, and only then starts.
+pub fn main(who: Who, run: impl FnOnce(Settings) -> Result<(), String>) -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let s = match settings::read(who, &args) {
+        Ok(Start::Run(s)) => s,
+        Ok(Start::Say(t)) => {
+            print!("{t}");
+            return ExitCode::SUCCESS;
+        }
+        Err(f) => {
+            f.iter().for_each(|x| eprintln!("{}: {x}", who.name()));
+            eprintln!("{}: try --help", who.name());
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    logs::start(who.name(), &s.log);
+    match run(s) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("{e}");
+            eprintln!("{}: {e}", who.name());
+            ExitCode::from(CANT_START)
+        }
+    }
+}
+
+/// Set once this process has been told to stop.
+pub type Closing = Arc<AtomicBool>;
+
+pub fn is_closing(c: &Closing) -> bool {
+    c.load(Ordering::Relaxed)
+}
+
+/// Waits for SIGTERM or SIGINT and marks the process as closing.
+pub async fn told_to_stop(c: &Closing) -> std::io::Result<()> {
+    let (mut t, mut i) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    tokio::select! {
+        _ = t.recv() => {}
+        _ = i.recv() => {}
+    }
+    log::info!("told to stop: no longer ready, finishing what is under way");
+    c.store(true, Ordering::Relaxed);
+    Ok(())
+}
+
+/// The paths every daemon answers; None where `a` is for somebody else.
+pub fn common(
+    a: &Asked,
+    closing: &Closing,
+    ready: Result<(), String>,
+    metrics: impl FnOnce() -> String,
+    beliefs: impl FnOnce() -> jzon::JsonValue,
+) -> Option<Said> {
+    let path: Vec<&str> = a.path.iter().map(String::as_str).collect();
+    if a.method != "GET" {
+        return None;
+    }
+    Some(match path.as_slice() {
+        ["healthz"] => Said::text("alive\n".into()),
+        ["readyz"] if is_closing(closing) => Said::no(503, "closing", "it has been told to stop"),
+        ["readyz"] => match ready {
+            Ok(()) => Said::text("ready\n".into()),
+            Err(why) => Said::no(503, "not_ready", why),
+        },
+        ["metrics"] => Said::text(metrics()),
+        ["v1", "beliefs"] => Said::json(200, beliefs()),
+        _ => return None,
+    })
+}
+
+/// Worker threads for HTTP: enough to use a small machine, few enough to share one.
+pub fn workers() -> usize {
+    std::thread::available_parallelism().map_or(2, |n| n.get()).clamp(1, HTTP_WORKERS)
+}
+
+/// One line of Prometheus text.
+pub fn metric(out: &mut String, name: &str, labels: &[(&str, &str)], v: impl std::fmt::Display) {
+    let l: Vec<String> = labels.iter().map(|(k, v)| format!("{k}=\"{v}\"")).collect();
+    let l = if l.is_empty() { String::new() } else { format!("{{{}}}", l.join(",")) };
+    out.push_str(&format!("corkdrum_{name}{l} {v}\n"));
+}
--- /dev/null
+++ b/hutbook/src/transport/field.rs
@@ -0,0 +1,165 @@
+//! The ground a trailhead stands on: real time, the store over the wire, back ends over HTTP.
+
+use super::http::{call, client, was_sent, Broke};
+use super::hut::Clock;
+use super::post::Post;
+use super::reach::Reach;
+use super::serve::{Bit, Ground, ModelCall, Stream, ToolCall};
+use crate::constants::*;
+use crate::coordination::edge::Edge;
+use crate::coordination::store::{StoreAsk, StoreTell};
+use crate::protocol::wire::Body;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use std::collections::BTreeMap;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+pub struct Field {
+    pub edge: Arc<Edge>,
+    pub clock: Clock,
+    post: Arc<Post>,
+    stores: Mutex<BTreeMap<u32, Arc<Reach>>>,
+}
+
+impl Field {
+    pub fn new(edge: Arc<Edge>, clock: Clock, post: Arc<Post>) -> Field {
+        Field { edge, clock, post, stores: Mutex::default() }
+    }
+
+    fn reach(&self, group: u32) -> Arc<Reach> {
+        let mut s = self.stores.lock().unwrap_or_else(|e| e.into_inner());
+        s.entry(group).or_insert_with(|| Arc::new(Reach::new(self.post.clone(), self.clock))).clone()
+    }
+}
+
+impl Ground for Field {
+    type Stream = Sse;
+
+    fn now(&self) -> u64 {
+        self.clock.now()
+    }
+
+    fn draw(&self) -> u64 {
+        draw()
+    }
+
+    async fn nap(&self, ms: u64) {
+        actix_rt::time::sleep(Duration::from_millis(ms)).await;
+    }
+
+    async fn store(&self, program: &str, ask: StoreAsk) -> Option<StoreTell> {
+        let v = self.edge.view();
+        let group = v.store_of(program)?;
+        let s = v.stores.get(&group)?;
+        let mut addrs: Vec<String> = s.actual.iter().chain(&s.wanted).map(|m| m.addr.clone()).collect();
+        addrs.dedup();
+        let body = Body::Store { group, ask: Box::new(ask) };
+        match self.reach(group).ask(&addrs, body, STORE_MS, CALL_MS).await {
+            Some(Body::StoreSaid(t)) => Some(*t),
+            _ => None,
+        }
+    }
+
+    async fn model(&self, c: ModelCall) -> Result<Result<Sse, u16>, Broke> {
+        let mut talk = jzon::array![];
+        if !c.prefix.is_empty() {
+            let _ = talk.push(jzon::object! { role: "system", content: c.prefix.as_str() });
+        }
+        for (who, t) in &c.talk {
+            let _ = talk.push(jzon::object! { role: *who, content: t.as_str() });
+        }
+        let body = jzon::object! {
+            model: "any", stream: true, messages: talk, max_tokens: c.cap, user: c.program.as_str(),
+            stream_options: { include_usage: true },
+        };
+        let path = if c.path == "/" { "/v1/chat/completions" } else { &c.path };
+        let r = client()
+            .post(format!("http://{}{path}", c.addr))
+            .insert_header(("content-type", "application/json"))
+            .insert_header(("idempotency-key", c.key.as_str()));
+        let sent = actix_rt::time::timeout(Duration::from_millis(c.run_ms), r.send_body(body.dump())).await;
+        let a = match sent {
+            Ok(Ok(a)) => a,
+            Ok(Err(e)) => return Err(Broke { sent: was_sent(&e) }),
+            Err(_) => return Err(Broke { sent: true }),
+        };
+        if a.status().as_u16() != 200 {
+            return Ok(Err(a.status().as_u16()));
+        }
+        let end = self.clock.now() + c.run_ms;
+        let body = Box::pin(a.map(|b| b.map_err(drop)));
+        Ok(Ok(Sse { body, held: vec![], usage: None, clock: self.clock, end }))
+    }
+
+    async fn tool(&self, c: ToolCall) -> Result<(u16, String), Broke> {
+        let h = [("content-type", "application/json"), ("idempotency-key", c.key.as_str())];
+        let (st, b, _) = call("POST", &format!("http://{}{}", c.addr, c.path), &h, c.body, c.run_ms).await?;
+        // a body that isn't JSON is a fault of the back end, not an answer
+        if jzon::parse(&b).is_err() {
+            return Ok((502, String::new()));
+        }
+        Ok((st, b))
+    }
+
+    async fn lookup(&self, addr: &str, key: &str) -> Option<(u16, String)> {
+        let r = call("GET", &format!("http://{addr}/v1/jobs/{key}"), &[], String::new(), CALL_MS).await;
+        r.ok().filter(|(st, _, _)| *st == 200).map(|(st, b, _)| (st, b))
+    }
+}
+
+/// A random number that nobody else draws.
+pub fn draw() -> u64 {
+    getrandom::u64().expect("the system gives random numbers") | 1
+}
+
+type Chunks = Pin<Box<dyn futures_util::Stream<Item = Result<Bytes, ()>>>>;
+
+/// A back end's server-sent events, read line by line.
+pub struct Sse {
+    body: Chunks,
+    held: Vec<u8>,
+    usage: Option<u64>,
+    clock: Clock,
+    end: u64,
+}
+
+impl Sse {
+    fn line(&mut self) -> Option<String> {
+        let n = self.held.iter().position(|b| *b == b'\n')?;
+        let l: Vec<u8> = self.held.drain(..=n).collect();
+        Some(String::from_utf8_lossy(&l).trim().to_string())
+    }
+}
+
+impl Stream for Sse {
+    async fn next(&mut self) -> Bit {
+        loop {
+            while let Some(l) = self.line() {
+                let Some(d) = l.strip_prefix("data:") else { continue };
+                let d = d.trim();
+                if d == "[DONE]" {
+                    return Bit::End(self.usage);
+                }
+                // one piece that can't be read would be a piece skipped
+                let Ok(v) = jzon::parse(d) else { return Bit::Broken };
+                if let Some(n) = v["usage"]["completion_tokens"].as_u64() {
+                    self.usage = Some(n);
+                }
+                if let Some(t) = v["choices"][0]["delta"]["content"].as_str().filter(|t| !t.is_empty()) {
+                    return Bit::Text(t.to_string());
+                }
+            }
+            if self.held.len() > BODY_BYTES {
+                return Bit::Broken;
+            }
+            let left = self.end.saturating_sub(self.clock.now());
+            match actix_rt::time::timeout(Duration::from_millis(left), self.body.next()).await {
+                Ok(Some(Ok(b))) => self.held.extend_from_slice(&b),
+                // the end without its mark is a stream that broke
+                _ => return Bit::Broken,
+            }
+        }
+    }
+}
--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -219,3 +219,9 @@
     // no session was made, so nothing was written
     !matches!(e, awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_))
 }
+
+/// The first sample of a gauge in Prometheus text, whatever its labels.
+pub fn gauge(text: &str, name: &str) -> Option<f64> {
+    let own = |l: &&str| l.strip_prefix(name).is_some_and(|r| r.starts_with([' ', '{']));
+    text.lines().find(own)?.rsplit(' ').next()?.parse().ok()
+}
--- a/hutbook/src/transport/hut.rs
+++ b/hutbook/src/transport/hut.rs
@@ -29,7 +29,7 @@
 type Answer<T> = Box<dyn FnOnce(T) + Send>;
 
 enum Input<M: Machine> {
-    Msg(u64, RaftMsg),
+    Msg(u64, String, RaftMsg),
     Synced(u64),
     Ask(M::Ask, Answer<M::Tell>),
     StepAside,
@@ -84,9 +84,9 @@
         Ok(hut)
     }
 
-    pub fn msg(&self, from: u64, msg: RaftMsg) {
+    pub fn msg(&self, from: u64, at: String, msg: RaftMsg) {
         // full: dropped, as a network would
-        let _ = self.tx.try_send(Input::Msg(from, msg));
+        let _ = self.tx.try_send(Input::Msg(from, at, msg));
     }
 
     /// Asks the replica; where its inbox is full, `busy` is the answer.
@@ -184,7 +184,7 @@
 
     fn feed(&mut self, i: Input<M>) -> Feed<M::Ask> {
         match i {
-            Input::Msg(from, msg) => Feed::Msg { from, msg },
+            Input::Msg(from, at, msg) => Feed::Msg { from, at, msg },
             Input::Synced(m) => Feed::Synced(m),
             Input::StepAside => Feed::StepAside,
             Input::Ask(ask, f) => {
@@ -198,7 +198,9 @@
     fn spread(&mut self, fruit: Fruits<M>) {
         for f in fruit {
             match f {
-                Fruit::Send { addr, msg, .. } => self.post.send(&addr, Body::Raft { group: self.group, msg }),
+                Fruit::Send { addr, msg, .. } => {
+                    self.post.send(&addr, Body::Raft { group: self.group, msg, at: self.post.at.clone() })
+                }
                 Fruit::Persist { mark, ops } => {
                     // gone only when the process ends
                     let _ = self.disk.send((mark, ops));
--- /dev/null
+++ b/hutbook/src/transport/operators.rs
@@ -0,0 +1,116 @@
+//! What operators and the platform say to a refuge over HTTP. Any member takes
+//! it and hands it over to the leader.
+
+use super::field::draw;
+use super::http::{Asked, Out, Said};
+use super::reach::Reach;
+use crate::constants::*;
+use crate::coordination::core::{CoreAsk, CoreTell};
+use crate::protocol::config;
+use crate::protocol::findings::{is_name, Finding, Reader};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Asks the leader, wherever it is; `addrs` are the members this node knows.
+pub async fn answer(reach: Arc<Reach>, addrs: Vec<String>, a: Asked) -> Said {
+    let ask = match ask(&a) {
+        Ok(x) => x,
+        Err(s) => return s,
+    };
+    match reach.core(&addrs, ask, OPERATOR_MS, CALL_MS).await {
+        Some(t) => said(t),
+        None => Said::no(503, "no_leader", "the core has no leader with a quorum that could be reached")
+            .with("retry-after", "1"),
+    }
+}
+
+fn ask(a: &Asked) -> Result<CoreAsk, Said> {
+    let path: Vec<&str> = a.path.iter().map(String::as_str).collect();
+    let name = |s: &&str| {
+        is_name(s).then(|| s.to_string()).ok_or_else(|| Said::no(422, "bad_name", format!("{s} is not a name")))
+    };
+    let node =
+        |s: &&str| u64::from_str_radix(s, 16).map_err(|_| Said::no(422, "bad_node", format!("{s} is not a node id")));
+    Ok(match (a.method.as_str(), path.as_slice()) {
+        ("GET", ["v1", "config"]) => {
+            let rev = a.query.get("revision").map_or(Ok(0), |r| r.parse());
+            CoreAsk::GetConfig(rev.map_err(|_| Said::no(422, "bad_revision", "a revision is a number"))?)
+        }
+        ("PUT", ["v1", "config"]) => put_config(a)?,
+        ("GET", ["v1", "config", "history"]) => CoreAsk::Configs,
+        ("GET", ["v1", "servers"]) => CoreAsk::Servers,
+        ("PUT", ["v1", "servers", n]) => list(name(n)?, &a.body)?,
+        ("POST", ["v1", "servers", n, "leaving"]) => CoreAsk::Leave(name(n)?),
+        ("DELETE", ["v1", "servers", n]) => CoreAsk::Remove(name(n)?),
+        ("PUT", ["v1", "cells", c, "evacuation"]) => CoreAsk::Evacuate { cell: name(c)?, out: true },
+        ("DELETE", ["v1", "cells", c, "evacuation"]) => CoreAsk::Evacuate { cell: name(c)?, out: false },
+        ("GET", ["v1", "cells", c, "evacuation"]) => CoreAsk::Evacuation(name(c)?),
+        ("PUT", ["v1", "stores", n, "retirement"]) => CoreAsk::Retire(node(n)?),
+        ("GET", ["v1", "stores", n, "retirement"]) => CoreAsk::Retirement(node(n)?),
+        ("GET", ["v1", "core", "members"]) => CoreAsk::Members,
+        ("DELETE", ["v1", "core", "members", n]) => CoreAsk::RemoveCore(node(n)?),
+        ("GET", ["v1", "places"]) => CoreAsk::Places,
+        ("GET", ["v1", "scaler"]) => CoreAsk::Scaler,
+        ("GET", ["v1", "status"]) => CoreAsk::Status,
+        (_, ["v1", "config" | "servers" | "cells" | "stores" | "core" | "places" | "scaler" | "status", ..]) => {
+            return Err(Said::no(405, "wrong_method", "not with this method, or not at this path"))
+        }
+        _ => return Err(Said::no(404, "unknown_path", "nothing is served there")),
+    })
+}
+
+fn findings(f: &[Finding]) -> Said {
+    let l: Vec<jzon::JsonValue> =
+        f.iter().map(|x| jzon::object! { place: x.place.as_str(), what: x.what.as_str() }).collect();
+    Said::json(422, jzon::object! { error: "bad_config", findings: l })
+}
+
+fn put_config(a: &Asked) -> Result<CoreAsk, Said> {
+    let c = config::read(&a.body).map_err(|f| findings(&f))?;
+    let Some(m) = a.headers.get("if-match") else {
+        return Err(Said::no(428, "no_base", "say with If-Match which revision this builds on; 0 where there is none"));
+    };
+    let base = m.trim_matches('"').parse().map_err(|_| Said::no(422, "bad_base", "If-Match must be a revision"))?;
+    let change = match a.headers.get("change-id") {
+        Some(c) if is_name(c) => c.clone(),
+        Some(_) => return Err(Said::no(422, "bad_change_id", "a change id is a name")),
+        None => format!("{:016x}", draw()),
+    };
+    Ok(CoreAsk::PutConfig { base, change, text: a.body.clone(), config: Box::new(c) })
+}
+
+fn list(name: String, body: &str) -> Result<CoreAsk, Said> {
+    let mut r = Reader::default();
+    let v = r.parse(body).unwrap_or(jzon::JsonValue::Null);
+    r.keys("", &v, &["group", "address", "cell"]);
+    let (group, addr, cell) =
+        (r.text("", &v, "group", None), r.text("", &v, "address", None), r.text("", &v, "cell", None));
+    if !addr.is_empty() && addr.parse::<SocketAddr>().is_err() {
+        r.find("address", "must be an IP number and a port");
+    }
+    if !cell.is_empty() && !is_name(&cell) {
+        r.find("cell", "is not a name");
+    }
+    if !r.found.is_empty() {
+        return Err(findings(&r.found));
+    }
+    Ok(CoreAsk::List { name, group, addr, cell })
+}
+
+fn said(t: CoreTell) -> Said {
+    match t {
+        CoreTell::Agreed(r) => Said::json(200, jzon::object! { revision: r }).with("etag", format!("\"{r}\"")),
+        CoreTell::Config { rev, text } => {
+            let s = Said { status: 200, headers: vec![], body: Out::Whole("application/json", text) };
+            s.with("etag", format!("\"{rev}\""))
+        }
+        CoreTell::Json(j) => Said { status: 200, headers: vec![], body: Out::Whole("application/json", j) },
+        CoreTell::Raced(r) => {
+            let j = jzon::object! { error: "lost_race", why: "another change came first", revision: r };
+            Said::json(412, j).with("etag", format!("\"{r}\""))
+        }
+        CoreTell::Refused { code, why } => Said::no(409, &code, why),
+        CoreTell::Unknown(why) => Said::no(404, "unknown", why),
+        _ => Said::no(503, "no_answer", "the core gave no answer to this").with("retry-after", "1"),
+    }
+}
--- a/hutbook/src/transport/post.rs
+++ b/hutbook/src/transport/post.rs
@@ -39,6 +39,8 @@
 
 pub struct Post {
     pub me: u64,
+    /// Where this process is reached.
+    pub at: String,
     pub cluster: Arc<AtomicU64>,
     /// Frames refused: malformed, oversized, foreign or of another version.
     pub refused: Arc<AtomicU64>,
@@ -53,6 +55,7 @@
         let (out, rx) = mpsc::channel(OUTBOX * 4);
         let post = Arc::new(Post {
             me,
+            at: listen.map_or(String::new(), |a| a.to_string()),
             cluster: Arc::new(AtomicU64::new(cluster)),
             refused: Arc::default(),
             next: AtomicU64::new(1),
--- /dev/null
+++ b/huts/src/bin/trailhead.rs
@@ -0,0 +1,181 @@
+//! The edge: serves callers and dispatches their work, under a short licence.
+
+use hutbook::constants::*;
+use hutbook::coordination::core::{id_text, CoreAsk, CoreTell};
+use hutbook::coordination::edge::Edge;
+use hutbook::protocol::settings::{Settings, Who};
+use hutbook::protocol::wire::Body;
+use hutbook::transport::callers::{self, Tally};
+use hutbook::transport::daemon::{self, common, metric, Closing};
+use hutbook::transport::field::{draw, Field};
+use hutbook::transport::http::{self, call};
+use hutbook::transport::hut::Clock;
+use hutbook::transport::post::{Handler, Post};
+use hutbook::transport::reach::Reach;
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn main() -> ExitCode {
+    daemon::main(Who::Trailhead, run)
+}
+
+fn run(s: Settings) -> Result<(), String> {
+    let clock = Clock::start();
+    // no disk: every start is a new node, and nothing an older one promised binds it
+    let edge = Arc::new(Edge::new(draw(), &s.cell, &s.http.to_string()));
+    let handler: Handler = Arc::new(|_, reply| reply.send(Body::Away("a trailhead answers callers only".into())));
+    let post = Post::start(edge.id, 0, Some(s.wire), handler).map_err(|e| format!("{}: {e}", s.wire))?;
+    actix_rt::System::new().block_on(live(s, clock, edge, post))
+}
+
+async fn live(s: Settings, clock: Clock, edge: Arc<Edge>, post: Arc<Post>) -> Result<(), String> {
+    let closing = Closing::default();
+    let tally = Arc::new(Tally::default());
+    let field = Arc::new(Field::new(edge.clone(), clock, post.clone()));
+    let (f, t, c, p) = (field.clone(), tally.clone(), closing.clone(), post.clone());
+    let server = http::serve(s.http, daemon::workers(), closing.clone(), move |a| {
+        let (f, t, c, p) = (f.clone(), t.clone(), c.clone(), p.clone());
+        async move {
+            let e = f.edge.clone();
+            let ready = match (e.licensed(f.clock.now()), e.view().config.is_some()) {
+                (true, true) => Ok(()),
+                (false, _) => Err("no licence".to_string()),
+                _ => Err("no configuration is in force yet".to_string()),
+            };
+            match common(&a, &c, ready, || metrics(&f, &t, &p), || beliefs(&f)) {
+                Some(s) => s,
+                None => callers::answer(f, t, a).await,
+            }
+        }
+    })
+    .map_err(|e| format!("{}: {e}", s.http))?;
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    log::info!("trailhead {} stands at {}", id_text(edge.id), s.http);
+
+    let seeds = s.seeds.iter().map(|a| a.to_string()).collect();
+    actix_rt::spawn(renew(edge.clone(), post.clone(), clock, seeds));
+    actix_rt::spawn(pump(edge.clone(), clock));
+    actix_rt::spawn(ask_loads(edge.clone()));
+
+    daemon::told_to_stop(&closing).await.map_err(|e| e.to_string())?;
+    // stop taking sessions, let those with work under way finish within their time
+    let stopped = handle.stop(true);
+    let busy = async {
+        while tally.under_way.load(Ordering::Relaxed) > 0 {
+            actix_rt::time::sleep(Duration::from_millis(TICK_MS)).await;
+        }
+    };
+    let both = async {
+        stopped.await;
+        busy.await;
+    };
+    if actix_rt::time::timeout(Duration::from_millis(STOP_MS), both).await.is_err() {
+        let left = tally.under_way.load(Ordering::Relaxed);
+        log::warn!("stopped with {left} jobs under way after {STOP_MS} ms");
+    }
+    Ok(())
+}
+
+/// Renews the licence, early where jobs wait without a slot.
+async fn renew(edge: Arc<Edge>, post: Arc<Post>, clock: Clock, seeds: Vec<String>) {
+    let reach = Reach::new(post.clone(), clock);
+    let mut had = false;
+    loop {
+        let sent = clock.now();
+        let mut addrs: Vec<String> = edge.view().cores.iter().map(|m| m.addr.clone()).collect();
+        // seeds are for the first contact, and for a core that has moved away altogether
+        addrs.extend(seeds.iter().cloned());
+        let r = edge.renewal(sent);
+        if let Some(CoreTell::Grant(g)) = reach.core(&addrs, CoreAsk::Renew(r), LICENCE_MS, RENEW_TRY_MS).await {
+            edge.granted(sent, *g);
+            post.cluster.store(edge.view().cluster, Ordering::Relaxed);
+        }
+        edge.pump_all(clock.now());
+        let has = edge.licensed(clock.now());
+        if has != had {
+            log::info!("{}", if has { "licensed" } else { "without a licence: nothing new is dispatched" });
+            had = has;
+        }
+        while clock.now() < sent + RENEW_MS {
+            actix_rt::time::sleep(Duration::from_millis(PUMP_MS)).await;
+            if clock.now() > sent + RENEW_EARLY_MS && edge.starved(clock.now()) {
+                break;
+            }
+        }
+    }
+}
+
+async fn pump(edge: Arc<Edge>, clock: Clock) {
+    let mut look_at = 0;
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(PUMP_MS)).await;
+        let now = clock.now();
+        edge.lapse(now);
+        edge.pump_all(now);
+        if now >= look_at {
+            look_at = now + LOOK_MS;
+            edge.look(now);
+        }
+    }
+}
+
+/// Model servers say their load and their KV cache on /metrics.
+async fn ask_loads(edge: Arc<Edge>) {
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(LOAD_MS)).await;
+        let all = edge.neighbours().into_iter().map(|(group, server, addr)| {
+            let edge = edge.clone();
+            async move {
+                let r = call("GET", &format!("http://{addr}/metrics"), &[], String::new(), LOAD_MS).await;
+                // a server that says nothing is taken as it was last known
+                if let Ok((200, text, _)) = r {
+                    if let Some(w) = http::gauge(&text, "vllm:num_requests_waiting") {
+                        let cache = http::gauge(&text, "vllm:gpu_cache_usage_perc").unwrap_or(0.0);
+                        edge.heard_load(&group, &server, w, cache);
+                    }
+                }
+            }
+        });
+        futures_util::future::join_all(all).await;
+    }
+}
+
+fn beliefs(f: &Field) -> jzon::JsonValue {
+    let e = &f.edge;
+    let mut j = e.view().json();
+    j["node"] = id_text(e.id).into();
+    j["kind"] = "trailhead".into();
+    j["cell"] = e.cell.as_str().into();
+    j["licensed"] = e.licensed(f.clock.now()).into();
+    j
+}
+
+fn metrics(f: &Field, t: &Tally, post: &Post) -> String {
+    let mut o = String::new();
+    let now = f.clock.now();
+    for (v, n) in [
+        ("done", &t.done),
+        ("failed", &t.failed),
+        ("refused", &t.refused),
+        ("in_doubt", &t.in_doubt),
+        ("unavailable", &t.unavailable),
+    ] {
+        metric(&mut o, "verdicts_total", &[("verdict", v)], n.load(Ordering::Relaxed));
+    }
+    metric(&mut o, "under_way", &[], t.under_way.load(Ordering::Relaxed));
+    metric(&mut o, "licensed", &[], u8::from(f.edge.licensed(now)));
+    metric(&mut o, "revision", &[], f.edge.view().rev);
+    metric(&mut o, "config_revision", &[], f.edge.view().config_rev);
+    metric(&mut o, "frames_refused_total", &[], post.refused.load(Ordering::Relaxed));
+    for (g, queued, busy, limit, worst) in f.edge.lanes_now(now) {
+        let l = [("group", g.as_str())];
+        metric(&mut o, "queued", &l, queued);
+        metric(&mut o, "busy", &l, busy);
+        metric(&mut o, "limit", &l, limit);
+        metric(&mut o, "wait_of_set_point", &l, worst);
+    }
+    o
+}
--- /dev/null
+++ b/scramble/src/bin/bivouac.rs
@@ -0,0 +1,186 @@
+//! A stand-in model or tool server. It does its work by the clock, notes every
+//! run it begins in a ledger file, and can lose answers on purpose.
+
+use bytes::Bytes;
+use hutbook::transport::http::{self, Asked, Out, Said};
+use hutbook::transport::hut::Clock;
+use scramble::flags::{fail, number, parse};
+use scramble::saw::{ran_json, Ran};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+
+const NAME: &str = "bivouac";
+
+struct Camp {
+    name: String,
+    model: bool,
+    slots: u64,
+    piece_ms: u64,
+    pieces: u64,
+    work_ms: u64,
+    cold: u64,
+    lose_every: u64,
+    ledger: Mutex<Box<dyn Write + Send>>,
+    now: Mutex<Now>,
+}
+
+#[derive(Default)]
+struct Now {
+    busy: u32,
+    begun: u64,
+    done: u64,
+    answers: BTreeMap<String, String>,
+}
+
+/// One run, from its line in the ledger to its end.
+struct Run(Arc<Camp>);
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.0.now.lock().unwrap().busy -= 1;
+    }
+}
+
+impl Camp {
+    fn begin(self: &Arc<Self>, key: &str) -> (Run, u64) {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        let mut n = self.now.lock().unwrap();
+        n.busy += 1;
+        n.begun += 1;
+        let r = Ran { at, server: self.name.clone(), key: key.into(), busy: n.busy, done: n.done };
+        let mut l = self.ledger.lock().unwrap();
+        let _ = writeln!(l, "{}", ran_json(&r).dump());
+        let _ = l.flush();
+        (Run(self.clone()), n.begun)
+    }
+
+    /// Slower when it is over its slots or still cold, as real ones are.
+    fn strain(&self) -> u64 {
+        let n = self.now.lock().unwrap();
+        let over = u64::from(n.busy).div_ceil(self.slots.max(1)).max(1);
+        if n.done < self.cold {
+            over * 3
+        } else {
+            over
+        }
+    }
+
+    fn end(&self) {
+        self.now.lock().unwrap().done += 1;
+    }
+}
+
+fn main() {
+    let mut o = getopts::Options::new();
+    o.optopt("", "http", "where to listen", "IP:PORT");
+    o.optopt("", "name", "name in the ledger", "NAME");
+    o.optopt("", "kind", "model or tool", "KIND");
+    o.optopt("", "slots", "jobs it bears at once (8)", "N");
+    o.optopt("", "piece-ms", "model: time to a piece (20)", "MS");
+    o.optopt("", "pieces", "model: pieces of an answer (12)", "N");
+    o.optopt("", "work-ms", "tool: time for a job (60)", "MS");
+    o.optopt("", "cold", "jobs until it is warm; three times slower before (4)", "N");
+    o.optopt("", "lose-every", "do the work of every Nth job and lose its answer (0: never)", "N");
+    o.optopt("", "ledger", "file to note every run in", "FILE");
+    let m = parse(NAME, &mut o);
+    let Some(addr) = m.opt_str("http").and_then(|a| a.parse::<SocketAddr>().ok()) else {
+        fail(NAME, "--http must be an IP number and a port")
+    };
+    let ledger: Box<dyn Write + Send> = match m.opt_str("ledger") {
+        None => Box::new(std::io::sink()),
+        Some(f) => match std::fs::File::options().create(true).append(true).open(&f) {
+            Ok(f) => Box::new(f),
+            Err(e) => fail(NAME, &format!("{f}: {e}")),
+        },
+    };
+    let camp = Arc::new(Camp {
+        name: m.opt_str("name").unwrap_or_else(|| addr.to_string()),
+        model: m.opt_str("kind").as_deref() != Some("tool"),
+        slots: number(NAME, &m, "slots", 8),
+        piece_ms: number(NAME, &m, "piece-ms", 20),
+        pieces: number(NAME, &m, "pieces", 12),
+        work_ms: number(NAME, &m, "work-ms", 60),
+        cold: number(NAME, &m, "cold", 4),
+        lose_every: number(NAME, &m, "lose-every", 0),
+        ledger: Mutex::new(ledger),
+        now: Mutex::default(),
+    });
+    let r = actix_rt::System::new().block_on(async move {
+        let s = http::serve(addr, 1, Arc::new(AtomicBool::new(false)), move |a| serve(camp.clone(), a))?;
+        s.await
+    });
+    if let Err(e) = r {
+        fail(NAME, &format!("{addr}: {e}"));
+    }
+}
+
+async fn serve(c: Arc<Camp>, a: Asked) -> Said {
+    let path: Vec<&str> = a.path.iter().map(String::as_str).collect();
+    match (a.method.as_str(), path.as_slice()) {
+        ("GET", ["metrics"]) => {
+            let n = c.now.lock().unwrap();
+            let wait = u64::from(n.busy).saturating_sub(c.slots);
+            let cache = (f64::from(n.busy) / c.slots.max(1) as f64).min(1.0) * 0.8;
+            Said::text(format!(
+                "vllm:num_requests_running {}\nvllm:num_requests_waiting {wait}\nvllm:gpu_cache_usage_perc {cache}\n",
+                n.busy
+            ))
+        }
+        ("GET", ["v1", "jobs", key]) => match c.now.lock().unwrap().answers.get(*key) {
+            Some(b) => Said { status: 200, headers: vec![], body: Out::Whole("application/json", b.clone()) },
+            None => Said::no(404, "unknown", "no such job was done here"),
+        },
+        ("POST", _) if c.model => model(c.clone(), &a),
+        ("POST", _) => tool(c.clone(), &a).await,
+        _ => Said::no(404, "unknown_path", "nothing is served there"),
+    }
+}
+
+fn model(c: Arc<Camp>, a: &Asked) -> Said {
+    let Ok(v) = jzon::parse(&a.body) else { return Said::no(400, "bad_json", "not JSON") };
+    let key = a.headers.get("idempotency-key").cloned().unwrap_or_default();
+    let cap = v["max_tokens"].as_u64().unwrap_or(c.pieces).min(c.pieces);
+    let (run, no) = c.begin(&key);
+    let mut run = Some(run);
+    let (tx, rx) = mpsc::channel(2);
+    actix_rt::spawn(async move {
+        let clock = Clock::start();
+        let lost = c.lose_every > 0 && no.is_multiple_of(c.lose_every);
+        for i in 0..cap {
+            actix_rt::time::sleep(Duration::from_millis(c.piece_ms * c.strain())).await;
+            // free before the last piece is out: whoever reads it may send the next job at once
+            if i + 1 == cap {
+                c.end();
+                run.take();
+            }
+            let d = jzon::object! { choices: [{ delta: { content: format!("{key}/{i} ") } }] };
+            // the caller has gone: a real server stops generating too
+            if tx.send(Bytes::from(format!("data: {}\n\n", d.dump()))).await.is_err() || lost && i == cap / 2 {
+                return;
+            }
+        }
+        let d = jzon::object! { choices: [], usage: { completion_tokens: cap, total_ms: clock.now() } };
+        let _ = tx.send(Bytes::from(format!("data: {}\n\ndata: [DONE]\n\n", d.dump()))).await;
+    });
+    Said { status: 200, headers: vec![], body: Out::Events(rx) }
+}
+
+async fn tool(c: Arc<Camp>, a: &Asked) -> Said {
+    let key = a.headers.get("idempotency-key").cloned().unwrap_or_default();
+    let (run, no) = c.begin(&key);
+    actix_rt::time::sleep(Duration::from_millis(c.work_ms * c.strain())).await;
+    let body = jzon::object! { key: key.as_str(), run: no, by: c.name.as_str() }.dump();
+    c.now.lock().unwrap().answers.insert(key, body.clone());
+    c.end();
+    drop(run);
+    if c.lose_every > 0 && no.is_multiple_of(c.lose_every) {
+        // the work is done and nobody hears of it: longer than any run may take
+        actix_rt::time::sleep(Duration::from_secs(300)).await;
+    }
+    Said { status: 200, headers: vec![], body: Out::Whole("application/json", body) }
+}
--- /dev/null
+++ b/scramble/src/camp.rs
@@ -0,0 +1,340 @@
+//! A whole fleet on one machine, as real processes on loopback.
+
+use crate::walk::{wall, Deployment};
+use hutbook::transport::http::call;
+use rustix::process::{kill_process, Pid, Signal};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+pub const CELLS: [&str; 3] = ["ben", "glen", "strath"];
+pub const CORES: usize = 3;
+pub const STORES: usize = 3;
+pub const EDGES: usize = 6;
+pub const MODELS: usize = 12;
+
+pub struct Proc {
+    program: &'static str,
+    args: Vec<String>,
+    child: Option<Child>,
+    pub http: String,
+    pub cell: String,
+    log: PathBuf,
+    data: Option<PathBuf>,
+}
+
+pub struct Camp {
+    pub dir: PathBuf,
+    pub procs: BTreeMap<String, Proc>,
+    pub deployment: Deployment,
+    port: u16,
+}
+
+impl Drop for Camp {
+    fn drop(&mut self) {
+        // only what this one started, by its own handle
+        for p in self.procs.values_mut() {
+            if let Some(mut c) = p.child.take() {
+                let _ = c.kill();
+                let _ = c.wait();
+            }
+        }
+    }
+}
+
+fn binary(name: &str) -> PathBuf {
+    let me = std::env::current_exe().expect("the running program has a path");
+    me.parent().map(|p| p.join(name)).filter(|p| p.exists()).unwrap_or_else(|| {
+        // tests live one folder below the programs
+        me.parent().and_then(Path::parent).map_or(name.into(), |p| p.join(name))
+    })
+}
+
+/// How the stand-in back ends behave.
+#[derive(Clone, Copy)]
+pub struct BackEnds {
+    pub piece_ms: u64,
+    pub work_ms: u64,
+    pub lose_every: u64,
+}
+
+impl Default for BackEnds {
+    fn default() -> Self {
+        BackEnds { piece_ms: 25, work_ms: 60, lose_every: 0 }
+    }
+}
+
+impl Camp {
+    pub fn new(dir: &Path, port: u16, deployment: Deployment) -> std::io::Result<Camp> {
+        let _ = std::fs::remove_dir_all(dir);
+        std::fs::create_dir_all(dir)?;
+        Ok(Camp { dir: dir.into(), procs: BTreeMap::new(), deployment, port })
+    }
+
+    fn address(&mut self) -> String {
+        self.port += 1;
+        format!("127.0.0.1:{}", self.port)
+    }
+
+    fn add(
+        &mut self,
+        name: &str,
+        program: &'static str,
+        http: String,
+        cell: &str,
+        args: Vec<String>,
+        data: Option<PathBuf>,
+    ) {
+        let log = self.dir.join(format!("{name}.log"));
+        let p = Proc { program, args, child: None, http, cell: cell.into(), log, data };
+        self.procs.insert(name.into(), p);
+        self.start(name);
+    }
+
+    pub fn start(&mut self, name: &str) {
+        let p = self.procs.get_mut(name).expect("known process");
+        let log = std::fs::File::options().create(true).append(true).open(&p.log).expect("the log can be written");
+        let c = Command::new(binary(p.program))
+            .args(&p.args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
+        p.child = Some(c.unwrap_or_else(|e| panic!("{}: {e}", p.program)));
+    }
+
+    pub fn kill(&mut self, name: &str) {
+        if let Some(mut c) = self.procs.get_mut(name).and_then(|p| p.child.take()) {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+
+    fn signal(&self, name: &str, s: Signal) {
+        if let Some(c) = self.procs.get(name).and_then(|p| p.child.as_ref()) {
+            if let Some(pid) = Pid::from_raw(c.id() as i32) {
+                let _ = kill_process(pid, s);
+            }
+        }
+    }
+
+    pub fn freeze(&self, name: &str) {
+        self.signal(name, Signal::STOP);
+    }
+
+    pub fn wake(&self, name: &str) {
+        self.signal(name, Signal::CONT);
+    }
+
+    /// A planned stop: told to, and waited for. True when it ended by itself and well.
+    pub async fn stop(&mut self, name: &str) -> bool {
+        self.signal(name, Signal::TERM);
+        let Some(mut c) = self.procs.get_mut(name).and_then(|p| p.child.take()) else { return false };
+        for _ in 0..400 {
+            if let Ok(Some(st)) = c.try_wait() {
+                return st.success();
+            }
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+        }
+        let _ = c.kill();
+        let _ = c.wait();
+        false
+    }
+
+    /// The disk is gone: the process starts with an empty folder.
+    pub fn empty(&mut self, name: &str) {
+        self.kill(name);
+        if let Some(d) = &self.procs[name].data {
+            let _ = std::fs::remove_dir_all(d);
+        }
+    }
+
+    pub fn found_args(&mut self, name: &str) {
+        // forming a cluster is asked for once, on the first start only
+        self.procs.get_mut(name).expect("known process").args.retain(|a| a != "--found");
+    }
+
+    pub fn names(&self, program: &str) -> Vec<String> {
+        self.procs.iter().filter(|(_, p)| p.program == program).map(|(n, _)| n.clone()).collect()
+    }
+
+    pub fn https(&self, program: &str) -> Vec<String> {
+        self.procs.values().filter(|p| p.program == program).map(|p| p.http.clone()).collect()
+    }
+
+    /// 3 cells, 3 refuges, 3 bothies, 6 trailheads, 12 model servers and the tool servers.
+    pub fn raise(&mut self, b: BackEnds) {
+        let mut seeds: Vec<String> = vec![];
+        for i in 0..CORES {
+            let (wire, http) = (self.address(), self.address());
+            seeds.push(wire.clone());
+            self.node(&format!("refuge{}", i + 1), "refuge", wire, http, CELLS[i % 3], &seeds.clone(), i == 0);
+        }
+        for i in 0..STORES {
+            let (wire, http) = (self.address(), self.address());
+            self.node(&format!("bothy{}", i + 1), "bothy", wire, http, CELLS[i % 3], &seeds, false);
+        }
+        for i in 0..EDGES {
+            let (wire, http) = (self.address(), self.address());
+            self.node(&format!("trailhead{}", i + 1), "trailhead", wire, http, CELLS[i % 3], &seeds, false);
+        }
+        let tools = if self.deployment == Deployment::Glenmorven { 8 } else { 3 };
+        for i in 0..MODELS {
+            self.back_end(&format!("model{:02}", i + 1), "model", CELLS[i % 3], b);
+        }
+        for i in 0..tools {
+            self.back_end(&format!("tool{}", i + 1), "tool", CELLS[i % 3], b);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn node(
+        &mut self,
+        name: &str,
+        program: &'static str,
+        wire: String,
+        http: String,
+        cell: &str,
+        seeds: &[String],
+        found: bool,
+    ) {
+        let mut a: Vec<String> =
+            vec!["--wire".into(), wire.clone(), "--http".into(), http.clone(), "--cell".into(), cell.into()];
+        for s in seeds.iter().filter(|s| **s != wire).take(3) {
+            a.extend(["--seed".into(), s.clone()]);
+        }
+        let data = (program != "trailhead").then(|| self.dir.join(name));
+        if let Some(d) = &data {
+            a.extend(["--data".into(), d.display().to_string()]);
+        }
+        if found {
+            a.push("--found".into());
+        }
+        self.add(name, program, http, cell, a, data);
+    }
+
+    pub fn back_end(&mut self, name: &str, kind: &str, cell: &str, b: BackEnds) {
+        let http = self.address();
+        let slots = self.slots(kind).0;
+        let flags = [
+            ("http", http.clone()),
+            ("name", name.to_string()),
+            ("kind", kind.to_string()),
+            ("slots", slots.to_string()),
+            ("piece-ms", b.piece_ms.to_string()),
+            ("work-ms", b.work_ms.to_string()),
+            ("lose-every", b.lose_every.to_string()),
+            ("ledger", self.dir.join(format!("{name}.ledger")).display().to_string()),
+        ];
+        let a = flags.into_iter().flat_map(|(k, v)| [format!("--{k}"), v]).collect();
+        self.add(name, "bivouac", http, cell, a, None);
+    }
+
+    /// Slots and jobs for a further one, as the example configs have them.
+    pub fn slots(&self, kind: &str) -> (u32, u32) {
+        match (kind, self.deployment) {
+            ("tool", Deployment::Glenmorven) => (6, 2),
+            _ => (8, 2),
+        }
+    }
+
+    pub fn config(&self) -> &'static str {
+        match self.deployment {
+            Deployment::Glenmorven => include_str!("../../examples/glenmorven.json"),
+            Deployment::Tianguis => include_str!("../../examples/tianguis.json"),
+        }
+    }
+
+    /// Asks the core over any refuge that answers: status, body and etag.
+    pub async fn operate(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<(u16, String, Option<u64>)> {
+        let end = wall() + 20_000;
+        while wall() < end {
+            for h in self.https("refuge") {
+                let r = call(method, &format!("http://{h}{path}"), headers, body.into(), 6_000).await;
+                if let Ok((st, b, hs)) = r {
+                    if st != 503 {
+                        let tag = hs.get("etag").and_then(|t| t.trim_matches('"').parse().ok());
+                        return Some((st, b, tag));
+                    }
+                }
+            }
+            actix_rt::time::sleep(Duration::from_millis(200)).await;
+        }
+        None
+    }
+
+    pub async fn put_config(&self, base: u64, change: &str, text: &str) -> Option<(u16, Option<u64>)> {
+        let base = base.to_string();
+        let h = [("if-match", base.as_str()), ("change-id", change)];
+        self.operate("PUT", "/v1/config", &h, text).await.map(|(st, _, tag)| (st, tag))
+    }
+
+    pub async fn list(&self, name: &str) -> bool {
+        let p = &self.procs[name];
+        let group = match (name.starts_with("model"), self.deployment) {
+            (true, _) => "lang",
+            (_, Deployment::Glenmorven) => "tiles",
+            _ => "office",
+        };
+        let b = jzon::object! { group: group, address: p.http.as_str(), cell: p.cell.as_str() };
+        let r = self.operate("PUT", &format!("/v1/servers/{name}"), &[], &b.dump()).await;
+        matches!(r, Some((200, _, _)))
+    }
+
+    /// Waits until every trailhead is ready and the store has its copies; false when that takes too long.
+    pub async fn ready(&self, ms: u64) -> bool {
+        let end = wall() + ms;
+        while wall() < end {
+            let mut ok = true;
+            for h in self.https("trailhead").into_iter().chain(self.https("bothy")).chain(self.https("refuge")) {
+                ok &= matches!(
+                    call("GET", &format!("http://{h}/readyz"), &[], String::new(), 500).await,
+                    Ok((200, _, _))
+                );
+            }
+            if ok {
+                return true;
+            }
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+        }
+        false
+    }
+
+    /// Waits until the core and the store have as many voting members as they should.
+    pub async fn grown(&self, ms: u64) -> bool {
+        let end = wall() + ms;
+        while wall() < end {
+            if let Some((200, b, _)) = self.operate("GET", "/v1/status", &[], "").await {
+                let v = jzon::parse(&b).unwrap_or(jzon::JsonValue::Null);
+                if v["core"]["voters"].len() >= CORES && v["stores"]["1"]["actual"].len() >= STORES {
+                    return true;
+                }
+            }
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+        }
+        false
+    }
+
+    /// The process of this program that says it leads.
+    pub async fn leader(&self, program: &str) -> Option<String> {
+        for _ in 0..50 {
+            for n in self.names(program) {
+                let url = format!("http://{}/metrics", self.procs[&n].http);
+                if let Ok((200, t, _)) = call("GET", &url, &[], String::new(), 500).await {
+                    if hutbook::transport::http::gauge(&t, "corkdrum_leads") == Some(1.0) {
+                        return Some(n);
+                    }
+                }
+            }
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/scramble/src/drills.rs
@@ -0,0 +1,292 @@
+//! The drills: a fleet under its deployment's traffic, and what is done to it.
+
+// one drill owns the camp; the watcher and the callers never borrow it
+#![allow(clippy::await_holding_refcell_ref)]
+
+use crate::camp::{BackEnds, Camp, CELLS};
+use crate::check::{check, Breach};
+use crate::saw::{ran_from, Belief, Saw};
+use crate::walk::{report, wall, Deployment, Plan, Walkers};
+use hutbook::transport::http::call;
+use std::cell::{Cell, RefCell};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+pub const DRILLS: [&str; 14] = [
+    "calm",
+    "opening",
+    "kill-core-leader",
+    "kill-store-leader",
+    "kill-trailhead",
+    "freeze-core-leader",
+    "freeze-store-leader",
+    "freeze-trailhead",
+    "lost-answers",
+    "rolling-servers",
+    "config-races",
+    "evacuation",
+    "planned-restarts",
+    "kill-everything",
+];
+
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub drill: String,
+    pub deployment: Deployment,
+    pub seconds: u64,
+    pub rate: u64,
+    pub seed: u64,
+    pub port: u16,
+}
+
+pub struct Outcome {
+    pub breaches: Vec<Breach>,
+    pub text: String,
+    /// ms in which no job of a second's worth was finished, at its longest.
+    pub gap_ms: u64,
+    pub jobs: usize,
+}
+
+async fn nap(ms: u64) {
+    actix_rt::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// What the drill itself writes down while the callers walk.
+struct Log {
+    camp: RefCell<Camp>,
+    saw: RefCell<Saw>,
+    over: Cell<bool>,
+}
+
+pub async fn run(o: &Order, dir: &Path) -> Result<Outcome, String> {
+    let mut camp = Camp::new(dir, o.port, o.deployment).map_err(|e| e.to_string())?;
+    let back = match o.drill.as_str() {
+        "lost-answers" => BackEnds { lose_every: 9, ..BackEnds::default() },
+        "opening" => BackEnds { piece_ms: 60, ..BackEnds::default() },
+        _ => BackEnds::default(),
+    };
+    camp.raise(back);
+    if !camp.grown(30_000).await {
+        return Err("the core and the store did not come up".into());
+    }
+    camp.found_args("refuge1");
+    let mut saw = Saw::default();
+    let (st, rev) = camp.put_config(0, "first", camp.config()).await.ok_or("no answer to the first config")?;
+    let rev = rev.filter(|_| st == 200).ok_or(format!("the first config got {st}"))?;
+    saw.configs.push((wall(), rev));
+    for n in camp.names("bivouac") {
+        if !camp.list(&n).await {
+            return Err(format!("{n} could not be listed"));
+        }
+        let (slots, warm) = camp.slots(if n.starts_with("model") { "model" } else { "tool" });
+        saw.servers.insert(n.clone(), (camp.procs[&n].cell.clone(), slots, warm));
+    }
+    if !camp.ready(20_000).await {
+        return Err("not everything became ready".into());
+    }
+    saw.planned_only = ["calm", "opening", "rolling-servers", "config-races", "evacuation", "planned-restarts"]
+        .contains(&o.drill.as_str());
+    let edges = camp.https("trailhead");
+    let l = Rc::new(Log { camp: RefCell::new(camp), saw: RefCell::new(saw), over: Cell::new(false) });
+    let plan = Plan {
+        deployment: o.deployment,
+        edges: edges.clone(),
+        seconds: o.seconds,
+        rate: o.rate,
+        opening: if o.drill == "opening" { 150 } else { 0 },
+        seed: o.seed,
+    };
+    let w = Walkers::new(plan);
+    let watch = actix_rt::spawn(watch(l.clone(), edges));
+    let (l2, d, secs) = (l.clone(), o.drill.clone(), o.seconds);
+    let hands = actix_rt::spawn(async move { drill(&l2, &d, secs * 1_000).await });
+    w.walk().await;
+    hands.await.map_err(|e| e.to_string())??;
+    l.over.set(true);
+    watch.await.map_err(|e| e.to_string())?;
+    Ok(sum_up(o, &l, &w, dir).await)
+}
+
+async fn sum_up(o: &Order, l: &Log, w: &Walkers, dir: &Path) -> Outcome {
+    let mut saw = l.saw.borrow().clone();
+    let walked = w.saw.borrow();
+    saw.jobs = walked.jobs.clone();
+    saw.programs = walked.programs.clone();
+    let camp = l.camp.borrow();
+    saw.read_back = camp.operate("GET", "/v1/config", &[], "").await.and_then(|x| x.2);
+    let scaler = camp.operate("GET", "/v1/scaler", &[], "").await.map(|x| x.1).unwrap_or_default();
+    let places = camp.operate("GET", "/v1/places", &[], "").await.map(|x| x.1).unwrap_or_default();
+    for n in camp.names("bivouac") {
+        let t = std::fs::read_to_string(dir.join(format!("{n}.ledger"))).unwrap_or_default();
+        saw.runs.extend(t.lines().filter_map(ran_from));
+    }
+    let mut ends: Vec<u64> = saw.jobs.iter().filter_map(|j| j.first).collect();
+    ends.sort_unstable();
+    for (up, first) in &mut saw.losses {
+        *first = ends.iter().find(|e| **e > *up).copied();
+    }
+    let gap_ms = ends.windows(2).map(|w| w[1] - w[0]).max().unwrap_or(0);
+    let config = hutbook::protocol::config::read(camp.config()).expect("the example configs are tested");
+    let points: Vec<(String, u64)> = config.work.iter().map(|(k, w)| (k.clone(), w.wait_ms)).collect();
+    let mut text = report(&saw, &points);
+    text.push_str(&format!("longest time without a first answer: {gap_ms} ms\n"));
+    if o.drill == "opening" || o.drill == "calm" {
+        text.push_str(&format!("places: {places}\nscaler: {scaler}\n"));
+    }
+    Outcome { breaches: check(&saw), text, gap_ms, jobs: saw.jobs.len() }
+}
+
+/// Asks every trailhead what it believes, all the time.
+async fn watch(l: Rc<Log>, edges: Vec<String>) {
+    while !l.over.get() {
+        for h in &edges {
+            let at = wall();
+            if let Ok((200, b, _)) = call("GET", &format!("http://{h}/v1/beliefs"), &[], String::new(), 300).await {
+                let v = jzon::parse(&b).unwrap_or(jzon::JsonValue::Null);
+                let b = Belief {
+                    at,
+                    node: v["node"].as_str().unwrap_or("").into(),
+                    acts: v["licensed"].as_bool().unwrap_or(false),
+                    config: v["config_revision"].as_u64().unwrap_or(0),
+                };
+                l.saw.borrow_mut().beliefs.push(b);
+            }
+        }
+        nap(150).await;
+    }
+}
+
+async fn drill(l: &Rc<Log>, name: &str, ms: u64) -> Result<(), String> {
+    let third = ms / 3;
+    match name {
+        "calm" | "opening" | "lost-answers" => {}
+        "kill-core-leader" | "kill-store-leader" => {
+            let p = if name.contains("core") { "refuge" } else { "bothy" };
+            nap(third).await;
+            let n = l.camp.borrow().leader(p).await.ok_or("no leader")?;
+            l.camp.borrow_mut().kill(&n);
+            nap(third).await;
+            l.camp.borrow_mut().start(&n);
+        }
+        "kill-trailhead" => {
+            nap(third).await;
+            l.camp.borrow_mut().kill("trailhead2");
+            nap(third).await;
+            l.camp.borrow_mut().start("trailhead2");
+        }
+        "freeze-core-leader" | "freeze-store-leader" | "freeze-trailhead" => {
+            nap(third).await;
+            let n = match name {
+                "freeze-trailhead" => "trailhead3".to_string(),
+                _ => l
+                    .camp
+                    .borrow()
+                    .leader(if name.contains("core") { "refuge" } else { "bothy" })
+                    .await
+                    .ok_or("no leader")?,
+            };
+            l.camp.borrow().freeze(&n);
+            nap(third.min(4_000)).await;
+            // new beliefs while it sleeps, so that waking with old ones would show
+            config(l, "while-asleep").await?;
+            leave(l, "model02").await?;
+            nap(third.min(4_000)).await;
+            l.camp.borrow().wake(&n);
+        }
+        "rolling-servers" => {
+            let all = l.camp.borrow().names("bivouac");
+            for n in all.iter().filter(|n| n.starts_with("model")).take((ms / 3_000) as usize) {
+                leave(l, n).await?;
+                nap(2_500).await;
+                let (m, until) = (n.clone(), wall());
+                l.saw.borrow_mut().leaving.iter_mut().filter(|x| x.2 == m).for_each(|x| x.1 = until);
+                l.camp.borrow().list(&m).await;
+            }
+        }
+        "config-races" => {
+            for i in 0..(ms / 1_000) {
+                let c = l.camp.borrow();
+                let base = c.operate("GET", "/v1/config", &[], "").await.and_then(|x| x.2).ok_or("no config")?;
+                let text = c.config();
+                let (a, b) = (format!("a{i}"), format!("b{i}"));
+                let (a, b) = futures_util::join!(c.put_config(base, &a, text), c.put_config(base, &b, text));
+                let won: Vec<u64> = [a, b].into_iter().flatten().filter(|x| x.0 == 200).filter_map(|x| x.1).collect();
+                if won.len() != 1 {
+                    return Err(format!("{} of two racing configs were accepted", won.len()));
+                }
+                l.saw.borrow_mut().configs.push((wall(), won[0]));
+                // a burst: three more at once, each on the one before
+                let mut base = won[0];
+                for k in 0..3 {
+                    let r = c.put_config(base, &format!("c{i}-{k}"), text).await;
+                    if let Some((200, Some(rev))) = r {
+                        l.saw.borrow_mut().configs.push((wall(), rev));
+                        base = rev;
+                    }
+                }
+                drop(c);
+                nap(500).await;
+            }
+        }
+        "evacuation" => {
+            nap(third).await;
+            let path = format!("/v1/cells/{}/evacuation", CELLS[1]);
+            let c = l.camp.borrow();
+            c.operate("PUT", &path, &[], "").await.filter(|x| x.0 == 200).ok_or("the evacuation was not taken")?;
+            loop {
+                let (_, b, _) = c.operate("GET", &path, &[], "").await.ok_or("no answer on the evacuation")?;
+                if jzon::parse(&b).is_ok_and(|v| v["done"] == true) {
+                    break;
+                }
+                nap(100).await;
+            }
+            l.saw.borrow_mut().evacuated.push((wall(), u64::MAX, CELLS[1].into()));
+            nap(third).await;
+            l.saw.borrow_mut().evacuated[0].1 = wall();
+            c.operate("DELETE", &path, &[], "").await;
+        }
+        "planned-restarts" => {
+            let mut all: Vec<String> = l.camp.borrow().names("refuge");
+            all.extend(l.camp.borrow().names("bothy"));
+            all.extend(l.camp.borrow().names("trailhead").into_iter().take(2));
+            nap(1_000).await;
+            for n in all {
+                if !l.camp.borrow_mut().stop(&n).await {
+                    return Err(format!("{n} did not stop well"));
+                }
+                l.camp.borrow_mut().start(&n);
+                l.camp.borrow().ready(15_000).await;
+            }
+        }
+        "kill-everything" => {
+            nap(third).await;
+            let all: Vec<String> =
+                ["refuge", "bothy", "trailhead"].iter().flat_map(|p| l.camp.borrow().names(p)).collect();
+            all.iter().for_each(|n| l.camp.borrow_mut().kill(n));
+            nap(500).await;
+            all.iter().for_each(|n| l.camp.borrow_mut().start(n));
+            l.saw.borrow_mut().losses.push((wall(), None));
+        }
+        other => return Err(format!("no drill is called {other}")),
+    }
+    Ok(())
+}
+
+async fn config(l: &Log, change: &str) -> Result<(), String> {
+    let c = l.camp.borrow();
+    let base = c.operate("GET", "/v1/config", &[], "").await.and_then(|x| x.2).ok_or("no config")?;
+    if let Some((200, Some(rev))) = c.put_config(base, change, c.config()).await {
+        l.saw.borrow_mut().configs.push((wall(), rev));
+        return Ok(());
+    }
+    Err("a config was not taken".into())
+}
+
+async fn leave(l: &Log, server: &str) -> Result<(), String> {
+    let c = l.camp.borrow();
+    let r = c.operate("POST", &format!("/v1/servers/{server}/leaving"), &[], "").await;
+    r.filter(|x| x.0 == 200).ok_or(format!("{server} could not be marked as leaving"))?;
+    l.saw.borrow_mut().leaving.push((wall(), u64::MAX, server.into()));
+    Ok(())
+}
--- a/scramble/src/lib.rs
+++ b/scramble/src/lib.rs
@@ -1,1 +1,9 @@
+//! The means of proof: what callers and back ends saw, and checkers over it.
+//! Nothing here is shipped.
 
+pub mod camp;
+pub mod check;
+pub mod drills;
+pub mod flags;
+pub mod saw;
+pub mod walk;
--- /dev/null
+++ b/scramble/src/saw.rs
@@ -0,0 +1,89 @@
+//! What callers, back ends and operators saw. Times are ms on one clock.
+
+use jzon::JsonValue;
+use std::collections::BTreeMap;
+
+/// One run as a back end saw it begin.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ran {
+    pub at: u64,
+    pub server: String,
+    pub key: String,
+    /// Under way there with this one, and finished before it.
+    pub busy: u32,
+    pub done: u64,
+}
+
+/// One job as its caller saw it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct JobSeen {
+    pub program: String,
+    pub key: String,
+    pub route: String,
+    pub work: String,
+    pub once_only: bool,
+    pub turn: bool,
+    pub asked: u64,
+    /// (run, seq) of each piece, in the order they came.
+    pub pieces: Vec<(u32, u64)>,
+    pub first: Option<u64>,
+    /// (when, verdict, code), every one this key was told.
+    pub verdicts: Vec<(u64, String, String)>,
+    /// The session ended without a verdict.
+    pub cut: u32,
+    pub cap: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ProgramSeen {
+    pub allowance: u64,
+    /// Keys of its history as last read, if it was read at all.
+    pub history: Option<Vec<String>>,
+}
+
+/// What one node believed when it was asked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Belief {
+    pub at: u64,
+    pub node: String,
+    /// Able to act: an edge with a licence.
+    pub acts: bool,
+    pub config: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Saw {
+    pub jobs: Vec<JobSeen>,
+    pub programs: BTreeMap<String, ProgramSeen>,
+    pub runs: Vec<Ran>,
+    /// server → (cell, slots, jobs for each further slot).
+    pub servers: BTreeMap<String, (String, u32, u32)>,
+    /// (from, until, server): told to be leaving.
+    pub leaving: Vec<(u64, u64, String)>,
+    /// (done, until, cell): the evacuation was reported done.
+    pub evacuated: Vec<(u64, u64, String)>,
+    /// (when, revision): configs accepted, in order.
+    pub configs: Vec<(u64, u64)>,
+    pub beliefs: Vec<Belief>,
+    /// Revision read back at the end.
+    pub read_back: Option<u64>,
+    /// (when everything was back up, first job done after it).
+    pub losses: Vec<(u64, Option<u64>)>,
+    /// Nothing was done to the fleet but planned changes.
+    pub planned_only: bool,
+}
+
+pub fn ran_json(r: &Ran) -> JsonValue {
+    jzon::object! { at: r.at, server: r.server.as_str(), key: r.key.as_str(), busy: r.busy, done: r.done }
+}
+
+pub fn ran_from(line: &str) -> Option<Ran> {
+    let v = jzon::parse(line).ok()?;
+    Some(Ran {
+        at: v["at"].as_u64()?,
+        server: v["server"].as_str()?.into(),
+        key: v["key"].as_str()?.into(),
+        busy: v["busy"].as_u32()?,
+        done: v["done"].as_u64()?,
+    })
+}
