--- a/hutbook/src/transport/field.rs
+++ b/hutbook/src/transport/field.rs
@@ -2,35 +2,26 @@
 
 use super::http::{call, client, was_sent, Broke};
 use super::hut::Clock;
-use super::post::Post;
-use super::reach::Reach;
+use super::reach::{Stores, Wired};
 use super::serve::{Bit, Ground, ModelCall, Stream, ToolCall};
 use crate::constants::*;
 use crate::coordination::edge::Edge;
 use crate::coordination::store::{StoreAsk, StoreTell};
-use crate::protocol::wire::Body;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use std::collections::BTreeMap;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 pub struct Field {
     pub edge: Arc<Edge>,
     pub clock: Clock,
-    post: Arc<Post>,
-    stores: Mutex<BTreeMap<u32, Arc<Reach>>>,
+    stores: Stores<Wired>,
 }
 
 impl Field {
-    pub fn new(edge: Arc<Edge>, clock: Clock, post: Arc<Post>) -> Field {
-        Field { edge, clock, post, stores: Mutex::default() }
-    }
-
-    fn reach(&self, group: u32) -> Arc<Reach> {
-        let mut s = self.stores.lock().unwrap_or_else(|e| e.into_inner());
-        s.entry(group).or_insert_with(|| Arc::new(Reach::new(self.post.clone(), self.clock))).clone()
+    pub fn new(edge: Arc<Edge>, way: Wired) -> Field {
+        Field { edge, clock: way.clock, stores: Stores::new(way) }
     }
 }
 
@@ -50,16 +41,7 @@
     }
 
     async fn store(&self, program: &str, ask: StoreAsk) -> Option<StoreTell> {
-        let v = self.edge.view();
-        let group = v.store_of(program)?;
-        let s = v.stores.get(&group)?;
-        let mut addrs: Vec<String> = s.actual.iter().chain(&s.wanted).map(|m| m.addr.clone()).collect();
-        addrs.dedup();
-        let body = Body::Store { group, ask: Box::new(ask) };
-        match self.reach(group).ask(&addrs, body, STORE_MS, CALL_MS).await {
-            Some(Body::StoreSaid(t)) => Some(*t),
-            _ => None,
-        }
+        self.stores.ask(&self.edge.view(), program, ask).await
     }
 
     async fn model(&self, c: ModelCall) -> Result<Result<Sse, u16>, Broke> {
--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -3,7 +3,7 @@
 
 use super::field::draw;
 use super::http::{Asked, Out, Said};
-use super::reach::Reach;
+use super::reach::{Reach, Wired};
 use crate::constants::*;
 use crate::coordination::core::{CoreAsk, CoreTell};
 use crate::protocol::config;
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 /// Asks the leader, wherever it is; `addrs` are the members this node knows.
-pub async fn answer(reach: Arc<Reach>, addrs: Vec<String>, a: Asked) -> Said {
+pub async fn answer(reach: Arc<Reach<Wired>>, addrs: Vec<String>, a: Asked) -> Said {
     let ask = match ask(&a) {
         Ok(x) => x,
         Err(s) => return s,
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -1,17 +1,52 @@
 //! Finding whoever leads a group, and asking it.
+//!
+//! How words are carried is a `Speak`, so that the same hunt runs over real
+//! sessions and over the in-memory fleet's network.
 
 use super::hut::Clock;
 use super::post::Post;
 use crate::constants::*;
-use crate::coordination::core::CoreTell;
-use crate::coordination::store::StoreTell;
+use crate::coordination::core::{CoreAsk, CoreTell};
+use crate::coordination::edge::Edge;
+use crate::coordination::store::{StoreAsk, StoreTell};
+use crate::coordination::view::View;
 use crate::protocol::wire::Body;
+use crate::state::entry::Member;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-pub struct Reach {
-    post: Arc<Post>,
-    clock: Clock,
+#[allow(async_fn_in_trait)]
+pub trait Speak: Clone {
+    fn now(&self) -> u64;
+    async fn nap(&self, ms: u64);
+    /// None when no answer came in time.
+    async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body>;
+}
+
+/// Real sessions and real time.
+#[derive(Clone)]
+pub struct Wired {
+    pub post: Arc<Post>,
+    pub clock: Clock,
+}
+
+impl Speak for Wired {
+    fn now(&self) -> u64 {
+        self.clock.now()
+    }
+
+    async fn nap(&self, ms: u64) {
+        actix_rt::time::sleep(Duration::from_millis(ms)).await;
+    }
+
+    async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body> {
+        self.post.call(to, body, ms).await
+    }
+}
+
+pub struct Reach<S> {
+    pub way: S,
     hint: Mutex<Option<String>>,
 }
 
@@ -23,7 +58,7 @@
 
 /// Every ask of ours may be repeated: each carries what makes a second one harmless.
 fn word(b: &Body) -> Word {
-    let to = |m: &Option<crate::state::entry::Member>| m.as_ref().map_or(Word::Again, |m| Word::Go(m.addr.clone()));
+    let to = |m: &Option<Member>| m.as_ref().map_or(Word::Again, |m| Word::Go(m.addr.clone()));
     match b {
         Body::CoreSaid(t) => match &**t {
             CoreTell::NotLeader(m) => to(m),
@@ -39,18 +74,22 @@
     }
 }
 
-impl Reach {
-    pub fn new(post: Arc<Post>, clock: Clock) -> Reach {
-        Reach { post, clock, hint: Mutex::default() }
+impl<S: Speak> Reach<S> {
+    pub fn new(way: S) -> Reach<S> {
+        Reach { way, hint: Mutex::default() }
+    }
+
+    fn set_hint(&self, h: Option<String>) {
+        *self.hint.lock().unwrap_or_else(|e| e.into_inner()) = h;
     }
 
     /// Asks until somebody answers or the time is over; `each` bounds one try.
     pub async fn ask(&self, addrs: &[String], body: Body, ms: u64, each: u64) -> Option<Body> {
-        let end = self.clock.now() + ms;
+        let end = self.way.now() + ms;
         let mut turn = 0;
         let mut next = self.hint.lock().unwrap_or_else(|e| e.into_inner()).clone();
         loop {
-            let now = self.clock.now();
+            let now = self.way.now();
             if now >= end {
                 return None;
             }
@@ -58,37 +97,99 @@
                 Some(a) => a,
                 None => {
                     turn += 1;
-                    match addrs.get((turn - 1) % addrs.len().max(1)) {
-                        Some(a) => a.clone(),
-                        None => return None,
-                    }
+                    addrs.get((turn - 1) % addrs.len().max(1))?.clone()
                 }
             };
-            let b = self.post.call(&to, body.clone(), each.min(end - now)).await;
+            let b = self.way.call(&to, body.clone(), each.min(end - now)).await;
             match b.as_ref().map(word) {
                 Some(Word::Answer) => {
-                    *self.hint.lock().unwrap_or_else(|e| e.into_inner()) = Some(to);
+                    self.set_hint(Some(to));
                     return b;
                 }
                 Some(Word::Go(a)) if a != to => next = Some(a),
                 _ => {
-                    *self.hint.lock().unwrap_or_else(|e| e.into_inner()) = None;
-                    actix_rt::time::sleep(Duration::from_millis(HUNT_MS)).await;
+                    self.set_hint(None);
+                    self.way.nap(HUNT_MS).await;
                 }
             }
         }
     }
 
-    pub async fn core(
-        &self,
-        addrs: &[String],
-        ask: crate::coordination::core::CoreAsk,
-        ms: u64,
-        each: u64,
-    ) -> Option<CoreTell> {
+    pub async fn core(&self, addrs: &[String], ask: CoreAsk, ms: u64, each: u64) -> Option<CoreTell> {
         match self.ask(addrs, Body::Core(Box::new(ask)), ms, each).await {
             Some(Body::CoreSaid(t)) => Some(*t),
             _ => None,
         }
     }
 }
+
+/// The store groups as an edge reaches them: one remembered leader each.
+pub struct Stores<S> {
+    way: S,
+    groups: Mutex<BTreeMap<u32, Arc<Reach<S>>>>,
+}
+
+impl<S: Speak> Stores<S> {
+    pub fn new(way: S) -> Stores<S> {
+        Stores { way, groups: Mutex::default() }
+    }
+
+    pub async fn ask(&self, v: &View, program: &str, ask: StoreAsk) -> Option<StoreTell> {
+        let group = v.store_of(program)?;
+        let s = v.stores.get(&group)?;
+        let mut addrs: Vec<String> = s.actual.iter().chain(&s.wanted).map(|m| m.addr.clone()).collect();
+        addrs.dedup();
+        let reach = {
+            let mut g = self.groups.lock().unwrap_or_else(|e| e.into_inner());
+            g.entry(group).or_insert_with(|| Arc::new(Reach::new(self.way.clone()))).clone()
+        };
+        match reach.ask(&addrs, Body::Store { group, ask: Box::new(ask) }, STORE_MS, CALL_MS).await {
+            Some(Body::StoreSaid(t)) => Some(*t),
+            _ => None,
+        }
+    }
+}
+
+/// Renews an edge's licence for ever, early where jobs wait without a slot.
+/// `told` hears whenever the edge gains or loses it.
+pub async fn renew<S: Speak>(edge: &Edge, reach: &Reach<S>, seeds: &[String], told: impl Fn(bool)) {
+    let w = &reach.way;
+    let mut had = false;
+    loop {
+        let sent = w.now();
+        let mut addrs: Vec<String> = edge.view().cores.iter().map(|m| m.addr.clone()).collect();
+        // seeds are for the first contact, and for a core that has moved away altogether
+        addrs.extend(seeds.iter().cloned());
+        let ask = CoreAsk::Renew(edge.renewal(sent));
+        if let Some(CoreTell::Grant(g)) = reach.core(&addrs, ask, LICENCE_MS, RENEW_TRY_MS).await {
+            edge.granted(sent, *g);
+        }
+        edge.pump_all(w.now());
+        let has = edge.licensed(w.now());
+        if has != had {
+            told(has);
+            had = has;
+        }
+        while w.now() < sent + RENEW_MS {
+            w.nap(PUMP_MS).await;
+            if w.now() > sent + RENEW_EARLY_MS && edge.starved(w.now()) {
+                break;
+            }
+        }
+    }
+}
+
+/// Looks over an edge's lines for ever: what can go, what can't be served any more.
+pub async fn pump<S: Speak>(edge: &Edge, way: &S) {
+    let mut look_at = 0;
+    loop {
+        way.nap(PUMP_MS).await;
+        let now = way.now();
+        edge.lapse(now);
+        edge.pump_all(now);
+        if now >= look_at {
+            look_at = now + LOOK_MS;
+            edge.look(now);
+        }
+    }
+}
--- a/hutbook/src/transport/serve.rs
+++ b/hutbook/src/transport/serve.rs
@@ -324,6 +324,7 @@
                 // a slow caller holds the back end back; one that went away ends the run
                 let left = (start + run_ms).saturating_sub(g.now());
                 tokio::select! {
+                    biased;
                     r = to.send(p) => if r.is_err() {
                         return ("caller_gone", text, seq, None, first);
                     },
--- a/huts/src/bin/bothy.rs
+++ b/huts/src/bin/bothy.rs
@@ -12,7 +12,7 @@
 use hutbook::transport::http::{self, Said};
 use hutbook::transport::hut::{Clock, Hut};
 use hutbook::transport::post::{Handler, Post};
-use hutbook::transport::reach::Reach;
+use hutbook::transport::reach::{Reach, Wired};
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, OnceLock};
@@ -100,7 +100,7 @@
 
 impl Keeper {
     async fn keep(self) -> Result<(), String> {
-        let reach = Reach::new(self.post.clone(), self.clock);
+        let reach = Reach::new(Wired { post: self.post.clone(), clock: self.clock });
         // a folder with a group in it serves at once: the core may be as dead as everything else was
         let (group, mut cores) = {
             let d = self.disk.lock().unwrap_or_else(|e| e.into_inner());
--- a/huts/src/bin/refuge.rs
+++ b/huts/src/bin/refuge.rs
@@ -10,7 +10,7 @@
 use hutbook::transport::field::draw;
 use hutbook::transport::hut::{Clock, Hut};
 use hutbook::transport::post::{Handler, Post};
-use hutbook::transport::reach::Reach;
+use hutbook::transport::reach::{Reach, Wired};
 use hutbook::transport::{http, operators};
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
@@ -58,7 +58,7 @@
     slot: Arc<OnceLock<Arc<Hut<Core>>>>,
 ) -> Result<(), String> {
     let closing = Closing::default();
-    let reach = Arc::new(Reach::new(post.clone(), clock));
+    let reach = Arc::new(Reach::new(Wired { post: post.clone(), clock }));
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
     // a newcomer asks to be let in until it has learnt which cluster this is
     while disk.cluster == 0 {
@@ -108,7 +108,7 @@
 }
 
 /// A member that the group doesn't list, or lists elsewhere, asks to be let in.
-async fn stay_in(hut: Arc<Hut<Core>>, reach: Arc<Reach>, me: Member, seeds: Vec<String>) {
+async fn stay_in(hut: Arc<Hut<Core>>, reach: Arc<Reach<Wired>>, me: Member, seeds: Vec<String>) {
     loop {
         actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS * 2)).await;
         let listed = hut.look(|r| r.raft.members().all().any(|m| *m == me));
--- a/huts/src/bin/trailhead.rs
+++ b/huts/src/bin/trailhead.rs
@@ -1,7 +1,7 @@
 //! The edge: serves callers and dispatches their work, under a short licence.
 
 use hutbook::constants::*;
-use hutbook::coordination::core::{id_text, CoreAsk, CoreTell};
+use hutbook::coordination::core::id_text;
 use hutbook::coordination::edge::Edge;
 use hutbook::protocol::settings::{Settings, Who};
 use hutbook::protocol::wire::Body;
@@ -11,7 +11,7 @@
 use hutbook::transport::http::{self, call};
 use hutbook::transport::hut::Clock;
 use hutbook::transport::post::{Handler, Post};
-use hutbook::transport::reach::Reach;
+use hutbook::transport::reach::{pump, renew, Reach, Wired};
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -33,7 +33,8 @@
 async fn live(s: Settings, clock: Clock, edge: Arc<Edge>, post: Arc<Post>) -> Result<(), String> {
     let closing = Closing::default();
     let tally = Arc::new(Tally::default());
-    let field = Arc::new(Field::new(edge.clone(), clock, post.clone()));
+    let way = Wired { post: post.clone(), clock };
+    let field = Arc::new(Field::new(edge.clone(), way.clone()));
     let (f, t, c, p) = (field.clone(), tally.clone(), closing.clone(), post.clone());
     let server = http::serve(s.http, daemon::workers(), closing.clone(), move |a| {
         let (f, t, c, p) = (f.clone(), t.clone(), c.clone(), p.clone());
@@ -55,9 +56,19 @@
     actix_rt::spawn(server);
     log::info!("trailhead {} stands at {}", id_text(edge.id), s.http);
 
-    let seeds = s.seeds.iter().map(|a| a.to_string()).collect();
-    actix_rt::spawn(renew(edge.clone(), post.clone(), clock, seeds));
-    actix_rt::spawn(pump(edge.clone(), clock));
+    let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
+    let (e, w, p) = (edge.clone(), way.clone(), post.clone());
+    actix_rt::spawn(async move {
+        let reach = Reach::new(w);
+        let told = |has| {
+            // frames of another cluster are refused from the first licence on
+            p.cluster.store(e.view().cluster, Ordering::Relaxed);
+            log::info!("{}", if has { "licensed" } else { "without a licence: nothing new is dispatched" });
+        };
+        renew(&e, &reach, &seeds, told).await;
+    });
+    let e = edge.clone();
+    actix_rt::spawn(async move { pump(&e, &way).await });
     actix_rt::spawn(ask_loads(edge.clone()));
 
     daemon::told_to_stop(&closing).await.map_err(|e| e.to_string())?;
@@ -79,49 +90,6 @@
     Ok(())
 }
 
-/// Renews the licence, early where jobs wait without a slot.
-async fn renew(edge: Arc<Edge>, post: Arc<Post>, clock: Clock, seeds: Vec<String>) {
-    let reach = Reach::new(post.clone(), clock);
-    let mut had = false;
-    loop {
-        let sent = clock.now();
-        let mut addrs: Vec<String> = edge.view().cores.iter().map(|m| m.addr.clone()).collect();
-        // seeds are for the first contact, and for a core that has moved away altogether
-        addrs.extend(seeds.iter().cloned());
-        let r = edge.renewal(sent);
-        if let Some(CoreTell::Grant(g)) = reach.core(&addrs, CoreAsk::Renew(r), LICENCE_MS, RENEW_TRY_MS).await {
-            edge.granted(sent, *g);
-            post.cluster.store(edge.view().cluster, Ordering::Relaxed);
-        }
-        edge.pump_all(clock.now());
-        let has = edge.licensed(clock.now());
-        if has != had {
-            log::info!("{}", if has { "licensed" } else { "without a licence: nothing new is dispatched" });
-            had = has;
-        }
-        while clock.now() < sent + RENEW_MS {
-            actix_rt::time::sleep(Duration::from_millis(PUMP_MS)).await;
-            if clock.now() > sent + RENEW_EARLY_MS && edge.starved(clock.now()) {
-                break;
-            }
-        }
-    }
-}
-
-async fn pump(edge: Arc<Edge>, clock: Clock) {
-    let mut look_at = 0;
-    loop {
-        actix_rt::time::sleep(Duration::from_millis(PUMP_MS)).await;
-        let now = clock.now();
-        edge.lapse(now);
-        edge.pump_all(now);
-        if now >= look_at {
-            look_at = now + LOOK_MS;
-            edge.look(now);
-        }
-    }
-}
-
 /// Model servers say their load and their KV cache on /metrics.
 async fn ask_loads(edge: Arc<Edge>) {
     loop {
--- /dev/null
+++ b/scramble/src/fleet/callers.rs
@@ -0,0 +1,326 @@
+//! Callers and operators of the in-memory fleet, who write down what they saw.
+
+use super::ground::{Meadow, World};
+use super::*;
+use crate::saw::{JobSeen, ProgramSeen};
+use hutbook::coordination::store::{StoreAsk, Verdict};
+use hutbook::coordination::view::hash;
+use hutbook::protocol::config;
+use hutbook::transport::callers::word;
+use hutbook::transport::reach::{Speak, Stores};
+use hutbook::transport::serve::{tool, turn, Ground, Heard, Job, Told};
+use tokio::sync::mpsc;
+
+/// ms. A caller asks again with the same key for this long.
+const PATIENCE_MS: u64 = 25_000;
+/// ms. A caller listens this long to an edge that says nothing.
+const SILENCE_MS: u64 = 6_000;
+pub const CAP: u64 = 12;
+
+impl World {
+    fn meadow(&self, edge: &str) -> Meadow {
+        let way = self.way(edge);
+        Meadow { edge: self.edge(edge), stores: Stores::new(way.clone()), way }
+    }
+
+    fn is_up(&self, name: &str) -> bool {
+        self.0.borrow().nodes[name].up
+    }
+
+    /// Puts the example configuration in force and lists its servers.
+    pub fn furnish(&self, text: &str, models: usize, tools: usize, tool_group: &str) {
+        self.put(0, "first", text);
+        let c = config::read(text).expect("a good config");
+        let g = &c.groups;
+        for i in 0..models {
+            let b = Back { model: true, slots: g["lang"].in_flight, piece_ms: 25, pieces: CAP, ..Back::default() };
+            self.list(&format!("model{:02}", i + 1), "lang", CELLS3[i % 3], b, g["lang"].warm_jobs);
+        }
+        for i in 0..tools {
+            let b = Back { slots: g[tool_group].in_flight, work_ms: 60, ..Back::default() };
+            self.list(&format!("tool{}", i + 1), tool_group, CELLS3[i % 3], b, g[tool_group].warm_jobs);
+        }
+        let ready = |w: &World| {
+            let now = w.now();
+            w.names("trailhead").iter().all(|e| w.edge(e).licensed(now) && w.edge(e).view().config.is_some())
+        };
+        assert!(self.until(10_000, ready), "the edges were not licensed");
+    }
+
+    pub fn list(&self, name: &str, group: &str, cell: &str, b: Back, warm: u32) {
+        self.0.borrow_mut().saw.servers.insert(name.into(), (cell.into(), b.slots, warm));
+        if !self.0.borrow().nodes.contains_key(name) {
+            self.back(name, cell, b);
+        }
+        let (name, group, cell) = (name.to_string(), group.to_string(), cell.to_string());
+        let t = self.operate(CoreAsk::List { name: name.clone(), group, addr: name, cell });
+        assert!(matches!(t, Some(CoreTell::Agreed(_))), "{t:?}");
+    }
+
+    /// Puts a config; an accepted one is noted with the time its word came back.
+    pub fn put(&self, base: u64, change: &str, text: &str) -> Option<CoreTell> {
+        let config = Box::new(config::read(text).expect("a good config"));
+        let t = self.operate(CoreAsk::PutConfig { base, change: change.into(), text: text.into(), config });
+        self.note_config(&t);
+        t
+    }
+
+    pub fn note_config(&self, t: &Option<CoreTell>) {
+        if let Some(CoreTell::Agreed(rev)) = t {
+            let now = self.now();
+            let saw = &mut self.0.borrow_mut().saw;
+            if saw.configs.iter().all(|(_, r)| r != rev) {
+                saw.configs.push((now, *rev));
+            }
+        }
+    }
+
+    /// Two operators at once, on the same base.
+    pub fn race(&self, base: u64, text: &str, a: &str, b: &str) -> Vec<Option<CoreTell>> {
+        let config = config::read(text).expect("a good config");
+        let out: std::rc::Rc<std::cell::RefCell<Vec<Option<CoreTell>>>> = Default::default();
+        for change in [a, b] {
+            let ask =
+                CoreAsk::PutConfig { base, change: change.into(), text: text.into(), config: Box::new(config.clone()) };
+            let (o, w) = (out.clone(), self.clone());
+            self.spawn("outside", async move {
+                let addrs = w.names("refuge");
+                let r = hutbook::transport::reach::Reach::new(w.way("outside"))
+                    .core(&addrs, ask, OPERATOR_MS * 2, CALL_MS)
+                    .await;
+                w.note_config(&r);
+                o.borrow_mut().push(r);
+            });
+        }
+        self.until(OPERATOR_MS * 3, |_| out.borrow().len() == 2);
+        let v = out.borrow().clone();
+        v
+    }
+
+    pub fn config_rev(&self) -> u64 {
+        match self.operate(CoreAsk::GetConfig(0)) {
+            Some(CoreTell::Config { rev, .. }) => rev,
+            _ => 0,
+        }
+    }
+
+    pub fn leave(&self, server: &str) {
+        let t = self.operate(CoreAsk::Leave(server.into()));
+        assert!(matches!(t, Some(CoreTell::Agreed(_))), "{t:?}");
+        let now = self.now();
+        self.0.borrow_mut().saw.leaving.push((now, u64::MAX, server.into()));
+    }
+
+    /// Evacuates a cell and waits until it is reported done; None when it is not within `ms`.
+    pub fn evacuate(&self, cell: &str, ms: u64) -> Option<u64> {
+        let t = self.operate(CoreAsk::Evacuate { cell: cell.into(), out: true });
+        assert!(matches!(t, Some(CoreTell::Agreed(_))), "{t:?}");
+        let from = self.now();
+        while self.now() < from + ms {
+            if let Some(CoreTell::Json(j)) = self.operate(CoreAsk::Evacuation(cell.into())) {
+                if jzon::parse(&j).is_ok_and(|v| v["done"] == true) {
+                    let now = self.now();
+                    self.0.borrow_mut().saw.evacuated.push((now, u64::MAX, cell.into()));
+                    return Some(now - from);
+                }
+            }
+            self.run(50);
+        }
+        None
+    }
+
+    /// `n` programs of one kind, arriving over `ms`.
+    pub fn callers(&self, n: u64, ms: u64, kind: Kind) {
+        for i in 0..n {
+            let at = self.0.borrow_mut().draw(ms);
+            let w = self.clone();
+            self.spawn("outside", async move {
+                w.way("outside").nap(at + 1).await;
+                w.program(kind, i).await;
+            });
+        }
+    }
+
+    /// Today's mix for `ms`, at `rate` hundredths.
+    pub fn traffic(&self, ms: u64, rate: u64) {
+        let n = |per_s: u64| per_s * ms * rate / 100_000;
+        self.callers(n(15), ms, Kind { name: "chat", route: "chat", turns: 1, tool: None });
+        self.callers(n(2), ms, Kind { name: "review", route: "review", turns: 4, tool: Some(("thumbnail", false)) });
+        self.callers(n(1), ms, Kind { name: "surveyor", route: "", turns: 0, tool: Some(("bundle", true)) });
+        self.callers(n(1).max(1), ms, Kind { name: "flood", route: "", turns: 0, tool: Some(("flood-bundle", true)) });
+        self.callers(n(1).max(1), ms, Kind { name: "council", route: "", turns: 0, tool: Some(("archive", true)) });
+    }
+
+    async fn program(&self, k: Kind, i: u64) {
+        let id = format!("{}-{i}-{}", k.name, self.now());
+        if !self.open(&id, i).await {
+            return;
+        }
+        for t in 0..k.turns {
+            self.job(&id, k.route, None, i + t).await;
+            if let Some(x) = k.tool.filter(|_| t % 4 != 3) {
+                self.job(&id, x.0, Some(x.1), i + t).await;
+            }
+        }
+        if let Some(x) = k.tool.filter(|_| k.turns == 0) {
+            self.job(&id, x.0, Some(x.1), i).await;
+        }
+    }
+
+    async fn open(&self, id: &str, i: u64) -> bool {
+        let way = self.way("outside");
+        let end = self.now() + PATIENCE_MS;
+        let ask = StoreAsk::Put { id: id.into(), allowance: 60, time_left_ms: 120_000, retention_ms: 3_600_000 };
+        let mut n = i;
+        while self.now() < end {
+            let e = format!("trailhead{}", n % 6 + 1);
+            n += 1;
+            if self.is_up(&e) {
+                if let Some(StoreTell::Program(..)) = self.meadow(&e).store(id, ask.clone()).await {
+                    let p = ProgramSeen { allowance: 60, history: None };
+                    self.0.borrow_mut().saw.programs.insert(id.into(), p);
+                    return true;
+                }
+            }
+            way.nap(300).await;
+        }
+        false
+    }
+
+    /// One job, asked again with its key at one edge after the other until its last word.
+    /// `once` is None for a turn.
+    async fn job(&self, id: &str, route: &str, once: Option<bool>, i: u64) {
+        let way = self.way("outside");
+        let key = format!("k-{id}-{}", self.0.borrow_mut().draw(1 << 40));
+        let asked = self.now();
+        let mut j = JobSeen {
+            program: id.into(),
+            key: key.clone(),
+            route: route.into(),
+            once_only: once == Some(true),
+            turn: once.is_none(),
+            asked,
+            cap: if once.is_none() { CAP } else { 0 },
+            ..JobSeen::default()
+        };
+        let mut n = i;
+        while self.now() < asked + PATIENCE_MS {
+            let e = format!("trailhead{}", n % 6 + 1);
+            n += 1;
+            if self.is_up(&e) && self.one_try(&e, id, route, &mut j).await {
+                break;
+            }
+            way.nap(500).await;
+        }
+        self.0.borrow_mut().saw.jobs.push(j);
+    }
+
+    async fn one_try(&self, edge: &str, id: &str, route: &str, j: &mut JobSeen) -> bool {
+        let m = self.meadow(edge);
+        let Some(r) = m.edge.view().config.as_ref().and_then(|c| c.routes.get(route).cloned()) else { return false };
+        j.work = r.work.clone();
+        let job = Job {
+            program: id.into(),
+            key: j.key.clone(),
+            digest: hash(&j.key) | 1,
+            name: route.into(),
+            route: r,
+            body: String::new(),
+            prefix: if j.turn { "house rules".into() } else { String::new() },
+            cap: j.cap,
+        };
+        let (tx, mut rx) = mpsc::channel(PIECES);
+        let turns = j.turn;
+        let said = format!("{}?", j.key);
+        self.spawn(edge, async move {
+            if turns {
+                turn(&m, &m.edge.clone(), job, said, tx).await;
+            } else {
+                let t = tool(&m, &m.edge.clone(), job).await;
+                let _ = tx.send(Heard::Told(t)).await;
+            }
+        });
+        let way = self.way("outside");
+        loop {
+            let h = tokio::select! {
+                biased;
+                h = rx.recv() => h,
+                _ = way.nap(SILENCE_MS) => None,
+            };
+            match h {
+                Some(Heard::Piece { run, seq, .. }) => {
+                    j.first.get_or_insert(self.now());
+                    j.pieces.push((run, seq));
+                }
+                Some(Heard::Told(t)) => return self.note(j, &t),
+                None => {
+                    j.cut += 1;
+                    return false;
+                }
+            }
+        }
+    }
+
+    fn note(&self, j: &mut JobSeen, t: &Told) -> bool {
+        let (w, code, last) = match t {
+            Told::Ended(e) => (word(e.verdict), e.code.clone(), true),
+            Told::Running => ("running", String::new(), false),
+            Told::Unavailable(c) => ("unavailable", c.to_string(), false),
+            Told::NoProgram => ("no_program", String::new(), true),
+            Told::OtherBody => ("key_reused", String::new(), true),
+        };
+        if matches!(t, Told::Ended(e) if e.verdict == Verdict::Done) {
+            j.first.get_or_insert(self.now());
+        }
+        j.verdicts.push((self.now(), w.into(), code));
+        last
+    }
+
+    /// Ends the day: lets everything come to rest, reads back, and hands out what was seen.
+    pub fn evening(&self, ms: u64) -> Saw {
+        self.run(ms);
+        let rev = self.config_rev();
+        let ids: Vec<String> = self.0.borrow().saw.programs.keys().cloned().collect();
+        let left = std::rc::Rc::new(std::cell::Cell::new(ids.len()));
+        for id in ids {
+            let (w, l) = (self.clone(), left.clone());
+            self.spawn("outside", async move {
+                for n in 0..40 {
+                    let e = format!("trailhead{}", n % 6 + 1);
+                    let up = w.is_up(&e);
+                    let t = if up { w.meadow(&e).store(&id, StoreAsk::Program { id: id.clone() }).await } else { None };
+                    let h = match t {
+                        Some(StoreTell::Program(p, _)) => p.history.iter().map(|t| t.key.clone()).collect(),
+                        Some(StoreTell::NoProgram) => vec![],
+                        _ => {
+                            w.way("outside").nap(300).await;
+                            continue;
+                        }
+                    };
+                    w.0.borrow_mut().saw.programs.get_mut(&id).expect("listed").history = Some(h);
+                    break;
+                }
+                l.set(l.get() - 1);
+            });
+        }
+        self.until(60_000, |_| left.get() == 0);
+        let mut w = self.0.borrow_mut();
+        w.saw.read_back = (rev > 0).then_some(rev);
+        let ends: Vec<u64> = w.saw.jobs.iter().filter_map(|j| j.first).collect();
+        for (up, first) in &mut w.saw.losses {
+            *first = ends.iter().filter(|e| *e > up).min().copied();
+        }
+        w.saw.clone()
+    }
+}
+
+const CELLS3: [&str; 3] = super::ground::CELLS;
+
+/// One kind of program: its turns, and a tool call (once-only or not) after most of them.
+#[derive(Clone, Copy)]
+pub struct Kind {
+    pub name: &'static str,
+    pub route: &'static str,
+    pub turns: u64,
+    pub tool: Option<(&'static str, bool)>,
+}
--- /dev/null
+++ b/scramble/src/fleet/ground.rs
@@ -0,0 +1,626 @@
+//! The fleet as stories handle it, and the ground its edges and callers stand on.
+
+use super::*;
+use hutbook::coordination::store::StoreAsk;
+use hutbook::coordination::view::View;
+use hutbook::transport::http::Broke;
+use hutbook::transport::reach::{pump, renew, Reach, Speak, Stores};
+use hutbook::transport::serve::{Bit, Ground, ModelCall, Stream, ToolCall};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// The whole fleet. Cloning it clones a handle.
+#[derive(Clone)]
+pub struct World(pub Rc<RefCell<Inner>>);
+
+/// How one node speaks and keeps time.
+#[derive(Clone)]
+pub struct Way {
+    pub world: World,
+    pub node: String,
+}
+
+pub const CELLS: [&str; 3] = ["ben", "glen", "strath"];
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let w = World(Rc::new(RefCell::new(Inner::new(seed))));
+        let now = w.now();
+        w.0.borrow_mut().at(now, Event::Look);
+        w.add("outside", "", Part::Outside);
+        w
+    }
+
+    pub fn now(&self) -> u64 {
+        self.0.borrow().now
+    }
+
+    pub fn way(&self, node: &str) -> Way {
+        Way { world: self.clone(), node: node.into() }
+    }
+
+    fn add(&self, name: &str, cell: &str, part: Part) {
+        let mut w = self.0.borrow_mut();
+        let id = w.rng.next_u64() | 1;
+        let n = Node {
+            id,
+            cell: cell.into(),
+            part,
+            disk: Disk::new(SYNC_MS),
+            up: true,
+            frozen: false,
+            life: 1,
+            held: vec![],
+            asks: BTreeMap::new(),
+            next_ask: 0,
+        };
+        w.nodes.insert(name.into(), n);
+    }
+
+    /// Runs until `t`, or until `over` says so.
+    fn run_to(&self, t: u64, over: impl Fn() -> bool) {
+        loop {
+            loop {
+                let taken = {
+                    let w = &mut *self.0.borrow_mut();
+                    let nodes = &w.nodes;
+                    w.exec.take(|n| nodes.get(n).is_some_and(|n| n.frozen))
+                };
+                let Some(mut task) = taken else { break };
+                let done = task.run();
+                let mut w = self.0.borrow_mut();
+                let (node, life) = task.node();
+                // a task that killed its own node must not come back
+                let alive = w.nodes.get(node).is_some_and(|n| n.up && n.life == life);
+                if !done && alive {
+                    w.exec.put_back(task);
+                } else {
+                    drop(w);
+                    drop(task);
+                }
+            }
+            if over() {
+                return;
+            }
+            let e = {
+                let mut w = self.0.borrow_mut();
+                match w.events.peek() {
+                    Some(Reverse(e)) if e.at <= t => {
+                        let e = w.events.pop().expect("just seen").0;
+                        w.now = w.now.max(e.at);
+                        e.event
+                    }
+                    _ => {
+                        w.now = t;
+                        return;
+                    }
+                }
+            };
+            self.0.borrow_mut().happen(e);
+        }
+    }
+
+    pub fn run(&self, ms: u64) {
+        let t = self.now() + ms;
+        self.run_to(t, || false);
+    }
+
+    /// Runs until it holds; false when it didn't within `ms`.
+    pub fn until(&self, ms: u64, holds: impl Fn(&World) -> bool) -> bool {
+        let t = self.now() + ms;
+        while self.now() < t {
+            if holds(self) {
+                return true;
+            }
+            self.run(10);
+        }
+        holds(self)
+    }
+
+    pub fn spawn(&self, node: &str, f: impl std::future::Future<Output = ()> + 'static) {
+        let mut w = self.0.borrow_mut();
+        let life = w.nodes[node].life;
+        w.exec.spawn(node, life, f);
+    }
+
+    /// Asks the core as an operator would, and runs the fleet until it is answered.
+    pub fn operate(&self, ask: CoreAsk) -> Option<CoreTell> {
+        let out: Rc<RefCell<Option<Option<CoreTell>>>> = Rc::default();
+        let (o, w) = (out.clone(), self.clone());
+        self.spawn("outside", async move {
+            let addrs = w.names("refuge");
+            let r = Reach::new(w.way("outside")).core(&addrs, ask, OPERATOR_MS, CALL_MS).await;
+            *o.borrow_mut() = Some(r);
+        });
+        let t = self.now() + OPERATOR_MS * 2;
+        self.run_to(t, || out.borrow().is_some());
+        let r = out.borrow_mut().take();
+        r.flatten()
+    }
+
+    pub fn names(&self, prefix: &str) -> Vec<String> {
+        self.0.borrow().nodes.keys().filter(|n| n.starts_with(prefix)).cloned().collect()
+    }
+
+    pub fn refuge(&self, i: usize, found: bool) {
+        let name = format!("refuge{i}");
+        self.add(&name, CELLS[i % 3], Part::Core(None));
+        if found {
+            let mut w = self.0.borrow_mut();
+            let cluster = w.rng.next_u64();
+            w.cluster = cluster;
+            let n = w.nodes.get_mut(&name).expect("just added");
+            n.disk.synced = founding(n.id, &name, Some(Core::founding(cluster)));
+        }
+        self.boot(&name);
+    }
+
+    pub fn bothy(&self, i: usize) {
+        let name = format!("bothy{i}");
+        self.add(&name, CELLS[i % 3], Part::Store { group: None, replica: None, cores: vec![] });
+        self.boot(&name);
+    }
+
+    pub fn trailhead(&self, i: usize) {
+        let name = format!("trailhead{i}");
+        let e = Arc::new(Edge::new(0, CELLS[i % 3], &name));
+        self.add(&name, CELLS[i % 3], Part::Edge(e));
+        self.boot(&name);
+    }
+
+    pub fn back(&self, name: &str, cell: &str, b: Back) {
+        self.add(name, cell, Part::Back(b));
+    }
+
+    /// What a process does when it starts.
+    fn boot(&self, name: &str) {
+        let now = self.now();
+        let mut w = self.0.borrow_mut();
+        let seed = w.rng.next_u64();
+        let n = w.nodes.get_mut(name).expect("known node");
+        match &mut n.part {
+            Part::Core(r) => {
+                let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), Core::new(), seed, now);
+                *r = Some(Box::new(rep));
+                w.core_fruit(name, f);
+                w.to(TICK_MS, name, News::Tick);
+                drop(w);
+                let (way, name) = (self.way(name), name.to_string());
+                self.spawn(&name.clone(), async move { stay_in(way, name).await });
+            }
+            Part::Store { group, replica, .. } => {
+                // a folder with a group in it serves at once
+                if let Some(g) = *group {
+                    let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), Store::default(), seed, now);
+                    *replica = Some(Box::new(rep));
+                    *group = Some(g);
+                    w.store_fruit(name, f);
+                }
+                w.to(TICK_MS, name, News::Tick);
+                drop(w);
+                let (way, name) = (self.way(name), name.to_string());
+                self.spawn(&name.clone(), async move { keep(way, name).await });
+            }
+            Part::Edge(e) => {
+                // every start of an edge is a new node
+                let (id, cell) = (seed | 1, n.cell.clone());
+                *e = Arc::new(Edge::new(id, &cell, name));
+                let e = e.clone();
+                n.id = id;
+                drop(w);
+                let way = self.way(name);
+                let seeds = vec!["refuge1".to_string(), "refuge2".into(), "refuge3".into()];
+                let (e2, w2) = (e.clone(), way.clone());
+                self.spawn(name, async move { renew(&e2, &Reach::new(w2), &seeds, |_| ()).await });
+                self.spawn(name, async move { pump(&e, &way).await });
+            }
+            Part::Back(_) | Part::Outside => {}
+        }
+    }
+
+    /// kill -9, or power lost: what was not synced may be lost.
+    pub fn kill(&self, name: &str) {
+        let dropped = {
+            let mut w = self.0.borrow_mut();
+            let made_it = w.draw(3) as usize;
+            let n = w.nodes.get_mut(name).expect("known node");
+            (n.up, n.frozen) = (false, false);
+            n.life += 1;
+            n.held.clear();
+            n.asks.clear();
+            n.disk.cut(made_it);
+            match &mut n.part {
+                Part::Core(r) => *r = None,
+                Part::Store { replica, .. } => *replica = None,
+                Part::Back(b) => b.busy = 0,
+                _ => {}
+            }
+            w.exec.remove(name)
+        };
+        drop(dropped);
+    }
+
+    pub fn start(&self, name: &str) {
+        self.0.borrow_mut().nodes.get_mut(name).expect("known node").up = true;
+        self.boot(name);
+    }
+
+    /// The disk is lost: what starts again is a new node.
+    pub fn empty(&self, name: &str) {
+        self.kill(name);
+        let mut w = self.0.borrow_mut();
+        let id = w.rng.next_u64() | 1;
+        let n = w.nodes.get_mut(name).expect("known node");
+        n.id = id;
+        n.disk = Disk::new(SYNC_MS);
+        if let Part::Store { group, .. } = &mut n.part {
+            *group = None;
+        }
+    }
+
+    pub fn freeze(&self, name: &str) {
+        self.0.borrow_mut().nodes.get_mut(name).expect("known node").frozen = true;
+    }
+
+    pub fn wake(&self, name: &str) {
+        let mut w = self.0.borrow_mut();
+        let n = w.nodes.get_mut(name).expect("known node");
+        n.frozen = false;
+        let held = std::mem::take(&mut n.held);
+        let life = n.life;
+        for what in held {
+            let now = w.now;
+            w.at(now, Event::To { node: name.into(), life: Some(life), what });
+        }
+        w.exec.wake_node();
+    }
+
+    /// Nothing from `a` reaches `b` any more; both ways when `both`.
+    pub fn cut(&self, a: &str, b: &str, both: bool) {
+        let mut w = self.0.borrow_mut();
+        w.cuts.insert((a.into(), b.into()));
+        if both {
+            w.cuts.insert((b.into(), a.into()));
+        }
+    }
+
+    /// Cuts the nodes off from all others.
+    pub fn isolate(&self, names: &[&str]) {
+        let all: Vec<String> = self.0.borrow().nodes.keys().cloned().collect();
+        for a in names {
+            all.iter().filter(|b| !names.contains(&b.as_str())).for_each(|b| self.cut(a, b, true));
+        }
+    }
+
+    pub fn heal(&self) {
+        self.0.borrow_mut().cuts.clear();
+    }
+
+    /// ms a sync takes from now on; None stalls it.
+    pub fn disk(&self, name: &str, ms: Option<u64>) {
+        let mut w = self.0.borrow_mut();
+        w.nodes.get_mut(name).expect("known node").disk.sync_ms = ms;
+        w.sync(name);
+    }
+
+    pub fn disk_waiting(&self, name: &str) -> usize {
+        self.0.borrow().nodes[name].disk.waiting()
+    }
+
+    pub fn id(&self, name: &str) -> u64 {
+        self.0.borrow().nodes[name].id
+    }
+
+    pub fn set_back(&self, name: &str, f: impl FnOnce(&mut Back)) {
+        if let Part::Back(b) = &mut self.0.borrow_mut().nodes.get_mut(name).expect("known node").part {
+            f(b);
+        }
+    }
+
+    pub fn edge(&self, name: &str) -> Arc<Edge> {
+        match &self.0.borrow().nodes[name].part {
+            Part::Edge(e) => e.clone(),
+            _ => panic!("{name} is no trailhead"),
+        }
+    }
+
+    /// Looks at a core replica, if the node is up.
+    pub fn core<T>(&self, name: &str, f: impl FnOnce(&Replica<Core>) -> T) -> Option<T> {
+        match &self.0.borrow().nodes[name].part {
+            Part::Core(Some(r)) => Some(f(r)),
+            _ => None,
+        }
+    }
+
+    pub fn store<T>(&self, name: &str, f: impl FnOnce(&Replica<Store>) -> T) -> Option<T> {
+        match &self.0.borrow().nodes[name].part {
+            Part::Store { replica: Some(r), .. } => Some(f(r)),
+            _ => None,
+        }
+    }
+
+    /// Nodes of this kind that take themselves for the leader, newest term first.
+    pub fn leaders(&self, prefix: &str) -> Vec<String> {
+        let mut v: Vec<(u64, String)> = vec![];
+        for n in self.names(prefix) {
+            let c = self.core(&n, |r| r.leads().then_some(r.raft.term)).flatten();
+            let s = self.store(&n, |r| r.leads().then_some(r.raft.term)).flatten();
+            v.extend(c.or(s).map(|t| (t, n)));
+        }
+        v.sort_by_key(|x| Reverse(x.0));
+        v.into_iter().map(|x| x.1).collect()
+    }
+
+    pub fn leader(&self, prefix: &str) -> String {
+        assert!(self.until(10_000, |w| !w.leaders(prefix).is_empty()), "no {prefix} leads");
+        self.leaders(prefix).remove(0)
+    }
+
+    pub fn view(&self, name: &str) -> View {
+        self.core(name, |r| r.machine.view().clone()).expect("it is up")
+    }
+
+    /// Three cells, 3 refuges, 3 bothies, 6 trailheads; ends once they stand.
+    pub fn raise(&self) {
+        (1..=3).for_each(|i| self.refuge(i, i == 1));
+        (1..=3).for_each(|i| self.bothy(i));
+        (1..=6).for_each(|i| self.trailhead(i));
+        let grown = |w: &World| {
+            let l = w.leaders("refuge");
+            let Some(l) = l.first() else { return false };
+            let cores = w.core(l, |r| r.raft.members().voters.len() == 3).unwrap_or(false);
+            cores && w.view(l).stores.get(&1).is_some_and(|s| s.actual.len() == 3)
+        };
+        assert!(self.until(30_000, grown), "the fleet did not come up");
+    }
+}
+
+/// A refuge that the group doesn't list asks to be let in.
+async fn stay_in(way: Way, name: String) {
+    let reach = Reach::new(way.clone());
+    loop {
+        way.nap(CHECK_IN_MS).await;
+        let (id, addrs) = (way.world.id(&name), way.world.names("refuge"));
+        let me = Member { id, addr: name.clone() };
+        let listed = way.world.core(&name, |r| r.raft.members().all().any(|m| *m == me)).unwrap_or(true);
+        if !listed {
+            let _ = reach.core(&addrs, CoreAsk::Join(me), OPERATOR_MS, CALL_MS).await;
+        }
+    }
+}
+
+/// A bothy checks in and obeys.
+async fn keep(way: Way, name: String) {
+    let reach = Reach::new(way.clone());
+    loop {
+        let c = {
+            let w = way.world.0.borrow();
+            check_in(&w.nodes[&name], &name).expect("a bothy")
+        };
+        let addrs = way.world.names("refuge");
+        if let Some(CoreTell::Duty(d)) = reach.core(&addrs, CoreAsk::CheckIn(c), OPERATOR_MS, CALL_MS).await {
+            way.world.0.borrow_mut().obey(&name, &d);
+        }
+        way.nap(CHECK_IN_MS).await;
+    }
+}
+
+impl Speak for Way {
+    fn now(&self) -> u64 {
+        self.world.now()
+    }
+
+    async fn nap(&self, ms: u64) {
+        let (tx, rx) = oneshot::channel();
+        {
+            let mut w = self.world.0.borrow_mut();
+            let at = w.now + ms.max(1);
+            w.at(at, Event::Ring(tx));
+        }
+        let _ = rx.await;
+    }
+
+    async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body> {
+        let (tx, rx) = oneshot::channel();
+        let id = {
+            let mut w = self.world.0.borrow_mut();
+            w.no += 1;
+            let id = w.no;
+            w.calls.insert(id, tx);
+            w.letter(&self.node, to, id, body);
+            id
+        };
+        let r = tokio::select! {
+            biased;
+            r = rx => r.ok(),
+            _ = self.nap(ms) => None,
+        };
+        self.world.0.borrow_mut().calls.remove(&id);
+        r
+    }
+}
+
+/// The ground under an edge of the fleet.
+pub struct Meadow {
+    pub way: Way,
+    pub edge: Arc<Edge>,
+    pub stores: Stores<Way>,
+}
+
+impl Meadow {
+    /// The way to a server: ms, or None when nothing gets through.
+    fn road(&self, server: &str) -> Option<u64> {
+        let mut w = self.way.world.0.borrow_mut();
+        let up = w.nodes.get(server).is_some_and(|n| n.up);
+        w.wire(&self.way.node, server).filter(|_| up)
+    }
+
+    /// Notes the beginning of a run at a back end: its number, and how long its work takes.
+    fn begin(&self, server: &str, key: &str) -> Option<(u64, Back)> {
+        let mut w = self.way.world.0.borrow_mut();
+        let now = w.now;
+        let n = w.nodes.get_mut(server).filter(|n| n.up)?;
+        let Part::Back(b) = &mut n.part else { return None };
+        b.busy += 1;
+        b.begun += 1;
+        let (ran, b) = (
+            crate::saw::Ran { at: now, server: server.into(), key: key.into(), busy: b.busy, done: b.done },
+            b.clone(),
+        );
+        w.saw.runs.push(ran);
+        Some((b.begun, b))
+    }
+
+    fn life(&self, server: &str) -> u64 {
+        self.way.world.0.borrow().nodes.get(server).map_or(0, |n| n.life)
+    }
+}
+
+/// One run's place on a back end, given up when the stream ends or its reader goes.
+struct Hold {
+    world: World,
+    server: String,
+    life: u64,
+    held: Cell<bool>,
+}
+
+impl Hold {
+    fn let_go(&self, done: bool) {
+        if !self.held.replace(false) {
+            return;
+        }
+        let mut w = self.world.0.borrow_mut();
+        let Some(n) = w.nodes.get_mut(&self.server).filter(|n| n.life == self.life) else { return };
+        if let Part::Back(b) = &mut n.part {
+            b.busy = b.busy.saturating_sub(1);
+            b.done += u64::from(done);
+        }
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.let_go(false);
+    }
+}
+
+pub struct Brook {
+    way: Way,
+    hold: Hold,
+    piece_ms: u64,
+    left: u64,
+    given: u64,
+    lost_at: Option<u64>,
+}
+
+impl Stream for Brook {
+    async fn next(&mut self) -> Bit {
+        if self.left == 0 {
+            return Bit::End(Some(self.given));
+        }
+        self.way.nap(self.piece_ms).await;
+        let alive = {
+            let w = self.way.world.0.borrow();
+            w.nodes.get(&self.hold.server).is_some_and(|n| n.up && n.life == self.hold.life)
+        };
+        if !alive || self.lost_at == Some(self.given) {
+            return Bit::Broken;
+        }
+        self.left -= 1;
+        self.given += 1;
+        if self.left == 0 {
+            self.hold.let_go(true);
+        }
+        Bit::Text(format!("{} ", self.given - 1))
+    }
+}
+
+impl Ground for Meadow {
+    type Stream = Brook;
+
+    fn now(&self) -> u64 {
+        self.way.now()
+    }
+
+    fn draw(&self) -> u64 {
+        self.way.world.0.borrow_mut().rng.next_u64() | 1
+    }
+
+    async fn nap(&self, ms: u64) {
+        self.way.nap(ms).await;
+    }
+
+    async fn store(&self, program: &str, ask: StoreAsk) -> Option<StoreTell> {
+        self.stores.ask(&self.edge.view(), program, ask).await
+    }
+
+    async fn model(&self, c: ModelCall) -> Result<Result<Brook, u16>, Broke> {
+        let Some(ms) = self.road(&c.addr) else {
+            self.way.nap(CONNECT_MS).await;
+            return Err(Broke { sent: false });
+        };
+        self.way.nap(ms).await;
+        let life = self.life(&c.addr);
+        let Some((no, b)) = self.begin(&c.addr, &c.key) else { return Err(Broke { sent: false }) };
+        let hold = Hold { world: self.way.world.clone(), server: c.addr, life, held: Cell::new(true) };
+        let over = u64::from(b.busy).div_ceil(u64::from(b.slots.max(1))).max(1);
+        let lost = b.lose_every > 0 && no.is_multiple_of(b.lose_every);
+        let left = c.cap.min(b.pieces);
+        let lost_at = lost.then_some(left / 2);
+        Ok(Ok(Brook { way: self.way.clone(), hold, piece_ms: b.piece_ms * over, left, given: 0, lost_at }))
+    }
+
+    async fn tool(&self, c: ToolCall) -> Result<(u16, String), Broke> {
+        let Some(ms) = self.road(&c.addr) else {
+            self.way.nap(CONNECT_MS).await;
+            return Err(Broke { sent: false });
+        };
+        self.way.nap(ms).await;
+        let life = self.life(&c.addr);
+        let Some((no, b)) = self.begin(&c.addr, &c.key) else { return Err(Broke { sent: false }) };
+        let (tx, rx) = oneshot::channel();
+        let hold = Hold { world: self.way.world.clone(), server: c.addr.clone(), life, held: Cell::new(true) };
+        let (w, key) = (self.way.world.clone(), c.key.clone());
+        // the work goes on at the back end whatever becomes of the edge
+        let over = u64::from(b.busy).div_ceil(u64::from(b.slots.max(1))).max(1);
+        let body = jzon::object! { key: key.as_str(), run: no }.dump();
+        let server = c.addr.clone();
+        self.way.world.spawn("outside", async move {
+            let way = w.way("outside");
+            way.nap(b.work_ms * over).await;
+            if let Some(Part::Back(b)) =
+                w.0.borrow_mut().nodes.get_mut(&server).filter(|n| n.life == life).map(|n| &mut n.part)
+            {
+                b.answers.insert(key, body.clone());
+            }
+            hold.let_go(true);
+            let lost = b.lose_every > 0 && no.is_multiple_of(b.lose_every);
+            let gone = w.0.borrow().nodes.get(&server).is_none_or(|n| n.life != life);
+            if !lost && !gone {
+                let _ = tx.send(body);
+            }
+        });
+        let back = tokio::select! {
+            biased;
+            r = rx => r.ok(),
+            _ = self.way.nap(c.run_ms) => None,
+        };
+        match (back, self.road(&c.addr)) {
+            (Some(b), Some(ms)) => {
+                self.way.nap(ms).await;
+                Ok((200, b))
+            }
+            _ => Err(Broke { sent: true }),
+        }
+    }
+
+    async fn lookup(&self, addr: &str, key: &str) -> Option<(u16, String)> {
+        let ms = self.road(addr)? * 2;
+        self.way.nap(ms).await;
+        let w = self.way.world.0.borrow();
+        match &w.nodes.get(addr).filter(|n| n.up)?.part {
+            Part::Back(b) => b.answers.get(key).map(|b| (200, b.clone())),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/scramble/src/fleet/mod.rs
@@ -0,0 +1,447 @@
+//! A whole fleet in memory: virtual time, a seeded network and seeded disks, and
+//! the same coordination, state and request code as in the daemons.
+
+mod callers;
+pub mod disk;
+mod exec;
+mod ground;
+
+pub use callers::Kind;
+pub use ground::{Way, World};
+
+use crate::saw::Saw;
+use disk::Disk;
+use exec::Exec;
+use hutbook::constants::*;
+use hutbook::coordination::core::{ponder, CheckIn, Core, CoreAsk, CoreTell, Duty};
+use hutbook::coordination::edge::Edge;
+use hutbook::coordination::replica::{Feed, Fruit, Fruits, Machine, Replica};
+use hutbook::coordination::store::{Store, StoreTell};
+use hutbook::protocol::wire::{Body, CORE};
+use hutbook::state::disk::{Boot, DiskOp};
+use hutbook::state::entry::{Entry, Member, Members, What};
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// ms. A letter's way on an undisturbed network: at least, and spread.
+const NET_MS: (u64, u64) = (1, 4);
+/// ms. An ordinary sync.
+pub const SYNC_MS: u64 = 3;
+/// ms. How long the scaler thinks.
+const THINK_MS: u64 = 40;
+/// ms. Between looks at what the edges believe.
+const LOOK_MS: u64 = 100;
+
+/// Who gets the answer to an ask that a replica works on.
+struct Asker {
+    from: String,
+    call: u64,
+}
+
+enum Part {
+    Core(Option<Box<Replica<Core>>>),
+    Store {
+        group: Option<u32>,
+        replica: Option<Box<Replica<Store>>>,
+        cores: Vec<Member>,
+    },
+    Edge(Arc<Edge>),
+    Back(Back),
+    /// Callers and operators: no process of ours.
+    Outside,
+}
+
+/// A stand-in back end.
+#[derive(Clone, Default)]
+pub struct Back {
+    pub model: bool,
+    pub slots: u32,
+    pub piece_ms: u64,
+    pub pieces: u64,
+    pub work_ms: u64,
+    pub busy: u32,
+    pub begun: u64,
+    pub done: u64,
+    /// Does the work of every nth job and loses the answer.
+    pub lose_every: u64,
+    answers: BTreeMap<String, String>,
+}
+
+struct Node {
+    id: u64,
+    cell: String,
+    part: Part,
+    disk: Disk,
+    up: bool,
+    frozen: bool,
+    /// Counts starts: what belonged to an earlier life is void.
+    life: u64,
+    /// What arrived while it was frozen.
+    held: Vec<News>,
+    asks: BTreeMap<u64, Asker>,
+    next_ask: u64,
+}
+
+/// What can happen to a node.
+#[allow(clippy::large_enum_variant)]
+enum News {
+    Letter { from: String, call: u64, body: Body },
+    Answer { call: u64, body: Body },
+    Tick,
+    SyncDone,
+    Thought(CoreAsk),
+}
+
+#[allow(clippy::large_enum_variant)]
+enum Event {
+    To {
+        node: String,
+        life: Option<u64>,
+        what: News,
+    },
+    /// Something that waited for this moment.
+    Ring(oneshot::Sender<()>),
+    Look,
+}
+
+struct Timed {
+    at: u64,
+    no: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, o: &Self) -> bool {
+        (self.at, self.no) == (o.at, o.no)
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, o: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, o: &Self) -> std::cmp::Ordering {
+        (self.at, self.no).cmp(&(o.at, o.no))
+    }
+}
+
+pub struct Inner {
+    pub now: u64,
+    no: u64,
+    events: BinaryHeap<Reverse<Timed>>,
+    nodes: BTreeMap<String, Node>,
+    pub rng: ChaCha8Rng,
+    /// Directed pairs that hear nothing of each other.
+    cuts: BTreeSet<(String, String)>,
+    /// In a thousand letters, how many are lost.
+    pub loss: u64,
+    calls: BTreeMap<u64, oneshot::Sender<Body>>,
+    pub exec: Exec,
+    pub saw: Saw,
+    cluster: u64,
+    /// Letters sent between our processes, by kind.
+    pub letters: BTreeMap<&'static str, u64>,
+}
+
+impl Inner {
+    fn new(seed: u64) -> Inner {
+        Inner {
+            now: 1,
+            no: 0,
+            events: BinaryHeap::new(),
+            nodes: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            cuts: BTreeSet::new(),
+            loss: 0,
+            calls: BTreeMap::new(),
+            exec: Exec::default(),
+            saw: Saw::default(),
+            cluster: 0,
+            letters: BTreeMap::new(),
+        }
+    }
+
+    pub fn draw(&mut self, n: u64) -> u64 {
+        self.rng.next_u64() % n.max(1)
+    }
+
+    fn at(&mut self, at: u64, event: Event) {
+        self.no += 1;
+        self.events.push(Reverse(Timed { at, no: self.no, event }));
+    }
+
+    fn to(&mut self, ms: u64, node: &str, what: News) {
+        let life = self.nodes.get(node).map(|n| n.life);
+        self.at(self.now + ms, Event::To { node: node.into(), life, what });
+    }
+
+    fn wire(&mut self, from: &str, to: &str) -> Option<u64> {
+        let ms = NET_MS.0 + self.draw(NET_MS.1);
+        let lost = self.draw(1_000) < self.loss;
+        let cut = self.cuts.contains(&(from.to_string(), to.to_string()));
+        (!cut && !lost).then_some(ms)
+    }
+
+    fn letter(&mut self, from: &str, to: &str, call: u64, body: Body) {
+        let kind = match &body {
+            Body::Raft { .. } => "raft",
+            Body::Core(_) => "core",
+            Body::Store { .. } => "store",
+            _ => "answers",
+        };
+        *self.letters.entry(kind).or_default() += 1;
+        if let Some(ms) = self.wire(from, to) {
+            // a node is reached at its address, whichever life it is in when the letter comes
+            let what = match call {
+                0 => News::Letter { from: from.into(), call: 0, body },
+                _ => News::Letter { from: from.into(), call, body },
+            };
+            self.at(self.now + ms, Event::To { node: to.into(), life: None, what });
+        }
+    }
+
+    fn answer(&mut self, from: &str, a: Asker, body: Body) {
+        *self.letters.entry("answers").or_default() += 1;
+        if let Some(ms) = self.wire(from, &a.from) {
+            let what = News::Answer { call: a.call, body };
+            self.at(self.now + ms, Event::To { node: a.from, life: None, what });
+        }
+    }
+
+    /// Handles one event; what must be dropped outside of the borrow is returned.
+    fn happen(&mut self, e: Event) {
+        match e {
+            Event::Ring(tx) => {
+                let _ = tx.send(());
+            }
+            Event::Look => {
+                self.look();
+                self.at(self.now + LOOK_MS, Event::Look);
+            }
+            Event::To { node, life, what } => {
+                let Some(n) = self.nodes.get_mut(&node) else { return };
+                if !n.up || life.is_some_and(|l| l != n.life) {
+                    return;
+                }
+                if n.frozen {
+                    // one tick is enough to wake up with
+                    if !matches!(what, News::Tick) || !n.held.iter().any(|w| matches!(w, News::Tick)) {
+                        n.held.push(what);
+                    }
+                    return;
+                }
+                self.reach(&node, what);
+            }
+        }
+    }
+
+    fn reach(&mut self, name: &str, what: News) {
+        let now = self.now;
+        match what {
+            News::Answer { call, body } => {
+                if let Some(tx) = self.calls.remove(&call) {
+                    let _ = tx.send(body);
+                }
+            }
+            News::Letter { from, call, body } => self.on_letter(name, from, call, body),
+            News::Tick => {
+                self.on_tick(name);
+                self.to(TICK_MS, name, News::Tick);
+            }
+            News::SyncDone => {
+                let n = self.nodes.get_mut(name).expect("reached");
+                if let Some(m) = n.disk.end() {
+                    self.feed_any(name, |r, now| r.step(now, Feed::Synced(m)), |r, now| r.step(now, Feed::Synced(m)));
+                }
+                self.sync(name);
+            }
+            News::Thought(ask) => {
+                let n = self.nodes.get_mut(name).expect("reached");
+                if let Part::Core(Some(r)) = &mut n.part {
+                    let f = r.step(now, Feed::Ask { ticket: 0, ask });
+                    self.core_fruit(name, f);
+                }
+            }
+        }
+    }
+
+    fn feed_any(
+        &mut self,
+        name: &str,
+        core: impl FnOnce(&mut Replica<Core>, u64) -> Fruits<Core>,
+        store: impl FnOnce(&mut Replica<Store>, u64) -> Fruits<Store>,
+    ) {
+        let now = self.now;
+        let n = self.nodes.get_mut(name).expect("known node");
+        match &mut n.part {
+            Part::Core(Some(r)) => {
+                let f = core(r, now);
+                self.core_fruit(name, f);
+            }
+            Part::Store { replica: Some(r), .. } => {
+                let f = store(r, now);
+                self.store_fruit(name, f);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_letter(&mut self, name: &str, from: String, call: u64, body: Body) {
+        let now = self.now;
+        let id = self.nodes.get(&from).map_or(0, |n| n.id);
+        let n = self.nodes.get_mut(name).expect("reached");
+        match (body, &mut n.part) {
+            (Body::Raft { group: CORE, msg, at }, Part::Core(Some(r))) => {
+                let f = r.step(now, Feed::Msg { from: id, at, msg });
+                self.core_fruit(name, f);
+            }
+            (Body::Raft { group, msg, at }, Part::Store { group: Some(g), replica: Some(r), .. }) if *g == group => {
+                let f = r.step(now, Feed::Msg { from: id, at, msg });
+                self.store_fruit(name, f);
+            }
+            (Body::Core(ask), Part::Core(Some(r))) => {
+                n.next_ask += 1;
+                let ticket = n.next_ask;
+                n.asks.insert(ticket, Asker { from, call });
+                let f = r.step(now, Feed::Ask { ticket, ask: *ask });
+                self.core_fruit(name, f);
+            }
+            (Body::Core(_), Part::Core(None)) => {
+                let t = CoreTell::NotLeader(None);
+                self.answer(name, Asker { from, call }, Body::CoreSaid(Box::new(t)));
+            }
+            (Body::Store { group, ask }, Part::Store { group: Some(g), replica: Some(r), .. }) if *g == group => {
+                n.next_ask += 1;
+                let ticket = n.next_ask;
+                n.asks.insert(ticket, Asker { from, call });
+                let f = r.step(now, Feed::Ask { ticket, ask: *ask });
+                self.store_fruit(name, f);
+            }
+            (Body::Store { .. }, _) => {
+                let t = StoreTell::NotLeader(None);
+                self.answer(name, Asker { from, call }, Body::StoreSaid(Box::new(t)));
+            }
+            _ => {}
+        }
+    }
+
+    fn on_tick(&mut self, name: &str) {
+        self.feed_any(name, |r, now| r.step(now, Feed::Tick), |r, now| r.step(now, Feed::Tick));
+    }
+
+    fn sync(&mut self, name: &str) {
+        let n = self.nodes.get_mut(name).expect("known node");
+        if let Some(ms) = n.disk.begin() {
+            self.to(ms, name, News::SyncDone);
+        }
+    }
+
+    fn persist(&mut self, name: &str, mark: u64, ops: Vec<DiskOp>) {
+        self.nodes.get_mut(name).expect("known node").disk.write(mark, ops);
+        self.sync(name);
+    }
+
+    fn fruit<M: Machine>(
+        &mut self,
+        name: &str,
+        group: u32,
+        fs: Fruits<M>,
+        said: fn(M::Tell) -> Body,
+        think: fn(M::Think) -> Option<CoreAsk>,
+    ) {
+        for f in fs {
+            match f {
+                Fruit::Send { addr, msg, .. } => {
+                    self.letter(name, &addr, 0, Body::Raft { group, msg, at: name.to_string() })
+                }
+                Fruit::Persist { mark, ops } => self.persist(name, mark, ops),
+                Fruit::Tell { ticket, tell } => {
+                    let n = self.nodes.get_mut(name).expect("known node");
+                    if let Some(a) = n.asks.remove(&ticket) {
+                        self.answer(name, a, said(tell));
+                    }
+                }
+                Fruit::Think(k) => {
+                    if let Some(ask) = think(k) {
+                        self.to(THINK_MS, name, News::Thought(ask));
+                    }
+                }
+            }
+        }
+    }
+
+    fn core_fruit(&mut self, name: &str, f: Fruits<Core>) {
+        self.fruit::<Core>(name, CORE, f, |t| Body::CoreSaid(Box::new(t)), |k| Some(ponder(&k)));
+    }
+
+    fn store_fruit(&mut self, name: &str, f: Fruits<Store>) {
+        let group = match &self.nodes[name].part {
+            Part::Store { group: Some(g), .. } => *g,
+            _ => return,
+        };
+        self.fruit::<Store>(name, group, f, |t| Body::StoreSaid(Box::new(t)), |_| None);
+    }
+
+    /// A bothy does as the core says: takes its group, forms it if it is the founder, follows orders.
+    fn obey(&mut self, name: &str, d: &Duty) {
+        let now = self.now;
+        let seed = self.rng.next_u64();
+        let n = self.nodes.get_mut(name).expect("known node");
+        let Part::Store { group, replica, cores, .. } = &mut n.part else { return };
+        if !d.cores.is_empty() {
+            cores.clone_from(&d.cores);
+        }
+        match (d.group, replica) {
+            (Some(g), None) => {
+                if d.founder && n.disk.synced == Boot::default() {
+                    n.disk.synced = founding(n.id, name, None);
+                }
+                *group = Some(g);
+                let (r, f) = Replica::new(n.id, n.disk.synced.clone(), Store::default(), seed, now);
+                n.part = Part::Store { group: Some(g), replica: Some(Box::new(r)), cores: d.cores.clone() };
+                self.store_fruit(name, f);
+            }
+            (Some(_), Some(r)) => r.machine.orders.wanted.clone_from(&d.wanted),
+            _ => {}
+        }
+    }
+
+    fn look(&mut self) {
+        let now = self.now;
+        for (name, n) in &self.nodes {
+            if let (Part::Edge(e), true) = (&n.part, n.up && !n.frozen) {
+                let b = crate::saw::Belief {
+                    at: now,
+                    node: format!("{name}/{}", n.life),
+                    acts: e.licensed(now),
+                    config: e.view().config_rev,
+                };
+                self.saw.beliefs.push(b);
+            }
+        }
+    }
+}
+
+/// What a founder's disk holds before its first start.
+fn founding(id: u64, addr: &str, first: Option<Vec<u8>>) -> Boot {
+    let voters = vec![Member { id, addr: addr.into() }];
+    let m = What::Members(Members { voters, learners: vec![] });
+    let whats = std::iter::once(m).chain(first.map(What::Command));
+    let entries = whats.zip(1..).map(|(what, index)| Entry { index, term: 1, what }).collect();
+    Boot { term: 1, entries, ..Boot::default() }
+}
+
+fn check_in(n: &Node, name: &str) -> Option<CheckIn> {
+    let Part::Store { group, replica, .. } = &n.part else { return None };
+    let leads = match (group, replica) {
+        (Some(g), Some(r)) if r.leads() => Some((*g, r.raft.members().clone())),
+        _ => None,
+    };
+    Some(CheckIn { me: Member { id: n.id, addr: name.into() }, cell: n.cell.clone(), leads })
+}
--- a/scramble/src/lib.rs
+++ b/scramble/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod check;
 pub mod drills;
 pub mod flags;
+pub mod fleet;
 pub mod saw;
 pub mod walk;
