--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -15,6 +15,8 @@
 pub const TICK_MS: u64 = 10;
 /// ms. A sync slower than this makes its node answer no and a leader step down.
 pub const DISK_BOUND_MS: u64 = 1_000;
+/// ms. A leader writes at least this often, to notice a disk that has gone.
+pub const DISK_PROBE_MS: u64 = 500;
 /// entries. Most carried by one append message.
 pub const APPEND_ENTRIES: usize = 512;
 /// bytes. An append message stops growing here.
@@ -108,6 +110,8 @@
 pub const OUTBOX: usize = 4_096;
 /// ms. A write to a partner that takes longer ends the session.
 pub const WRITE_MS: u64 = 2_000;
+/// ms. Nothing may have been answered for this long before a stopping process ends.
+pub const QUIET_MS: u64 = 200;
 /// ms. An idle caller's session is kept this long.
 pub const KEEP_ALIVE_MS: u64 = 15_000;
 /// ms. A request's head and body must have come by then.
--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -199,6 +199,11 @@
         &self.ledger
     }
 
+    /// Measuring windows this leader holds.
+    pub fn windows_known(&self) -> usize {
+        self.merged.len()
+    }
+
     fn emit(&mut self, rev: u64, e: Event) {
         self.kept.view.fold(rev, &e);
         self.journal.append(rev, e);
--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -2,7 +2,7 @@
 //! waiting lines and its measurements. Each under its own lock.
 
 use super::core::{Grant, Renewal, Update, Window};
-use super::line::{Line, Placed, Refusal, Wait};
+use super::line::{Left, Line, Placed, Refusal, Wait};
 use super::shares::Held;
 use super::view::View;
 use crate::constants::*;
@@ -31,9 +31,9 @@
 
 impl Seat {
     /// The job has left its server.
-    pub fn done(mut self, now: u64, took: Option<u64>, ok: bool) {
+    pub fn done(mut self, now: u64, took: Option<u64>, how: Left) {
         if let Some(l) = self.lane.take() {
-            grip(&l.0).done(now, &self.placed.server, self.placed.since, took, ok);
+            grip(&l.0).done(now, &self.placed.server, self.placed.since, took, how);
         }
     }
 }
--- a/hutbook/src/coordination/line.rs
+++ b/hutbook/src/coordination/line.rs
@@ -25,6 +25,16 @@
     }
 }
 
+/// How a job left its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Left {
+    /// The server did it: it counts towards its warm-up.
+    Finished,
+    /// Ended from this side; says nothing of the server.
+    Cancelled,
+    Failed,
+}
+
 /// A job that waits; `T` is how its request is told.
 pub struct Wait<T> {
     pub work: String,
@@ -281,14 +291,14 @@
     }
 
     /// A job left its server. `took` is the time to its answer's first piece, if one came.
-    pub fn done(&mut self, now: u64, server: &str, since: u64, took: Option<u64>, ok: bool) {
+    pub fn done(&mut self, now: u64, server: &str, since: u64, took: Option<u64>, how: Left) {
         self.busy -= 1;
         if let Some(s) = self.servers.get_mut(server) {
             s.busy = s.busy.saturating_sub(1);
-            if ok && s.since == since {
+            if how == Left::Finished && s.since == since {
                 s.done += 1;
                 s.fails = 0;
-            } else if !ok {
+            } else if how == Left::Failed {
                 s.fails += 1;
                 s.out_until = now + EJECT_MS;
             }
@@ -400,7 +410,7 @@
             l.join(0, wait("urgent", 0, 60_000, i)).unwrap();
         }
         for (_, p) in l.pump(0, true, |_| false) {
-            l.done(0, &p.unwrap().server, 0, None, false);
+            l.done(0, &p.unwrap().server, 0, None, Left::Failed);
         }
         // when jobs come, then none is placed until its time is up, and then just one
         (0..3).for_each(|i| l.join(1, wait("urgent", 1, 60_000, i)).unwrap());
--- a/hutbook/src/coordination/raft.rs
+++ b/hutbook/src/coordination/raft.rs
@@ -126,6 +126,7 @@
     election_at: u64,
     heard_leader: u64,
     beat_at: u64,
+    probe_at: u64,
     round: u64,
     round_sent: u64,
     reads: VecDeque<(u64, u64, u64)>,
@@ -171,6 +172,7 @@
             election_at: 0,
             heard_leader: 0,
             beat_at: 0,
+            probe_at: 0,
             round: 0,
             round_sent: 0,
             reads: VecDeque::new(),
@@ -331,6 +333,11 @@
             if now >= self.beat_at {
                 self.beat(now);
             }
+            // a leader with nothing to write would not notice that its disk is gone
+            if self.held.is_empty() && now >= self.probe_at {
+                self.probe_at = now + DISK_PROBE_MS;
+                self.persist_meta(now);
+            }
         } else if now >= self.election_at {
             self.rest(now);
             if self.is_voter(self.id) && !self.disk_late(now) {
--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -10,7 +10,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -57,12 +57,52 @@
     }
 }
 
+/// Requests that are being answered, their streams included.
+pub type Active = Arc<AtomicU64>;
+
+struct Answering(Active);
+
+impl Answering {
+    fn new(a: &Active) -> Answering {
+        a.fetch_add(1, Ordering::Relaxed);
+        Answering(a.clone())
+    }
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Closes the listener, then waits until nothing is being answered any more.
+/// Sessions that merely stay open are not waited for. False when time ran out.
+pub async fn wind_down(h: actix_server::ServerHandle, active: &Active) -> bool {
+    actix_rt::spawn(h.stop(true));
+    let quiet = async {
+        let mut calm = 0;
+        // an answer may still be on its way out after its handler is done
+        while calm < QUIET_MS {
+            actix_rt::time::sleep(Duration::from_millis(TICK_MS)).await;
+            calm = if active.load(Ordering::Relaxed) == 0 { calm + TICK_MS } else { 0 };
+        }
+    };
+    actix_rt::time::timeout(Duration::from_millis(STOP_MS), quiet).await.is_ok()
+}
+
 /// Serves `f` until the server is stopped. While `closing` is set, sessions are let go after their answer.
-pub fn serve<F, R>(addr: SocketAddr, workers: usize, closing: Arc<AtomicBool>, f: F) -> std::io::Result<Server>
+pub fn serve<F, R>(
+    addr: SocketAddr,
+    workers: usize,
+    closing: Arc<AtomicBool>,
+    f: F,
+) -> std::io::Result<(Server, Active)>
 where
     F: Fn(Asked) -> R + Send + Clone + 'static,
     R: Future<Output = Said> + 'static,
 {
+    let active = Active::default();
+    let act = active.clone();
     let s = Server::build()
         .workers(workers)
         .disable_signals()
@@ -70,6 +110,7 @@
         .bind("http", addr, move || {
             let f = f.clone();
             let closing = closing.clone();
+            let act = act.clone();
             HttpService::build()
                 .keep_alive(Duration::from_millis(KEEP_ALIVE_MS))
                 .client_request_timeout(Duration::from_millis(HEAD_MS))
@@ -77,18 +118,19 @@
                 .finish(move |req: Request| {
                     let f = f.clone();
                     let closing = closing.clone();
+                    let busy = Answering::new(&act);
                     async move {
                         let s = match read(req).await {
                             Ok(a) => f(a).await,
                             Err(s) => s,
                         };
-                        Ok::<_, actix_http::Error>(reply(s, closing.load(Ordering::Relaxed)))
+                        Ok::<_, actix_http::Error>(reply(s, closing.load(Ordering::Relaxed), busy))
                     }
                 })
                 .tcp()
         })?
         .run();
-    Ok(s)
+    Ok((s, active))
 }
 
 async fn read(mut req: Request) -> Result<Asked, Said> {
@@ -142,7 +184,7 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
-fn reply(s: Said, closing: bool) -> Response<BoxBody> {
+fn reply(s: Said, closing: bool, busy: Answering) -> Response<BoxBody> {
     let mut b = Response::build(StatusCode::from_u16(s.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     for (k, v) in s.headers {
         b.insert_header((k, v));
@@ -158,8 +200,9 @@
         Out::Events(rx) => {
             b.insert_header(("content-type", "text/event-stream"));
             b.insert_header(("cache-control", "no-store"));
-            let st = futures_util::stream::unfold(rx, |mut rx| async move {
-                rx.recv().await.map(|b| (Ok::<_, std::io::Error>(b), rx))
+            // the answer is under way until its last event is out
+            let st = futures_util::stream::unfold((rx, busy), |(mut rx, busy)| async move {
+                rx.recv().await.map(|b| (Ok::<_, std::io::Error>(b), (rx, busy)))
             });
             b.body(BodyStream::new(Box::pin(st))).map_into_boxed_body()
         }
--- a/hutbook/src/transport/serve.rs
+++ b/hutbook/src/transport/serve.rs
@@ -7,7 +7,7 @@
 use crate::constants::*;
 use crate::coordination::core::OUTSIDE;
 use crate::coordination::edge::{Edge, Seat};
-use crate::coordination::line::{Refusal, Wait};
+use crate::coordination::line::{Left, Refusal, Wait};
 use crate::coordination::store::{Ended, Intent, Program, StoreAsk, StoreTell, Turn, Verdict};
 use crate::coordination::view::hash;
 use crate::state::config::Route;
@@ -279,11 +279,12 @@
             e.timed(g.now(), OUTSIDE, &j.route.group, f - came);
         }
         let server = s.placed.server.clone();
-        s.done(
-            g.now(),
-            first.map(|f| f - start),
-            code.is_empty() || code == "back_end_refused" || code == "caller_gone",
-        );
+        let how = match code {
+            "" => Left::Finished,
+            "back_end_refused" | "caller_gone" | "out_of_time" => Left::Cancelled,
+            _ => Left::Failed,
+        };
+        s.done(g.now(), first.map(|f| f - start), how);
         e.pump(g.now(), &j.route.group);
         if pieces == 0 && code != "caller_gone" && !code.is_empty() && again(e, j, &r, g.now()) {
             avoid = Some(server);
@@ -390,7 +391,8 @@
         let start = g.now();
         let mut got = g.tool(c).await;
         let (took, server) = (g.now() - start, s.placed.server.clone());
-        s.done(g.now(), got.is_ok().then_some(took), matches!(got, Ok((st, _)) if st < 500));
+        let how = if matches!(got, Ok((st, _)) if st < 500) { Left::Finished } else { Left::Failed };
+        s.done(g.now(), got.is_ok().then_some(took), how);
         e.pump(g.now(), &j.route.group);
         e.timed(g.now(), &caller, &j.route.group, g.now() - came);
         // the work may be done and only its answer lost: the back end may know
--- a/huts/src/bin/bothy.rs
+++ b/huts/src/bin/bothy.rs
@@ -50,7 +50,7 @@
     let closing = Closing::default();
     let me = Member { id: disk.id, addr: s.wire.to_string() };
     let (sl, p, c, my, cell) = (slot.clone(), post.clone(), closing.clone(), me.clone(), s.cell.clone());
-    let server = http::serve(s.http, 1, closing.clone(), move |a| {
+    let (server, active) = http::serve(s.http, 1, closing.clone(), move |a| {
         let (sl, p, c, my, cell) = (sl.clone(), p.clone(), c.clone(), my.clone(), cell.clone());
         async move {
             let ready = match sl.get() {
@@ -82,7 +82,7 @@
             actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS)).await;
         }
     }
-    handle.stop(true).await;
+    http::wind_down(handle, &active).await;
     Ok(())
 }
 
--- a/huts/src/bin/refuge.rs
+++ b/huts/src/bin/refuge.rs
@@ -78,7 +78,7 @@
     let (h, p, c, r) = (hut.clone(), post.clone(), closing.clone(), reach.clone());
     let (my, first) = (me.clone(), seeds.clone());
     let cell = s.cell.clone();
-    let server = http::serve(s.http, daemon::workers(), closing.clone(), move |a| {
+    let (server, active) = http::serve(s.http, daemon::workers(), closing.clone(), move |a| {
         let (h, p, c, r, my, first, cell) =
             (h.clone(), p.clone(), c.clone(), r.clone(), my.clone(), first.clone(), cell.clone());
         async move {
@@ -103,7 +103,7 @@
         hut.step_aside();
         actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS)).await;
     }
-    handle.stop(true).await;
+    http::wind_down(handle, &active).await;
     Ok(())
 }
 
--- a/huts/src/bin/trailhead.rs
+++ b/huts/src/bin/trailhead.rs
@@ -36,7 +36,7 @@
     let way = Wired { post: post.clone(), clock };
     let field = Arc::new(Field::new(edge.clone(), way.clone()));
     let (f, t, c, p) = (field.clone(), tally.clone(), closing.clone(), post.clone());
-    let server = http::serve(s.http, daemon::workers(), closing.clone(), move |a| {
+    let (server, active) = http::serve(s.http, daemon::workers(), closing.clone(), move |a| {
         let (f, t, c, p) = (f.clone(), t.clone(), c.clone(), p.clone());
         async move {
             let e = f.edge.clone();
@@ -72,18 +72,17 @@
     actix_rt::spawn(ask_loads(edge.clone()));
 
     daemon::told_to_stop(&closing).await.map_err(|e| e.to_string())?;
-    // stop taking sessions, let those with work under way finish within their time
-    let stopped = handle.stop(true);
+    // no new sessions; what is under way finishes within its time, whoever still listens
+    let quiet = http::wind_down(handle, &active);
     let busy = async {
         while tally.under_way.load(Ordering::Relaxed) > 0 {
             actix_rt::time::sleep(Duration::from_millis(TICK_MS)).await;
         }
     };
-    let both = async {
-        stopped.await;
-        busy.await;
-    };
-    if actix_rt::time::timeout(Duration::from_millis(STOP_MS), both).await.is_err() {
+    let (quiet, ()) = tokio::join!(quiet, async {
+        let _ = actix_rt::time::timeout(Duration::from_millis(STOP_MS), busy).await;
+    });
+    if !quiet {
         let left = tally.under_way.load(Ordering::Relaxed);
         log::warn!("stopped with {left} jobs under way after {STOP_MS} ms");
     }
--- a/scramble/src/bin/bivouac.rs
+++ b/scramble/src/bin/bivouac.rs
@@ -111,7 +111,7 @@
         now: Mutex::default(),
     });
     let r = actix_rt::System::new().block_on(async move {
-        let s = http::serve(addr, 1, Arc::new(AtomicBool::new(false)), move |a| serve(camp.clone(), a))?;
+        let (s, _) = http::serve(addr, 1, Arc::new(AtomicBool::new(false)), move |a| serve(camp.clone(), a))?;
         s.await
     });
     if let Err(e) = r {
--- a/scramble/src/camp.rs
+++ b/scramble/src/camp.rs
@@ -165,11 +165,11 @@
 
     /// 3 cells, 3 refuges, 3 bothies, 6 trailheads, 12 model servers and the tool servers.
     pub fn raise(&mut self, b: BackEnds) {
-        let mut seeds: Vec<String> = vec![];
-        for i in 0..CORES {
-            let (wire, http) = (self.address(), self.address());
-            seeds.push(wire.clone());
-            self.node(&format!("refuge{}", i + 1), "refuge", wire, http, CELLS[i % 3], &seeds.clone(), i == 0);
+        // everybody's seeds are the three refuges, the founder's too
+        let at: Vec<(String, String)> = (0..CORES).map(|_| (self.address(), self.address())).collect();
+        let seeds: Vec<String> = at.iter().map(|a| a.0.clone()).collect();
+        for (i, (wire, http)) in at.into_iter().enumerate() {
+            self.node(&format!("refuge{}", i + 1), "refuge", wire, http, CELLS[i % 3], &seeds, i == 0);
         }
         for i in 0..STORES {
             let (wire, http) = (self.address(), self.address());
--- a/scramble/src/fleet/callers.rs
+++ b/scramble/src/fleet/callers.rs
@@ -151,6 +151,27 @@
         self.callers(n(1).max(1), ms, Kind { name: "council", route: "", turns: 0, tool: Some(("archive", true)) });
     }
 
+    /// Programs that ask for `turns` turns each, three at a time, at different edges.
+    pub fn greedy(&self, n: u64, turns: u64) {
+        for i in 0..n {
+            let w = self.clone();
+            self.spawn("outside", async move {
+                let id = format!("greedy-{i}");
+                if !w.open(&id, i).await {
+                    return;
+                }
+                for t in 0..turns / 2 {
+                    let (a, b, c) = (
+                        w.job(&id, "chat", None, t),
+                        w.job(&id, "chat", None, t + 1),
+                        w.job(&id, "review", None, t + 2),
+                    );
+                    futures_util::join!(a, b, c);
+                }
+            });
+        }
+    }
+
     async fn program(&self, k: Kind, i: u64) {
         let id = format!("{}-{i}-{}", k.name, self.now());
         if !self.open(&id, i).await {
--- a/scramble/tests/stories.rs
+++ b/scramble/tests/stories.rs
@@ -4,10 +4,13 @@
 use hutbook::coordination::core::{CoreAsk, CoreTell};
 use rstest::rstest;
 use scramble::check::check;
-use scramble::fleet::World;
+use scramble::fleet::{Kind, World};
 
 const CONFIG: &str = include_str!("../../examples/glenmorven.json");
 
+const CHAT: Kind = Kind { name: "rush", route: "chat", turns: 1, tool: None };
+const FLOOD: Kind = Kind { name: "alarm", route: "", turns: 0, tool: Some(("flood-bundle", true)) };
+
 /// A furnished fleet under today's traffic for `ms`.
 fn fleet(seed: u64, ms: u64) -> World {
     let w = World::new(seed);
@@ -196,3 +199,344 @@
     // then service is back within its time, and nothing agreed is lost
     no_breach(&w, 60_000);
 }
+
+#[rstest]
+fn a_spent_allowance_is_spent_on_every_node(#[values(1, 2, 3)] seed: u64) {
+    // given programs that ask for far more than their allowance, several turns at once
+    let w = fleet(seed, 4_000);
+    w.greedy(30, 8);
+    w.run(1_500);
+    // when an edge and the store's leader die among them
+    w.kill("trailhead1");
+    let l = w.leader("bothy");
+    w.kill(&l);
+    w.run(2_000);
+    w.start("trailhead1");
+    w.start(&l);
+    // then none hands out more than its allowance and one turn, and some were refused for it
+    let saw = w.evening(100_000);
+    assert_eq!(check(&saw), vec![]);
+    let spent = saw.jobs.iter().filter(|j| j.verdicts.iter().any(|v| v.2 == "allowance_spent")).count();
+    assert!(spent > 30, "{spent}");
+}
+
+#[rstest]
+fn an_opening_floods_nobody(#[values(1, 2, 3)] seed: u64) {
+    // given a fleet that has just been started, its servers cold
+    let w = World::new(seed);
+    w.raise();
+    w.furnish(CONFIG, 12, 8, "tiles");
+    // when everyone arrives within a second, urgent work among them
+    w.traffic(6_000, 100);
+    w.callers(400, 1_000, CHAT);
+    w.callers(40, 1_000, FLOOD);
+    // then no server bears more than it can, and what is refused has not run
+    let saw = w.evening(60_000);
+    assert_eq!(check(&saw), vec![]);
+    let urgent: Vec<_> = saw.jobs.iter().filter(|j| j.work == "urgent").collect();
+    let done = urgent.iter().filter(|j| j.verdicts.iter().any(|v| v.1 == "done")).count();
+    assert!(done * 10 >= urgent.len() * 9, "urgent: {done} of {}", urgent.len());
+}
+
+#[rstest]
+fn the_core_is_split_either_way_round(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(true, false)] leader_alone: bool,
+    #[values(true, false)] both: bool,
+) {
+    // given a fleet at work
+    let w = fleet(seed, 16_000);
+    w.run(3_000);
+    // when the leader, or another member, is cut off from its partners, both ways or one way
+    let l = w.leader("refuge");
+    let one = if leader_alone { l.clone() } else { w.names("refuge").into_iter().find(|n| *n != l).unwrap() };
+    for n in w.names("refuge").iter().filter(|n| **n != one) {
+        w.cut(&one, n, both);
+    }
+    w.run(2_000);
+    let base = w.config_rev();
+    w.put(base, "during-the-cut", CONFIG);
+    w.leave("model01");
+    w.run(3_000);
+    w.heal();
+    // then the old leader grants, places and scales nothing, and one core remains
+    no_breach(&w, 25_000);
+    assert_eq!(w.leaders("refuge").len(), 1);
+}
+
+#[rstest]
+fn the_core_is_cut_off_from_the_edges_and_comes_back(#[values(1, 2, 3)] seed: u64) {
+    // given a fleet at work
+    let w = fleet(seed, 16_000);
+    w.run(3_000);
+    // when no edge can reach the core
+    let cores = w.names("refuge");
+    w.isolate(&cores.iter().map(String::as_str).collect::<Vec<_>>());
+    w.run(2_500);
+    let now = w.now();
+    // then none of them holds a licence, and nothing new begins
+    assert!(w.names("trailhead").iter().all(|e| !w.edge(e).licensed(now)));
+    let runs = w.0.borrow().saw.runs.len();
+    w.run(2_000);
+    assert_eq!(w.0.borrow().saw.runs.len(), runs);
+    // and service returns by itself when the cut heals
+    w.heal();
+    assert!(w.until(3_000, |w| w.names("trailhead").iter().all(|e| w.edge(e).licensed(w.now()))));
+    no_breach(&w, 40_000);
+}
+
+#[rstest]
+fn a_store_group_is_split_and_a_cell_cut_off(#[values(1, 2, 3)] seed: u64) {
+    // given a fleet at work
+    let w = fleet(seed, 16_000);
+    w.run(3_000);
+    // when the store's leader and two edges of its cell are cut off from all others
+    let l = w.leader("bothy");
+    w.isolate(&[&l, "trailhead2", "trailhead5"]);
+    w.run(4_000);
+    w.heal();
+    // then the group goes on without it, and what it still believed was never agreed
+    no_breach(&w, 60_000);
+}
+
+#[rstest]
+fn a_dead_bothy_is_replaced_by_a_spare(#[values(1, 2, 3)] seed: u64) {
+    // given a fleet at work, and a fourth bothy that stands by
+    let w = fleet(seed, 30_000);
+    w.bothy(4);
+    w.run(3_000);
+    // when the store's leader dies with its disk
+    let l = w.leader("bothy");
+    let old = w.id(&l);
+    w.empty(&l);
+    // then the spare takes its place by itself, and histories, allowances and keys are intact
+    let healed = |w: &World| {
+        let c = w.leader("refuge");
+        w.view(&c).stores[&1].actual.iter().all(|m| m.id != old) && w.view(&c).stores[&1].actual.len() == 3
+    };
+    assert!(w.until(40_000, healed), "not repaired");
+    // and its own machine, back with an empty folder, is a new node that never votes as the old one
+    w.start(&l);
+    w.run(2_000);
+    assert!(w.store("bothy4", |r| r.raft.members().all().all(|m| m.id != old)).unwrap());
+    no_breach(&w, 40_000);
+}
+
+#[rstest]
+fn a_live_bothy_is_retired(#[values(1, 2, 3)] seed: u64) {
+    // given a fleet at work, and a fourth bothy that stands by
+    let w = fleet(seed, 14_000);
+    w.bothy(4);
+    w.run(2_000);
+    // when the store's leader is retired
+    let l = w.leader("bothy");
+    let id = w.id(&l);
+    let t = w.operate(CoreAsk::Retire(id));
+    assert!(matches!(t, Some(CoreTell::Agreed(_))), "{t:?}");
+    // then it leaves once the others hold everything, and the spare comes in
+    let gone = |w: &World| matches!(w.operate(CoreAsk::Retirement(id)), Some(CoreTell::Json(j)) if jzon::parse(&j).unwrap()["done"] == true);
+    assert!(w.until(15_000, gone), "it never left");
+    let three = |w: &World| w.view(&w.leader("refuge")).stores[&1].actual.len() == 3;
+    assert!(w.until(15_000, three), "the spare never came in");
+    w.kill(&l);
+    no_breach(&w, 30_000);
+}
+
+#[rstest]
+fn a_core_machine_is_swapped_for_an_empty_one(#[values(1, 2, 3)] seed: u64) {
+    // given a fleet at work
+    let w = fleet(seed, 30_000);
+    w.run(3_000);
+    // when the leader loses power and disk, and an empty machine comes at a new address
+    let l = w.leader("refuge");
+    let old = w.id(&l);
+    w.empty(&l);
+    w.refuge(4, false);
+    // then it learns, votes, and the dead one goes
+    let swapped = |w: &World| {
+        let c = w.leader("refuge");
+        let m = w.core(&c, |r| r.raft.members().clone()).unwrap();
+        m.voters.len() == 3 && m.all().all(|x| x.id != old)
+    };
+    assert!(w.until(40_000, swapped), "not swapped");
+    // and edges that still hold the old seeds find it when it is the last one that leads
+    for n in w.names("refuge").iter().filter(|n| **n != "refuge4" && **n != l).take(1) {
+        w.kill(n);
+    }
+    assert!(w.until(5_000, |w| w.names("trailhead").iter().all(|e| w.edge(e).licensed(w.now()))));
+    no_breach(&w, 40_000);
+}
+
+#[rstest]
+fn disks_stall_and_come_back(#[values(1, 2, 3)] seed: u64, #[values("refuge", "bothy")] kind: &str) {
+    // given a fleet at work
+    let w = fleet(seed, 20_000);
+    w.run(3_000);
+    // when a leader's disk takes no write any more
+    let l = w.leader(kind);
+    w.disk(&l, None);
+    // then another leads, and what the stalled one keeps in memory stays bounded
+    assert!(w.until(6_000, |w| w.leaders(kind).first().is_some_and(|n| *n != l)), "it did not step aside");
+    w.run(4_000);
+    assert!(w.disk_waiting(&l) < 400, "{}", w.disk_waiting(&l));
+    // and once there is space again it catches up
+    w.disk(&l, Some(scramble::fleet::SYNC_MS));
+    no_breach(&w, 40_000);
+    let at = |n: &String| w.core(n, |r| r.raft.commit).or(w.store(n, |r| r.raft.commit)).unwrap();
+    let all: Vec<u64> = w.names(kind).iter().map(at).collect();
+    assert!(all.iter().max().unwrap() - all.iter().min().unwrap() < 20, "{all:?}");
+}
+
+#[rstest]
+fn slow_disks_slow_and_break_nothing(#[values(1, 2)] seed: u64) {
+    // given a store whose disks are a hundred times slower
+    let w = fleet(seed, 8_000);
+    w.names("bothy").iter().for_each(|n| w.disk(n, Some(300)));
+    // when the day goes on, then it is slow and whole
+    let saw = w.evening(60_000);
+    assert_eq!(check(&saw), vec![]);
+}
+
+#[rstest]
+fn a_lossy_network_breaks_nothing(#[values(1, 2, 3)] seed: u64) {
+    // given a network that loses one letter in twenty
+    let w = fleet(seed, 10_000);
+    w.0.borrow_mut().loss = 50;
+    // when a leader dies on top of it
+    w.run(3_000);
+    let l = w.leader("bothy");
+    w.kill(&l);
+    w.run(3_000);
+    w.start(&l);
+    // then jobs end in doubt here and there, and no line is broken
+    let saw = w.evening(150_000);
+    assert_eq!(check(&saw), vec![]);
+}
+
+#[rstest]
+fn requests_that_would_harm_are_refused() {
+    // given a fleet at rest
+    let w = World::new(9);
+    w.raise();
+    w.furnish(CONFIG, 3, 2, "tiles");
+    let code = |a: CoreAsk| match w.operate(a) {
+        Some(CoreTell::Refused { code, .. }) => code,
+        Some(CoreTell::Unknown(_)) => "unknown".into(),
+        t => format!("{t:?}"),
+    };
+    // when operators name what isn't there, then they are told
+    assert_eq!(code(CoreAsk::Leave("nobody".into())), "unknown");
+    assert_eq!(code(CoreAsk::Remove("nobody".into())), "unknown");
+    assert_eq!(code(CoreAsk::Retire(4)), "unknown");
+    // when a core member's going would leave no quorum, then it stays
+    let l = w.leader("refuge");
+    let dead = w.names("refuge").into_iter().find(|n| *n != l).unwrap();
+    w.kill(&dead);
+    w.run(1_000);
+    let other = w.names("refuge").into_iter().find(|n| *n != l && *n != dead).unwrap();
+    assert_eq!(code(CoreAsk::RemoveCore(w.id(&other))), "no_quorum");
+    // when the last copy of the store is asked to retire, then it stays
+    for n in ["bothy1", "bothy2"] {
+        let id = w.id(n);
+        assert!(matches!(w.operate(CoreAsk::Retire(id)), Some(CoreTell::Agreed(_))));
+        w.until(10_000, |w| w.view(&w.leader("refuge")).stores[&1].actual.iter().all(|m| m.id != id));
+    }
+    assert_eq!(code(CoreAsk::Retire(w.id("bothy3"))), "last_copy");
+}
+
+#[rstest]
+fn the_log_is_captured_and_a_late_comer_is_fed_the_capture(#[values(1, 2)] seed: u64) {
+    // given a store that has agreed on more than its log keeps
+    let w = fleet(seed, 30_000);
+    w.kill("bothy2");
+    w.callers(2_500, 20_000, CHAT);
+    w.run(25_000);
+    let l = w.leader("bothy");
+    let (len, commit) = w.store(&l, |r| (r.raft.log_len(), r.raft.commit)).unwrap();
+    assert!((len as u64) < commit, "{len} entries kept of {commit}");
+    // when the one that slept through it comes back
+    w.start("bothy2");
+    // then it is fed the capture and holds the same
+    let same = |w: &World| {
+        w.store("bothy2", |r| r.machine.counts().0) == w.store(&w.leader("bothy"), |r| r.machine.counts().0)
+    };
+    assert!(w.until(10_000, same));
+    // what came over all bounds was refused; what was taken is whole
+    assert_eq!(check(&w.evening(40_000)), vec![]);
+}
+
+/// Decisions as operators read them: (course, moves, reasons).
+fn decisions(w: &World) -> Vec<jzon::JsonValue> {
+    match w.operate(CoreAsk::Scaler) {
+        Some(CoreTell::Json(j)) => jzon::parse(&j).unwrap()["decisions"].members().cloned().collect(),
+        t => panic!("{t:?}"),
+    }
+}
+
+fn wanted(w: &World, group: &str) -> u32 {
+    w.view(&w.leader("refuge")).room(group).1
+}
+
+#[rstest]
+fn the_scaler_grows_the_bottleneck_and_shrinks_by_steps(#[values(1, 2)] seed: u64) {
+    // given a fleet whose language servers get three times what two of them can do
+    let w = World::new(seed);
+    w.raise();
+    w.furnish(CONFIG, 12, 8, "tiles");
+    w.traffic(240_000, 20);
+    w.callers(9_000, 60_000, CHAT);
+    w.run(62_000);
+    // when it has been so for a minute, then the scaler has given that group more, and only that one
+    let grown = wanted(&w, "lang");
+    assert!(grown > 4, "lang {grown}: {:?}", decisions(&w).iter().map(|d| d.dump()).collect::<Vec<_>>());
+    assert_eq!(wanted(&w, "tiles"), 2);
+    // and when it is over, it shrinks, never by more than two at a time and never while something breaks
+    w.run(180_000);
+    assert!(wanted(&w, "lang") < grown);
+    for d in decisions(&w) {
+        for m in d["moves"].members() {
+            let (from, to) = (m["from"].as_u32().unwrap(), m["to"].as_u32().unwrap());
+            assert!(to + 2 >= from, "{}", d.dump());
+            assert!(to > from || d["abnormal"].is_empty(), "{}", d.dump());
+        }
+    }
+    assert_eq!(check(&w.evening(40_000)), vec![]);
+}
+
+#[rstest]
+fn a_slow_tool_group_is_blamed_and_its_callers_are_not(#[values(1, 2)] seed: u64) {
+    // given tools that have become slow under the calls of reviews
+    let w = World::new(seed);
+    w.raise();
+    w.furnish(CONFIG, 12, 8, "tiles");
+    w.names("tool").iter().for_each(|t| w.set_back(t, |b| b.work_ms = 700));
+    w.callers(400, 60_000, Kind { name: "review", route: "review", turns: 4, tool: Some(("thumbnail", false)) });
+    w.run(62_000);
+    // when a minute has passed, then the tools have more servers and the language group, upstream, has not
+    assert!(wanted(&w, "tiles") > 2, "{:?}", decisions(&w).iter().map(|d| d.dump()).collect::<Vec<_>>());
+    assert_eq!(wanted(&w, "lang"), 2);
+}
+
+#[rstest]
+fn a_takeover_loses_no_window_and_decides_nothing_at_once(#[values(1, 2)] seed: u64) {
+    // given a group under too much load for half a minute
+    let w = World::new(seed);
+    w.raise();
+    w.furnish(CONFIG, 12, 8, "tiles");
+    w.callers(6_000, 60_000, CHAT);
+    w.run(20_000);
+    // when the leader that measured it dies
+    let l = w.leader("refuge");
+    w.kill(&l);
+    w.run(1_500);
+    let at = w.now();
+    let next = w.leader("refuge");
+    // then the next one has every edge's windows again within a renewal or two
+    assert!(w.until(2_000, |w| w.core(&next, |r| r.machine.windows_known()).unwrap() >= 3));
+    // and decides only after its cooldown
+    let before = decisions(&w).len();
+    w.run(12_000);
+    assert_eq!(decisions(&w).len(), before, "{at}");
+    w.run(10_000);
+    assert!(decisions(&w).len() > before);
+}
