--- a/scramble/src/drills.rs
+++ b/scramble/src/drills.rs
@@ -127,7 +127,7 @@
         *first = ends.iter().find(|e| **e > *up).copied();
     }
     // only while callers arrived: afterwards silence means nothing
-    let last = saw.jobs.iter().map(|j| j.asked).max().unwrap_or(0);
+    let last = w.last.get();
     let within: Vec<u64> = ends.iter().copied().filter(|e| *e <= last).chain([last]).collect();
     let gap_ms = within.windows(2).map(|w| w[1] - w[0]).max().unwrap_or(0);
     let config = hutbook::protocol::config::read(camp.config()).expect("the example configs are tested");
--- a/scramble/src/walk.rs
+++ b/scramble/src/walk.rs
@@ -45,6 +45,8 @@
     rng: RefCell<ChaCha8Rng>,
     next: Cell<u64>,
     left: Cell<u64>,
+    /// When the last caller arrived.
+    pub last: Cell<u64>,
     tag: String,
 }
 
@@ -59,7 +61,15 @@
             Deployment::Tianguis => "t",
         };
         let tag = format!("{tag}{}", plan.seed);
-        Rc::new(Walkers { plan, saw: RefCell::default(), rng, next: Cell::new(1), left: Cell::new(0), tag })
+        Rc::new(Walkers {
+            plan,
+            saw: RefCell::default(),
+            rng,
+            next: Cell::new(1),
+            left: Cell::new(0),
+            last: Cell::new(0),
+            tag,
+        })
     }
 
     fn draw(&self, n: u64) -> u64 {
@@ -119,6 +129,7 @@
             }
             actix_rt::time::sleep(Duration::from_millis(5)).await;
         }
+        self.last.set(wall());
         while self.left.get() > 0 {
             actix_rt::time::sleep(Duration::from_millis(20)).await;
         }
