--- a/scramble/src/bin/bivouac.rs
+++ b/scramble/src/bin/bivouac.rs
@@ -25,6 +25,7 @@
     work_ms: u64,
     cold: u64,
     lose_every: u64,
+    fault: String,
     ledger: Mutex<Box<dyn Write + Send>>,
     now: Mutex<Now>,
 }
@@ -86,6 +87,7 @@
     o.optopt("", "work-ms", "tool: time for a job (60)", "MS");
     o.optopt("", "cold", "jobs until it is warm; three times slower before (4)", "N");
     o.optopt("", "lose-every", "do the work of every Nth job and lose its answer (0: never)", "N");
+    o.optopt("", "fault", "what it does wrong: json, stream, usage or load", "WHAT");
     o.optopt("", "ledger", "file to note every run in", "FILE");
     let m = parse(NAME, &mut o);
     let Some(addr) = m.opt_str("http").and_then(|a| a.parse::<SocketAddr>().ok()) else {
@@ -107,6 +109,7 @@
         work_ms: number(NAME, &m, "work-ms", 60),
         cold: number(NAME, &m, "cold", 4),
         lose_every: number(NAME, &m, "lose-every", 0),
+        fault: m.opt_str("fault").unwrap_or_default(),
         ledger: Mutex::new(ledger),
         now: Mutex::default(),
     });
@@ -122,6 +125,7 @@
 async fn serve(c: Arc<Camp>, a: Asked) -> Said {
     let path: Vec<&str> = a.path.iter().map(String::as_str).collect();
     match (a.method.as_str(), path.as_slice()) {
+        ("GET", ["metrics"]) if c.fault == "load" => Said::text("load: yes, quite a lot\n\u{0}vllm:num".into()),
         ("GET", ["metrics"]) => {
             let n = c.now.lock().unwrap();
             let wait = u64::from(n.busy).saturating_sub(c.slots);
@@ -158,12 +162,20 @@
                 c.end();
                 run.take();
             }
-            let d = jzon::object! { choices: [{ delta: { content: format!("{key}/{i} ") } }] };
+            let d = match c.fault.as_str() {
+                "json" if i == 1 => "{\"choices\": [{\"delta\"".into(),
+                "stream" if i == 2 => return,
+                _ => jzon::object! { choices: [{ delta: { content: format!("{key}/{i} ") } }] }.dump(),
+            };
             // the caller has gone: a real server stops generating too
-            if tx.send(Bytes::from(format!("data: {}\n\n", d.dump()))).await.is_err() || lost && i == cap / 2 {
+            if tx.send(Bytes::from(format!("data: {d}\n\n"))).await.is_err() || lost && i == cap / 2 {
                 return;
             }
         }
+        if c.fault == "usage" {
+            let _ = tx.send(Bytes::from("data: [DONE]\n\n")).await;
+            return;
+        }
         let d = jzon::object! { choices: [], usage: { completion_tokens: cap, total_ms: clock.now() } };
         let _ = tx.send(Bytes::from(format!("data: {}\n\ndata: [DONE]\n\n", d.dump()))).await;
     });
@@ -174,6 +186,9 @@
     let key = a.headers.get("idempotency-key").cloned().unwrap_or_default();
     let (run, no) = c.begin(&key);
     actix_rt::time::sleep(Duration::from_millis(c.work_ms * c.strain())).await;
+    if c.fault == "json" {
+        return Said::text("{\"half".into());
+    }
     let body = jzon::object! { key: key.as_str(), run: no, by: c.name.as_str() }.dump();
     c.now.lock().unwrap().answers.insert(key, body.clone());
     c.end();
--- a/scramble/src/camp.rs
+++ b/scramble/src/camp.rs
@@ -163,6 +163,24 @@
         self.procs.values().filter(|p| p.program == program).map(|p| p.http.clone()).collect()
     }
 
+    /// One of each daemon, in one cell.
+    pub fn raise_small(&mut self) {
+        let (wire, http) = (self.address(), self.address());
+        let seeds = vec![wire.clone()];
+        self.node("refuge1", "refuge", wire, http, CELLS[0], &[], true);
+        for n in ["bothy", "trailhead"] {
+            let (wire, http) = (self.address(), self.address());
+            self.node(&format!("{n}1"), n, wire, http, CELLS[0], &seeds, false);
+        }
+    }
+
+    /// Where a daemon is reached by its partners.
+    pub fn wire(&self, name: &str) -> String {
+        let a = &self.procs[name].args;
+        let i = a.iter().position(|x| x == "--wire").expect("every daemon has one");
+        a[i + 1].clone()
+    }
+
     /// 3 cells, 3 refuges, 3 bothies, 6 trailheads, 12 model servers and the tool servers.
     pub fn raise(&mut self, b: BackEnds) {
         // everybody's seeds are the three refuges, the founder's too
@@ -215,6 +233,11 @@
     }
 
     pub fn back_end(&mut self, name: &str, kind: &str, cell: &str, b: BackEnds) {
+        self.faulty(name, kind, cell, b, "");
+    }
+
+    /// A back end that does something wrong; see bivouac's --fault.
+    pub fn faulty(&mut self, name: &str, kind: &str, cell: &str, b: BackEnds, fault: &str) {
         let http = self.address();
         let slots = self.slots(kind).0;
         let flags = [
@@ -225,6 +248,7 @@
             ("piece-ms", b.piece_ms.to_string()),
             ("work-ms", b.work_ms.to_string()),
             ("lose-every", b.lose_every.to_string()),
+            ("fault", fault.to_string()),
             ("ledger", self.dir.join(format!("{name}.ledger")).display().to_string()),
         ];
         let a = flags.into_iter().flat_map(|(k, v)| [format!("--{k}"), v]).collect();
