--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -440,8 +440,13 @@
         if st.now < self.check_at || st.now < self.ledger.rose + cool {
             return None;
         }
-        self.check_at = st.now + CHECK_MS;
         let s = self.scene(st.now, st.term)?;
+        // too little measured yet: look again after the next window, not after a whole check
+        let early = s.groups.iter().all(|g| g.load.len() < s.span);
+        self.check_at = st.now + if early { WINDOW_MS } else { CHECK_MS };
+        if early {
+            return None;
+        }
         Some(s)
     }
 
--- a/hutbook/src/transport/callers.rs
+++ b/hutbook/src/transport/callers.rs
@@ -99,7 +99,7 @@
     }
 }
 
-async fn put(f: &Field, id: &str, a: &Asked) -> Said {
+async fn put(f: &Arc<Field>, id: &str, a: &Asked) -> Said {
     let c = match config(f) {
         Ok(c) => c,
         Err(s) => return s,
@@ -127,7 +127,7 @@
     }
 }
 
-async fn get(f: &Field, id: &str) -> Said {
+async fn get(f: &Arc<Field>, id: &str) -> Said {
     match f.store(id, StoreAsk::Program { id: id.into() }).await {
         Some(StoreTell::Program(p, t)) => Said::json(200, program_json(&p, t)),
         Some(StoreTell::NoProgram) => Said::no(404, "no_program", "no such program is kept"),
@@ -135,7 +135,7 @@
     }
 }
 
-async fn job(f: &Field, key: &str, a: &Asked) -> Said {
+async fn job(f: &Arc<Field>, key: &str, a: &Asked) -> Said {
     let Some(p) = a.query.get("program").filter(|p| is_name(p)) else {
         return Said::no(400, "no_program_named", "say which program the key belongs to: ?program=ID");
     };
@@ -191,7 +191,7 @@
     let under = UnderWay::new(&tally);
     // its own task: a caller that goes away must not stop a once-only job half way
     let t = actix_rt::spawn(async move {
-        let t = tool(&*f, &f.edge, j).await;
+        let t = tool(&f, &f.edge, j).await;
         tally.count(&t);
         drop(under);
         t
@@ -228,7 +228,7 @@
     let (tx, mut rx) = mpsc::channel(PIECES);
     let under = UnderWay::new(&tally);
     actix_rt::spawn(async move {
-        turn(&*f, &f.edge, j, said, tx).await;
+        turn(&f, &f.edge, j, said, tx).await;
         drop(under);
     });
     // an early verdict is a plain answer with its own status; a stream begins with its first piece
--- a/hutbook/src/transport/field.rs
+++ b/hutbook/src/transport/field.rs
@@ -1,6 +1,6 @@
 //! The ground a trailhead stands on: real time, the store over the wire, back ends over HTTP.
 
-use super::http::{call, client, was_sent, Broke};
+use super::http::{call, client, gated_call, was_sent, Broke, Gated};
 use super::hut::Clock;
 use super::reach::{Stores, Wired};
 use super::serve::{Bit, Ground, ModelCall, Stream, ToolCall};
@@ -25,7 +25,7 @@
     }
 }
 
-impl Ground for Field {
+impl Ground for Arc<Field> {
     type Stream = Sse;
 
     fn now(&self) -> u64 {
@@ -61,10 +61,11 @@
             .post(format!("http://{}{path}", c.addr))
             .insert_header(("content-type", "application/json"))
             .insert_header(("idempotency-key", c.key.as_str()));
-        let sent = actix_rt::time::timeout(Duration::from_millis(c.run_ms), r.send_body(body.dump())).await;
+        let (body, shut) = Gated::new(body.dump(), c.gate);
+        let sent = actix_rt::time::timeout(Duration::from_millis(c.run_ms), r.send_body(body)).await;
         let a = match sent {
             Ok(Ok(a)) => a,
-            Ok(Err(e)) => return Err(Broke { sent: was_sent(&e) }),
+            Ok(Err(e)) => return Err(Broke { sent: was_sent(&e) && !shut.get() }),
             Err(_) => return Err(Broke { sent: true }),
         };
         if a.status().as_u16() != 200 {
@@ -77,7 +78,8 @@
 
     async fn tool(&self, c: ToolCall) -> Result<(u16, String), Broke> {
         let h = [("content-type", "application/json"), ("idempotency-key", c.key.as_str())];
-        let (st, b, _) = call("POST", &format!("http://{}{}", c.addr, c.path), &h, c.body, c.run_ms).await?;
+        let url = format!("http://{}{}", c.addr, c.path);
+        let (st, b, _) = gated_call("POST", &url, &h, c.body, c.run_ms, c.gate).await?;
         // a body that isn't JSON is a fault of the back end, not an answer
         if jzon::parse(&b).is_err() {
             return Ok((502, String::new()));
--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -1,17 +1,20 @@
 //! HTTP/1.1 by library, for callers and operators; and the one client for back ends.
 
 use crate::constants::*;
-use actix_http::body::{BodyStream, BoxBody};
+use actix_http::body::{BodySize, BodyStream, BoxBody, MessageBody};
 use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode};
 use actix_server::Server;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -229,6 +232,39 @@
     AWC.with(Rc::clone)
 }
 
+/// A body that looks through its gate at the moment it is written. Shut, the
+/// request breaks off before its body: nobody can act on it.
+pub struct Gated {
+    bytes: Option<Bytes>,
+    len: u64,
+    gate: super::serve::Gate,
+    shut: Rc<Cell<bool>>,
+}
+
+impl Gated {
+    pub fn new(body: String, gate: super::serve::Gate) -> (Gated, Rc<Cell<bool>>) {
+        let shut = Rc::new(Cell::new(false));
+        let b = Bytes::from(body);
+        (Gated { len: b.len() as u64, bytes: Some(b), gate, shut: shut.clone() }, shut)
+    }
+}
+
+impl MessageBody for Gated {
+    type Error = std::io::Error;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.len)
+    }
+
+    fn poll_next(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, std::io::Error>>> {
+        if self.bytes.is_some() && !(self.gate)() {
+            self.shut.set(true);
+            return Poll::Ready(Some(Err(std::io::ErrorKind::PermissionDenied.into())));
+        }
+        Poll::Ready(self.bytes.take().map(Ok))
+    }
+}
+
 /// A whole call with a bounded answer: status, body. None when it didn't come.
 pub async fn call(
     method: &str,
@@ -236,6 +272,18 @@
     headers: &[(&str, &str)],
     body: String,
     ms: u64,
+) -> Result<(u16, String, BTreeMap<String, String>), Broke> {
+    gated_call(method, url, headers, body, ms, Box::new(|| true)).await
+}
+
+/// The same, with a gate that is looked through as the body goes out.
+pub async fn gated_call(
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: String,
+    ms: u64,
+    gate: super::serve::Gate,
 ) -> Result<(u16, String, BTreeMap<String, String>), Broke> {
     let m = method.parse().map_err(|_| Broke { sent: false })?;
     let mut r = client().request(m, url);
@@ -243,7 +291,9 @@
         r = r.insert_header((*k, *v));
     }
     let whole = async {
-        let mut a = r.send_body(body).await.map_err(|e| Broke { sent: was_sent(&e) })?;
+        let (body, shut) = Gated::new(body, gate);
+        let sent = r.send_body(body).await;
+        let mut a = sent.map_err(|e| Broke { sent: was_sent(&e) && !shut.get() })?;
         let b = a.body().limit(BODY_BYTES).await.map_err(|_| Broke { sent: true })?;
         let h = a.headers().iter().map(|(k, v)| (k.to_string(), v.to_str().unwrap_or("").to_string())).collect();
         Ok((a.status().as_u16(), String::from_utf8_lossy(&b).into_owned(), h))
--- a/hutbook/src/transport/serve.rs
+++ b/hutbook/src/transport/serve.rs
@@ -11,9 +11,14 @@
 use crate::coordination::store::{Ended, Intent, Program, StoreAsk, StoreTell, Turn, Verdict};
 use crate::coordination::view::hash;
 use crate::state::config::Route;
+use std::sync::Arc;
 use tokio::sync::mpsc;
 
+/// The very last look, taken as the bytes go out: connecting may take a while, and a process may sleep.
+pub type Gate = Box<dyn Fn() -> bool>;
+
 pub struct ModelCall {
+    pub gate: Gate,
     pub addr: String,
     pub path: String,
     pub program: String,
@@ -26,6 +31,7 @@
 }
 
 pub struct ToolCall {
+    pub gate: Gate,
     pub addr: String,
     pub path: String,
     pub key: String,
@@ -150,13 +156,13 @@
 
 enum Begun {
     /// Go, with the program's history; sent by when it must be on its way.
-    Go(Vec<Turn>),
+    Go(Vec<Turn>, Gate),
     /// The intent stands, but it may not be sent any more.
     Late,
     Told(Told),
 }
 
-async fn begin<G: Ground>(g: &G, e: &Edge, j: &Job, r: &Run, s: &Seat, group: &str) -> Begun {
+async fn begin<G: Ground + Clone + 'static>(g: &G, e: &Arc<Edge>, j: &Job, r: &Run, s: &Seat, group: &str) -> Begun {
     let asked = g.now();
     let i = Intent {
         program: j.program.clone(),
@@ -176,9 +182,11 @@
     match g.store(&j.program, StoreAsk::Begin(i)).await {
         Some(StoreTell::Go(h)) => {
             // an old belief, an old intent or a sleeping process must not act
-            let fresh = g.now() < asked + DISPATCH_MS - DRIFT_MS;
-            if fresh && e.may(g.now(), &s.placed.server, s.placed.since) {
-                Begun::Go(h)
+            let (g, e, p) = (g.clone(), e.clone(), s.placed.clone());
+            let gate: Gate =
+                Box::new(move || g.now() < asked + DISPATCH_MS - DRIFT_MS && e.may(g.now(), &p.server, p.since));
+            if gate() {
+                Begun::Go(h, gate)
             } else {
                 Begun::Late
             }
@@ -215,13 +223,19 @@
 
 /// A caller's turn: known already? wait for a place, say the intent, look once
 /// more, stream, settle, tell.
-pub async fn turn<G: Ground>(g: &G, e: &Edge, j: Job, said: String, to: mpsc::Sender<Heard>) {
+pub async fn turn<G: Ground + Clone + 'static>(g: &G, e: &Arc<Edge>, j: Job, said: String, to: mpsc::Sender<Heard>) {
     let t = turn_inner(g, e, &j, said, &to).await;
     // a caller that has gone can ask by its key
     let _ = to.send(Heard::Told(t)).await;
 }
 
-async fn turn_inner<G: Ground>(g: &G, e: &Edge, j: &Job, said: String, to: &mpsc::Sender<Heard>) -> Told {
+async fn turn_inner<G: Ground + Clone + 'static>(
+    g: &G,
+    e: &Arc<Edge>,
+    j: &Job,
+    said: String,
+    to: &mpsc::Sender<Heard>,
+) -> Told {
     let came = g.now();
     let (p, ends) = match look(g, j).await {
         Ok(x) => x,
@@ -246,8 +260,8 @@
             }
             Err(why) => return refuse(g, j, why.code()).await,
         };
-        let history = match begin(g, e, j, &r, &s, &j.route.group).await {
-            Begun::Go(h) => h,
+        let (history, gate) = match begin(g, e, j, &r, &s, &j.route.group).await {
+            Begun::Go(h, gate) => (h, gate),
             Begun::Told(t) => return t,
             Begun::Late => {
                 drop(s);
@@ -264,6 +278,7 @@
         talk.push(("user", said.clone()));
         let run_ms = j.route.run_ms.min(ends.saturating_sub(g.now()).saturating_sub(SETTLE_MS)).max(1);
         let c = ModelCall {
+            gate,
             addr: s.placed.addr.clone(),
             path: j.route.path.clone(),
             program: j.program.clone(),
@@ -356,7 +371,7 @@
 }
 
 /// A caller's tool call, in the same order.
-pub async fn tool<G: Ground>(g: &G, e: &Edge, j: Job) -> Told {
+pub async fn tool<G: Ground + Clone + 'static>(g: &G, e: &Arc<Edge>, j: Job) -> Told {
     let came = g.now();
     let (p, ends) = match look(g, &j).await {
         Ok(x) => x,
@@ -378,8 +393,8 @@
             }
             Err(why) => return refuse(g, &j, why.code()).await,
         };
-        match begin(g, e, &j, &r, &s, "").await {
-            Begun::Go(_) => {}
+        let gate = match begin(g, e, &j, &r, &s, "").await {
+            Begun::Go(_, gate) => gate,
             Begun::Told(t) => return t,
             Begun::Late => {
                 drop(s);
@@ -389,10 +404,11 @@
                 }
                 return settle(g, e, &j, &r, unserved(ran, "not_sent"), None).await;
             }
-        }
+        };
         let run_ms = j.route.run_ms.min(ends.saturating_sub(g.now()).saturating_sub(SETTLE_MS)).max(1);
         let addr = s.placed.addr.clone();
         let c = ToolCall {
+            gate,
             addr: addr.clone(),
             path: j.route.path.clone(),
             key: j.key.clone(),
--- a/scramble/src/fleet/callers.rs
+++ b/scramble/src/fleet/callers.rs
@@ -9,6 +9,7 @@
 use hutbook::transport::callers::word;
 use hutbook::transport::reach::{Speak, Stores};
 use hutbook::transport::serve::{tool, turn, Ground, Heard, Job, Told};
+use std::rc::Rc;
 use tokio::sync::mpsc;
 
 /// ms. A caller asks again with the same key for this long.
@@ -20,7 +21,7 @@
 impl World {
     fn meadow(&self, edge: &str) -> Meadow {
         let way = self.way(edge);
-        Meadow { edge: self.edge(edge), stores: Stores::new(way.clone()), way }
+        Meadow { edge: self.edge(edge), stores: Rc::new(Stores::new(way.clone())), way }
     }
 
     fn is_up(&self, name: &str) -> bool {
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -5,7 +5,7 @@
 use hutbook::coordination::view::View;
 use hutbook::transport::http::Broke;
 use hutbook::transport::reach::{pump, renew, Reach, Speak, Stores};
-use hutbook::transport::serve::{Bit, Ground, ModelCall, Stream, ToolCall};
+use hutbook::transport::serve::{Bit, Gate, Ground, ModelCall, Stream, ToolCall};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -268,9 +268,15 @@
         n.frozen = false;
         let held = std::mem::take(&mut n.held);
         let life = n.life;
+        // what came in the meantime may be seen before or after the timers that ran out
+        let first = w.draw(2) == 0;
         for what in held {
-            let now = w.now;
-            w.at(now, Event::To { node: name.into(), life: Some(life), what });
+            if first {
+                w.reach(name, what);
+            } else {
+                let now = w.now;
+                w.at(now, Event::To { node: name.into(), life: Some(life), what });
+            }
         }
         w.exec.wake_node();
     }
@@ -441,10 +447,11 @@
 }
 
 /// The ground under an edge of the fleet.
+#[derive(Clone)]
 pub struct Meadow {
     pub way: Way,
     pub edge: Arc<Edge>,
-    pub stores: Stores<Way>,
+    pub stores: Rc<Stores<Way>>,
 }
 
 impl Meadow {
@@ -455,27 +462,48 @@
         w.wire(&self.way.node, server).filter(|_| up)
     }
 
-    /// Notes the beginning of a run at a back end: its number, and how long its work takes.
-    fn begin(&self, server: &str, key: &str) -> Option<(u64, Back)> {
-        let mut w = self.way.world.0.borrow_mut();
-        let now = w.now;
-        let n = w.nodes.get_mut(server).filter(|n| n.up)?;
-        let Part::Back(b) = &mut n.part else { return None };
-        b.busy += 1;
-        b.begun += 1;
-        let (ran, b) = (
-            crate::saw::Ran { at: now, server: server.into(), key: key.into(), busy: b.busy, done: b.done },
-            b.clone(),
-        );
-        w.saw.runs.push(ran);
-        Some((b.begun, b))
-    }
-
-    fn life(&self, server: &str) -> u64 {
-        self.way.world.0.borrow().nodes.get(server).map_or(0, |n| n.life)
+    /// Connects, looks through the gate, and sends: from there on it is the network's.
+    /// `work` begins at the back end, whatever becomes of the edge.
+    async fn depart<T: 'static, F>(&self, gate: &Gate, server: &str, key: &str, work: F) -> Result<T, Broke>
+    where
+        F: FnOnce(u64, Back, Hold) -> T + 'static,
+    {
+        let Some(ms) = self.road(server) else {
+            self.way.nap(CONNECT_MS).await;
+            return Err(Broke { sent: false });
+        };
+        self.way.nap(ms).await;
+        if !gate() {
+            return Err(Broke { sent: false });
+        }
+        let (tx, rx) = oneshot::channel();
+        let (w, server, key) = (self.way.world.clone(), server.to_string(), key.to_string());
+        self.way.world.spawn("outside", async move {
+            w.way("outside").nap(ms).await;
+            if let Some((no, b, hold)) = begin(&w, &server, &key) {
+                let _ = tx.send(work(no, b, hold));
+            }
+        });
+        rx.await.map_err(|_| Broke { sent: false })
     }
 }
 
+/// Notes the beginning of a run at a back end: its number, and the back end as it stands.
+fn begin(world: &World, server: &str, key: &str) -> Option<(u64, Back, Hold)> {
+    let mut w = world.0.borrow_mut();
+    let now = w.now;
+    let n = w.nodes.get_mut(server).filter(|n| n.up)?;
+    let life = n.life;
+    let Part::Back(b) = &mut n.part else { return None };
+    b.busy += 1;
+    b.begun += 1;
+    let ran = crate::saw::Ran { at: now, server: server.into(), key: key.into(), busy: b.busy, done: b.done };
+    let b = b.clone();
+    w.saw.runs.push(ran);
+    let hold = Hold { world: world.clone(), server: server.into(), life, held: Cell::new(true) };
+    Some((b.begun, b, hold))
+}
+
 /// One run's place on a back end, given up when the stream ends or its reader goes.
 struct Hold {
     world: World,
@@ -555,51 +583,43 @@
     }
 
     async fn model(&self, c: ModelCall) -> Result<Result<Brook, u16>, Broke> {
-        let Some(ms) = self.road(&c.addr) else {
-            self.way.nap(CONNECT_MS).await;
-            return Err(Broke { sent: false });
+        let (way, cap) = (self.way.clone(), c.cap);
+        let flow = move |no: u64, b: Back, hold| {
+            let over = u64::from(b.busy).div_ceil(u64::from(b.slots.max(1))).max(1);
+            let lost = b.lose_every > 0 && no.is_multiple_of(b.lose_every);
+            let left = cap.min(b.pieces);
+            let lost_at = lost.then_some(left / 2);
+            Brook { way, hold, piece_ms: b.piece_ms * over, left, given: 0, lost_at }
         };
-        self.way.nap(ms).await;
-        let life = self.life(&c.addr);
-        let Some((no, b)) = self.begin(&c.addr, &c.key) else { return Err(Broke { sent: false }) };
-        let hold = Hold { world: self.way.world.clone(), server: c.addr, life, held: Cell::new(true) };
-        let over = u64::from(b.busy).div_ceil(u64::from(b.slots.max(1))).max(1);
-        let lost = b.lose_every > 0 && no.is_multiple_of(b.lose_every);
-        let left = c.cap.min(b.pieces);
-        let lost_at = lost.then_some(left / 2);
-        Ok(Ok(Brook { way: self.way.clone(), hold, piece_ms: b.piece_ms * over, left, given: 0, lost_at }))
+        self.depart(&c.gate, &c.addr, &c.key, flow).await.map(Ok)
     }
 
     async fn tool(&self, c: ToolCall) -> Result<(u16, String), Broke> {
-        let Some(ms) = self.road(&c.addr) else {
-            self.way.nap(CONNECT_MS).await;
-            return Err(Broke { sent: false });
-        };
-        self.way.nap(ms).await;
-        let life = self.life(&c.addr);
-        let Some((no, b)) = self.begin(&c.addr, &c.key) else { return Err(Broke { sent: false }) };
-        let (tx, rx) = oneshot::channel();
-        let hold = Hold { world: self.way.world.clone(), server: c.addr.clone(), life, held: Cell::new(true) };
         let (w, key) = (self.way.world.clone(), c.key.clone());
-        // the work goes on at the back end whatever becomes of the edge
-        let over = u64::from(b.busy).div_ceil(u64::from(b.slots.max(1))).max(1);
-        let body = jzon::object! { key: key.as_str(), run: no }.dump();
-        let server = c.addr.clone();
-        self.way.world.spawn("outside", async move {
-            let way = w.way("outside");
-            way.nap(b.work_ms * over).await;
-            if let Some(Part::Back(b)) =
-                w.0.borrow_mut().nodes.get_mut(&server).filter(|n| n.life == life).map(|n| &mut n.part)
-            {
-                b.answers.insert(key, body.clone());
-            }
-            hold.let_go(true);
-            let lost = b.lose_every > 0 && no.is_multiple_of(b.lose_every);
-            let gone = w.0.borrow().nodes.get(&server).is_none_or(|n| n.life != life);
-            if !lost && !gone {
-                let _ = tx.send(body);
-            }
-        });
+        let go = move |no: u64, b: Back, hold: Hold| {
+            let (tx, rx) = oneshot::channel();
+            let over = u64::from(b.busy).div_ceil(u64::from(b.slots.max(1))).max(1);
+            let body = jzon::object! { key: key.as_str(), run: no }.dump();
+            w.clone().spawn("outside", async move {
+                w.way("outside").nap(b.work_ms * over).await;
+                let here = |w: &World| w.0.borrow().nodes.get(&hold.server).is_some_and(|n| n.life == hold.life);
+                if !here(&w) {
+                    return;
+                }
+                if let Some(Part::Back(b)) = w.0.borrow_mut().nodes.get_mut(&hold.server).map(|n| &mut n.part) {
+                    b.answers.insert(key, body.clone());
+                }
+                hold.let_go(true);
+                if !(b.lose_every > 0 && no.is_multiple_of(b.lose_every)) {
+                    let _ = tx.send(body);
+                } else {
+                    // kept open and silent: its caller learns nothing
+                    w.way("outside").nap(RUN_MS * 2).await;
+                }
+            });
+            rx
+        };
+        let rx = self.depart(&c.gate, &c.addr, &c.key, go).await?;
         let back = tokio::select! {
             biased;
             r = rx => r.ok(),
