--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -131,7 +131,8 @@
         for l in self.all_lanes() {
             let l = grip(&l);
             demand.push((l.group.clone(), l.demand()));
-            held.extend(l.servers.iter().map(|(n, s)| Held {
+            // what is neither held nor used needs no word
+            held.extend(l.servers.iter().filter(|(_, s)| s.share + s.busy > 0).map(|(n, s)| Held {
                 server: n.clone(),
                 share: s.share,
                 busy: s.busy,
@@ -160,31 +161,35 @@
     /// Takes the core's answer to the renewal that was sent at `sent`.
     pub fn granted(&self, sent: u64, g: Grant) {
         let mut l = grip(&self.licence);
-        let mut v = (*self.view()).clone();
-        match g.update {
-            Update::Whole(w) => {
-                // never back to an older belief
-                if w.rev >= v.rev {
-                    v = *w;
-                }
-            }
+        let old = self.view();
+        let new = match g.update {
+            // never back to an older belief
+            Update::Whole(w) => (w.rev >= old.rev).then_some(*w),
+            Update::Events(es) if es.iter().all(|(r, _)| *r <= old.rev) => None,
             Update::Events(es) => {
+                let mut v = (*old).clone();
                 // several events may share a revision: what is new is settled before the first fold
-                let have = v.rev;
-                es.iter().filter(|(r, _)| *r > have).for_each(|(r, e)| v.fold(*r, e));
+                es.iter().filter(|(r, _)| *r > old.rev).for_each(|(r, e)| v.fold(*r, e));
+                Some(v)
             }
-        }
+        };
         let mut b = grip(&self.book);
         // a new leader remembers nothing: it gets every window again
         b.told = if g.term == l.term { b.sent } else { 0 };
         drop(b);
         (l.no, l.term) = (g.no, g.term);
         // the licence counts only on what has been applied
-        if v.rev >= g.rev {
+        if new.as_ref().map_or(old.rev, |v| v.rev) >= g.rev {
             l.until = sent + LICENCE_MS - DRIFT_MS;
         }
-        self.follow(&v, &g.shares);
-        *self.view.write().unwrap_or_else(|e| e.into_inner()) = Arc::new(v);
+        match new {
+            Some(v) => {
+                self.follow(&v, &g.shares);
+                *self.view.write().unwrap_or_else(|e| e.into_inner()) = Arc::new(v);
+            }
+            // nothing new but the shares
+            None => self.all_lanes().iter().for_each(|l| grip(l).share(&g.shares)),
+        }
     }
 
     fn follow(&self, v: &View, shares: &BTreeMap<String, u32>) {
--- a/hutbook/src/coordination/line.rs
+++ b/hutbook/src/coordination/line.rs
@@ -180,6 +180,13 @@
         self.servers.retain(|_, s| s.usable || s.busy > 0);
     }
 
+    /// New shares under the same view.
+    pub fn share(&mut self, shares: &BTreeMap<String, u32>) {
+        for (n, s) in &mut self.servers {
+            s.share = if s.usable { shares.get(n).copied().unwrap_or(0) } else { 0 };
+        }
+    }
+
     pub fn demand(&self) -> u32 {
         self.queued as u32 + self.busy
     }
--- a/hutbook/src/coordination/raft.rs
+++ b/hutbook/src/coordination/raft.rs
@@ -92,6 +92,9 @@
     matched: u64,
     round: u64,
     heard: u64,
+    /// Set while it isn't known where the partner's log ends: when it was last asked.
+    /// One append at a time then, or refusals of many would each bring the log again.
+    probe: Option<u64>,
     /// Bytes of a capture already taken by the partner, while one is under way.
     piece: Option<(u64, u64)>,
 }
@@ -413,7 +416,14 @@
         let ids: Vec<u64> = self.members().all().map(|m| m.id).filter(|i| *i != self.id).collect();
         self.partners.retain(|p, _| ids.contains(p));
         for p in ids {
-            self.partners.entry(p).or_insert(Partner { next, matched: 0, round: 0, heard: now, piece: None });
+            self.partners.entry(p).or_insert(Partner {
+                next,
+                matched: 0,
+                round: 0,
+                heard: now,
+                probe: None,
+                piece: None,
+            });
         }
     }
 
@@ -614,13 +624,19 @@
             p.matched = p.matched.max(at);
             p.next = p.next.max(at + 1);
             p.piece = None;
+            p.probe = None;
             if p.next <= last {
                 self.feed(now, from);
             }
         } else if at + 1 < p.next {
             // never below what it has already synced
-            p.next = (at + 1).max(p.matched + 1);
-            self.feed(now, from);
+            let back = (at + 1).max(p.matched + 1);
+            // only a refusal that leads further back is news
+            if back < p.next {
+                p.next = back;
+                p.probe = Some(0);
+                self.feed(now, from);
+            }
         }
         if self.aside.is_some() {
             self.try_aside(now);
@@ -633,6 +649,9 @@
         if p.next <= base {
             return self.feed_capture(to);
         }
+        if p.probe.is_some_and(|t| now < t + HEARTBEAT_MS) {
+            return;
+        }
         // a silent partner gets bare heartbeats, not the log again and again
         let quiet = now.saturating_sub(p.heard) > ELECTION_MS;
         let prev = p.next - 1;
@@ -647,7 +666,10 @@
                     break;
                 }
             }
-            p.next = (prev + entries.len() as u64 + 1).min(last + 1);
+            match &mut p.probe {
+                Some(t) => *t = now,
+                None => p.next = (prev + entries.len() as u64 + 1).min(last + 1),
+            }
         }
         let prev_term = self.term_at(prev).unwrap_or(0);
         let msg = RaftMsg::Append { term: self.term, prev, prev_term, entries, commit: self.commit, round: self.round };
@@ -875,3 +897,59 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A voter among three whose log ends with an entry of term 2, leading in a later term.
+    fn leader() -> Raft {
+        let m = |id| Member { id, addr: id.to_string() };
+        let members = Members { voters: vec![m(1), m(2), m(3)], learners: vec![] };
+        let entries = vec![
+            Entry { index: 1, term: 1, what: What::Members(members) },
+            Entry { index: 2, term: 2, what: What::Command(vec![7]) },
+        ];
+        let mut r = Raft::new(1, Boot { term: 3, entries, ..Boot::default() }, 1, 0);
+        let late = ELECTION_MS + ELECTION_SPREAD_MS;
+        r.step(late, In::Tick);
+        r.step(late, In::Msg { from: 2, msg: RaftMsg::Say { term: 4, pre: true, yes: true } });
+        let marks = r.mark;
+        r.step(late, In::Msg { from: 2, msg: RaftMsg::Say { term: 4, pre: false, yes: true } });
+        assert_eq!(r.role, Role::Candidate, "its own vote is not on disk yet");
+        r.step(late, In::Synced(marks));
+        assert_eq!(r.role, Role::Leader);
+        r
+    }
+
+    fn appended(at: u64) -> In {
+        In::Msg { from: 2, msg: RaftMsg::Appended { term: 4, yes: true, at, round: 0 } }
+    }
+
+    #[test]
+    fn an_older_entry_is_committed_only_with_one_of_this_term() {
+        // given a new leader whose log holds an entry of an older term
+        let mut r = leader();
+        let (now, mark) = (ELECTION_MS + ELECTION_SPREAD_MS, r.mark);
+        r.step(now, In::Synced(mark));
+        // when a quorum has that entry, then it is not committed: a later leader might replace it
+        r.step(now, appended(2));
+        assert_eq!(r.commit, 0);
+        // when a quorum has the leader's own first entry, then both are
+        r.step(now, appended(3));
+        assert_eq!(r.commit, 3);
+    }
+
+    #[test]
+    fn a_leader_counts_its_own_entry_only_once_it_is_synced() {
+        // given a leader whose disk has not answered for its first entry
+        let mut r = leader();
+        let now = ELECTION_MS + ELECTION_SPREAD_MS;
+        // when one partner has it, then that is no quorum of disks
+        r.step(now, appended(3));
+        assert_eq!(r.commit, 0);
+        let m = r.mark;
+        r.step(now, In::Synced(m));
+        assert_eq!(r.commit, 3);
+    }
+}
--- a/hutbook/src/coordination/shares.rs
+++ b/hutbook/src/coordination/shares.rs
@@ -31,15 +31,15 @@
     no: u64,
     sure: BTreeMap<String, u32>,
     sent: BTreeMap<String, u32>,
+    /// What of this edge is counted in the ledger's sums.
+    counted: BTreeMap<String, u32>,
 }
 
 impl EdgeBook {
-    /// The most this edge may have, or believe it may have, under way on a server.
-    fn taken(&self, server: &str, now: u64) -> u32 {
+    /// The most this edge may have under way on a server. A lapsed licence changes
+    /// nothing here: what was begun under it may still run, as in a frozen process.
+    fn taken(&self, server: &str) -> u32 {
         let busy = self.held.get(server).map_or(0, |h| h.busy);
-        if now > self.until {
-            return busy;
-        }
         let believed = self.sure.get(server).max(self.sent.get(server)).copied().unwrap_or(0);
         believed.max(busy)
     }
@@ -53,7 +53,14 @@
     pub edges: BTreeMap<u64, EdgeBook>,
     ramp: BTreeMap<String, (u64, u32)>,
     targets: BTreeMap<String, BTreeMap<u64, u32>>,
-    targets_at: Option<u64>,
+    aim_at: u64,
+    /// Revision that `open` and `bounds` were made for.
+    rev: u64,
+    /// Servers that may get work, with their group; and what each may have in use.
+    open: Vec<(String, String)>,
+    bounds: BTreeMap<String, u32>,
+    /// What all edges together may have under way on a server.
+    sums: BTreeMap<String, u32>,
 }
 
 impl Ledger {
@@ -79,24 +86,59 @@
         self.edges.values().map(|e| e.held.get(server).map_or(0, |h| h.busy)).sum()
     }
 
-    /// Slots the server may have in use fleet-wide now: cold ones earn theirs.
-    pub fn bound(&mut self, v: &View, server: &str) -> u32 {
-        let Some(s) = v.servers.get(server) else { return 0 };
-        let Some(g) = v.config.as_ref().and_then(|c| c.groups.get(&s.group)) else { return 0 };
-        let said = self.edges.values().filter_map(|e| e.held.get(server)).filter(|h| h.since == s.since);
-        let done: u64 = said.map(|h| h.done).sum();
-        let earned = RAMP_START + done / u64::from(g.warm_jobs.max(1));
-        let r = self.ramp.entry(server.to_string()).or_insert((s.since, 0));
-        if r.0 != s.since {
-            *r = (s.since, 0);
+    /// Slots each server may have in use fleet-wide now: cold ones earn theirs.
+    fn bind(&mut self, v: &View) {
+        let mut done: BTreeMap<&str, u64> = BTreeMap::new();
+        for h in self.edges.values().flat_map(|e| e.held.values()) {
+            if v.servers.get(&h.server).is_some_and(|s| s.since == h.since) {
+                *done.entry(&h.server).or_default() += h.done;
+            }
+        }
+        self.bounds.clear();
+        for (n, g) in &self.open {
+            let (Some(s), Some(g)) = (v.servers.get(n), v.config.as_ref().and_then(|c| c.groups.get(g))) else {
+                continue;
+            };
+            let earned = RAMP_START + done.get(n.as_str()).unwrap_or(&0) / u64::from(g.warm_jobs.max(1));
+            let r = self.ramp.entry(n.clone()).or_insert((s.since, 0));
+            if r.0 != s.since {
+                *r = (s.since, 0);
+            }
+            r.1 = r.1.max(earned.min(u64::from(u32::MAX)) as u32);
+            self.bounds.insert(n.clone(), r.1.min(g.in_flight));
         }
-        r.1 = r.1.max(earned.min(u64::from(u32::MAX)) as u32);
-        r.1.min(g.in_flight)
+    }
+
+    /// Brings the sums up to what this edge may hold now.
+    fn count(&mut self, node: u64) {
+        let Some(e) = self.edges.get_mut(&node) else { return };
+        let mut new: BTreeMap<String, u32> = BTreeMap::new();
+        for s in e.sure.keys().chain(e.sent.keys()).chain(e.held.keys()) {
+            if !new.contains_key(s) {
+                let t = e.taken(s);
+                if t > 0 {
+                    new.insert(s.clone(), t);
+                }
+            }
+        }
+        for (s, t) in &e.counted {
+            *self.sums.entry(s.clone()).or_default() -= t;
+        }
+        for (s, t) in &new {
+            *self.sums.entry(s.clone()).or_default() += t;
+        }
+        e.counted = new;
     }
 
     /// Forgets edges that can't have anything under way any more.
     pub fn sweep(&mut self, now: u64) {
-        self.edges.retain(|_, e| now < e.until + GONE_MS);
+        let gone: Vec<u64> = self.edges.iter().filter(|(_, e)| now >= e.until + GONE_MS).map(|(n, _)| *n).collect();
+        for n in gone {
+            let e = self.edges.remove(&n).expect("just listed");
+            for (s, t) in e.counted {
+                *self.sums.entry(s).or_default() -= t;
+            }
+        }
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -130,48 +172,58 @@
             }
         }
         e.held = held.into_iter().map(|h| (h.server.clone(), h)).collect();
+        self.count(node);
     }
 
     /// Shares for one edge, recorded as granted until they are acknowledged or lapse.
     pub fn grant(&mut self, now: u64, v: &View, node: u64) -> (u64, BTreeMap<String, u32>) {
         let young = self.young(now);
-        if self.targets_at.is_none_or(|t| now >= t + TARGETS_MS) {
+        if now >= self.aim_at || self.rev != v.rev {
             self.aim(now, v);
         }
-        let servers: Vec<String> = v.servers.keys().filter(|s| v.usable(s)).cloned().collect();
         let mut out = BTreeMap::new();
-        for s in servers {
-            let bound = self.bound(v, &s);
-            let e = &self.edges[&node];
+        let e = &self.edges[&node];
+        for (s, _) in &self.open {
+            let bound = self.bounds.get(s).copied().unwrap_or(0);
             let share = if young {
-                e.sure.get(&s).copied().unwrap_or(0)
+                e.sure.get(s).copied().unwrap_or(0)
             } else {
-                let others: u32 = self.edges.iter().filter(|(n, _)| **n != node).map(|(_, x)| x.taken(&s, now)).sum();
-                let aim = self.targets.get(&s).and_then(|t| t.get(&node)).copied().unwrap_or(0);
+                let others = self.sums.get(s).unwrap_or(&0) - e.counted.get(s).unwrap_or(&0);
+                let aim = self.targets.get(s).and_then(|t| t.get(&node)).copied().unwrap_or(0);
                 aim.min(bound.saturating_sub(others))
             };
             if share > 0 {
-                out.insert(s, share.min(bound));
+                out.insert(s.clone(), share.min(bound));
             }
         }
         let e = self.edges.get_mut(&node).expect("heard before it is granted");
         e.no += 1;
         e.sent = out.clone();
         e.until = now + LICENCE_MS + DRIFT_MS;
-        (e.no, out)
+        self.count(node);
+        (self.edges[&node].no, out)
     }
 
     /// Divides every server's bound by what the edges say they could use.
     fn aim(&mut self, now: u64, v: &View) {
-        self.targets_at = Some(now);
+        if self.rev != v.rev {
+            self.rev = v.rev;
+            let open = v.servers.values().filter(|s| v.usable(&s.name));
+            self.open = open.map(|s| (s.name.clone(), s.group.clone())).collect();
+        }
+        self.bind(v);
+        // a large fleet is divided less often, so that the work for it doesn't grow with the square
+        let size = self.edges.len() * self.open.len();
+        self.aim_at = now + TARGETS_MS * (1 + (size / TARGETS_SIZE) as u64);
         self.targets.clear();
-        let servers: Vec<(String, String)> =
-            v.servers.values().filter(|s| v.usable(&s.name)).map(|s| (s.name.clone(), s.group.clone())).collect();
-        for (s, g) in servers {
-            let bound = self.bound(v, &s);
-            let live = self.edges.iter().filter(|(_, e)| e.until >= now || e.no == 0);
-            let w: Vec<(u64, u32)> = live.map(|(n, e)| (*n, e.demand.get(&g).copied().unwrap_or(0) + 1)).collect();
-            self.targets.insert(s.clone(), divide(bound, &w, hash(&s)));
+        let mut weights: BTreeMap<&str, Vec<(u64, u32)>> = BTreeMap::new();
+        for (s, g) in &self.open {
+            let w = weights.entry(g).or_insert_with(|| {
+                let live = self.edges.iter().filter(|(_, e)| e.until >= now || e.no == 0);
+                live.map(|(n, e)| (*n, e.demand.get(g).copied().unwrap_or(0) + 1)).collect()
+            });
+            let bound = self.bounds.get(s).copied().unwrap_or(0);
+            self.targets.insert(s.clone(), divide(bound, w, hash(s)));
         }
     }
 }
@@ -189,12 +241,14 @@
         let exact = u64::from(bound) * u64::from(*w);
         let whole = (exact / sum) as u32;
         left -= whole;
-        out.insert(*n, whole);
+        if whole > 0 {
+            out.insert(*n, whole);
+        }
         rest.push((exact % sum, n.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt, *n));
     }
     rest.sort_unstable_by(|a, b| b.cmp(a));
     for (_, _, n) in rest.into_iter().take(left as usize) {
-        *out.get_mut(&n).expect("every weight has a share") += 1;
+        *out.entry(n).or_default() += 1;
     }
     out
 }
--- a/scramble/src/bin/nemesis.rs
+++ b/scramble/src/bin/nemesis.rs
@@ -3,6 +3,7 @@
 use scramble::catalogue::{run, Row, DRILLS};
 use scramble::flags::{number, parse};
 use scramble::nemesis::day;
+use scramble::scale::measure;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
@@ -48,9 +49,19 @@
     o.optopt("", "threads", "days at once (4)", "N");
     o.optflag("", "deeds", "say what was done on every day that broke a line");
     o.optflag("", "catalogue", "not random days, but every drill of the catalogue with each seed");
+    o.optflag("", "scale", "how letters and work grow with edges and servers");
     let m = parse(NAME, &mut o);
     let n = |k: &str, d| number(NAME, &m, k, d);
     let (from, seeds, blows) = (n("from", 1), n("seeds", 100), n("blows", 20));
+    if m.opt_present("scale") {
+        println!("edges servers  letters/s  letters/s and edge  ms of work for a second of the fleet");
+        for (e, s) in [(6, 12), (50, 250), (100, 500), (200, 1_000)] {
+            let x = measure(e, s);
+            let each = x.letters as f64 / x.edges as f64;
+            println!("{:>5} {:>7} {:>10} {each:>19.1} {:>38.0}", x.edges, x.servers, x.letters, x.work);
+        }
+        return;
+    }
     if m.opt_present("catalogue") {
         std::process::exit(i32::from(catalogue(from, seeds, n("threads", 4))));
     }
--- a/scramble/src/lib.rs
+++ b/scramble/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod fleet;
 pub mod nemesis;
 pub mod saw;
+pub mod scale;
 pub mod walk;
