--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -886,3 +886,33 @@
 pub fn ponder(s: &Scene) -> CoreAsk {
     CoreAsk::Thought { term: s.term, decision: Box::new(scaler::decide(s)), sample: Box::new(s.sample(OUTSIDE)) }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_decided_under_an_old_term_is_void() {
+        // given a core, and a decision begun under term 1
+        let mut c = Core::new();
+        c.apply(1, 1, &Core::founding(7));
+        let d = Decision {
+            course: Course::Stay,
+            abnormal: vec![],
+            ranks: vec![],
+            moves: vec![],
+            judge: String::new(),
+            reasons: vec![],
+            load: BTreeMap::new(),
+        };
+        let s = Sample { counts: BTreeMap::new(), load: BTreeMap::new(), ok: true };
+        let cmd = to_bytes(&CoreCmd::Decided { term: 1, decision: Box::new(d), sample: Box::new(s) });
+        // when it comes to be applied under term 2, then nothing of it is kept
+        let t = c.apply(2, 2, &cmd);
+        assert!(matches!(t, CoreTell::Refused { code, .. } if code == "stale_term"));
+        assert!(c.kept.decisions.is_empty() && c.kept.samples.is_empty());
+        // and under its own term it is
+        c.apply(3, 1, &cmd);
+        assert_eq!(c.kept.decisions.len(), 1);
+    }
+}
--- a/hutbook/src/coordination/store.rs
+++ b/hutbook/src/coordination/store.rs
@@ -486,3 +486,42 @@
     let odd = m.all().find(|x| !want(x.id) && x.id != raft.id).or(m.all().find(|x| !want(x.id)));
     odd.map(|x| Change::Remove(x.id))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn apply(s: &mut Store, clock: u64, ask: Option<StoreAsk>) -> StoreTell {
+        s.apply(0, 1, &to_bytes(&StoreCmd { clock, ask }))
+    }
+
+    #[test]
+    fn a_turn_whose_edge_vanished_is_settled_at_its_full_cap() {
+        // given a program with an open turn of cap 40
+        let mut s = Store::default();
+        let put = StoreAsk::Put { id: "p".into(), allowance: 50, time_left_ms: 600_000, retention_ms: 600_000 };
+        apply(&mut s, 1, Some(put));
+        let i = Intent {
+            program: "p".into(),
+            key: "k".into(),
+            digest: 3,
+            route: "chat".into(),
+            once_only: false,
+            edge: 9,
+            attempt: 0,
+            server: "m".into(),
+            cap: 40,
+            run_ms: 1_000,
+            retention_ms: 600_000,
+            group: "lang".into(),
+            nonce: 5,
+        };
+        assert!(matches!(apply(&mut s, 2, Some(StoreAsk::Begin(i))), StoreTell::Go(_)));
+        // when its run can't be going on any more and nobody has settled it
+        apply(&mut s, 2 + DISPATCH_MS + 1_000, None);
+        // then it is in doubt, and counts as if all of its cap had been handed out
+        assert!(matches!(s.known("p", "k", 3), Some(StoreTell::Ended(e)) if e.verdict == Verdict::InDoubt));
+        let p = &s.kept.programs["p"];
+        assert_eq!((p.spent, p.reserved), (40, 0));
+    }
+}
