--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -915,4 +915,47 @@
         c.apply(3, 1, &cmd);
         assert_eq!(c.kept.decisions.len(), 1);
     }
+
+    #[test]
+    fn a_decision_is_dropped_when_its_workload_moved_meanwhile() {
+        use crate::state::config::{Group, Kind, Limits, Tuning};
+        // given a core that measures ten requests a second into one group
+        let mut c = Core::new();
+        let g = Group {
+            kind: Kind::Model,
+            slo_ms: 500,
+            least: 1,
+            most: 4,
+            in_flight: 4,
+            warm_jobs: 1,
+            pressure_most: 4.0,
+            cache_most: 0.9,
+        };
+        let groups = BTreeMap::from([("lang".to_string(), g)]);
+        let config = Config {
+            groups,
+            routes: BTreeMap::new(),
+            work: BTreeMap::new(),
+            scaler: Tuning::default(),
+            limits: Limits::default(),
+        };
+        c.emit(1, Event::Config { text: String::new(), config });
+        for slot in 0..4 {
+            let h = c.merged.entry(slot).or_default().pairs.entry((OUTSIDE.into(), "lang".into())).or_default();
+            (0..50).for_each(|_| h.add(100));
+        }
+        let decided_at = |load: f64| Decision {
+            course: Course::Grow,
+            abnormal: vec![],
+            ranks: vec![],
+            moves: vec![scaler::Move { group: "lang".into(), from: 1, to: 2 }],
+            judge: String::new(),
+            reasons: vec![],
+            load: BTreeMap::from([("lang".to_string(), load)]),
+        };
+        let st = Stand { now: 4 * WINDOW_MS, term: 1 };
+        // when it was decided on about that load, then it stands; on three times as much, it doesn't
+        assert_eq!(c.moved(st, &decided_at(12.0)), None);
+        assert!(c.moved(st, &decided_at(30.0)).is_some_and(|w| w.contains("moved")));
+    }
 }
