--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -102,8 +102,6 @@
 pub const WINDOWS_KEPT: usize = 24;
 /// ms. The scaler looks this often.
 pub const CHECK_MS: u64 = 15_000;
-/// samples. Per edge and window; beyond it a fixed-step thinning keeps the order statistics honest.
-pub const WINDOW_SAMPLES: usize = 512;
 
 /// bytes. Largest frame between our processes.
 pub const FRAME_BYTES: usize = 8 * 1024 * 1024;
--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -869,16 +869,13 @@
         if let Some(d) = dead.filter(|_| alive >= CORE_LEAST) {
             return Some(Change::Remove(d.id));
         }
-        let ready = |l: &&Member| {
-            of(l.id).is_some_and(|h| h.1 > 0 && h.1 + PROMOTE_LAG >= raft.last() && now < h.2 + ELECTION_MS)
-        };
         // removed by an operator: the leader itself goes last
         let gone = m.all().filter(|x| self.kept.retired.contains(&x.id));
         if let Some(g) = gone.max_by_key(|x| x.id != raft.id) {
             return Some(Change::Remove(g.id));
         }
         let room = m.voters.len() < CORE_VOTERS || dead.is_some();
-        m.learners.iter().find(ready).filter(|_| room).map(|l| Change::Promote(l.id))
+        m.learners.iter().find(|l| raft.caught_up(now, l.id)).filter(|_| room).map(|l| Change::Promote(l.id))
     }
 }
 
--- a/hutbook/src/coordination/raft.rs
+++ b/hutbook/src/coordination/raft.rs
@@ -212,6 +212,13 @@
         self.partners.iter().map(|(p, x)| (*p, x.matched, x.heard)).collect()
     }
 
+    /// Is this partner live, and near enough to the end of the log to vote?
+    pub fn caught_up(&self, now: u64, id: u64) -> bool {
+        self.partners.get(&id).is_some_and(|p| {
+            p.matched > 0 && p.matched + PROMOTE_LAG >= self.last() && now.saturating_sub(p.heard) <= ELECTION_MS
+        })
+    }
+
     /// A disk that has not answered within its bound: no vote, no yes, no lead.
     pub fn disk_late(&self, now: u64) -> bool {
         self.held.front().is_some_and(|h| now.saturating_sub(h.since) > DISK_BOUND_MS)
@@ -806,10 +813,8 @@
                 let Some(i) = m.learners.iter().position(|x| x.id == id) else {
                     return Err("it is not a learner".into());
                 };
-                let p = self.partners.get(&id).ok_or("it is not known yet")?;
                 // a voter that is far behind would weaken the group it joins
-                if p.matched == 0 || p.matched + PROMOTE_LAG < self.last() || now.saturating_sub(p.heard) > ELECTION_MS
-                {
+                if !self.caught_up(now, id) {
                     return Err("it has not caught up yet".into());
                 }
                 let x = m.learners.remove(i);
--- a/hutbook/src/coordination/store.rs
+++ b/hutbook/src/coordination/store.rs
@@ -471,13 +471,7 @@
     if let Some(w) = wanted.iter().find(|w| m.all().any(|x| x.id == w.id && x.addr != w.addr)) {
         return Some(Change::Readdress(w.clone()));
     }
-    let caught = |id: u64| {
-        let p = raft.heard().into_iter().find(|(p, _, _)| *p == id);
-        p.is_some_and(|(_, at, heard)| {
-            at > 0 && at + PROMOTE_LAG >= raft.last() && now.saturating_sub(heard) <= ELECTION_MS
-        })
-    };
-    if let Some(l) = m.learners.iter().find(|l| want(l.id) && caught(l.id)) {
+    if let Some(l) = m.learners.iter().find(|l| want(l.id) && raft.caught_up(now, l.id)) {
         return Some(Change::Promote(l.id));
     }
     if m.learners.iter().any(|l| want(l.id)) {
--- a/hutbook/src/state/disk.rs
+++ b/hutbook/src/state/disk.rs
@@ -35,6 +35,17 @@
     pub capture: Option<Capture>,
 }
 
+impl Boot {
+    /// What a group's founder starts from: itself as the only member, and a first command.
+    pub fn founding(id: u64, addr: &str, first: Option<Vec<u8>>) -> Boot {
+        let voters = vec![Member { id, addr: addr.into() }];
+        let members = What::Members(Members { voters, learners: vec![] });
+        let whats = std::iter::once(members).chain(first.map(What::Command));
+        let entries = whats.zip(1..).map(|(what, index)| Entry { index, term: 1, what }).collect();
+        Boot { term: 1, entries, ..Boot::default() }
+    }
+}
+
 #[derive(Debug)]
 pub enum DiskError {
     /// The folder is not ours, or is damaged; says what to do about it.
@@ -167,11 +178,8 @@
         if !b.entries.is_empty() || b.capture.is_some() {
             return Ok(false);
         }
-        let voters = vec![Member { id: self.id, addr: addr.into() }];
-        let members = What::Members(Members { voters, learners: vec![] });
-        let whats = std::iter::once(members).chain(first.map(What::Command));
-        let entries = whats.zip(1..).map(|(what, index)| Entry { index, term: 1, what }).collect();
-        self.write(&[DiskOp::Meta { term: 1, voted: None }, DiskOp::Append { entries }])?;
+        let f = Boot::founding(self.id, addr, first);
+        self.write(&[DiskOp::Meta { term: f.term, voted: f.voted }, DiskOp::Append { entries: f.entries }])?;
         Ok(true)
     }
 
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -150,7 +150,7 @@
             let cluster = w.rng.next_u64();
             w.cluster = cluster;
             let n = w.nodes.get_mut(&name).expect("just added");
-            n.disk.synced = founding(n.id, &name, Some(Core::founding(cluster)));
+            n.disk.synced = Boot::founding(n.id, &name, Some(Core::founding(cluster)));
         }
         self.boot(&name);
     }
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 use hutbook::coordination::store::{Store, StoreTell};
 use hutbook::protocol::wire::{Body, CORE};
 use hutbook::state::disk::{Boot, DiskOp};
-use hutbook::state::entry::{Entry, Member, Members, What};
+use hutbook::state::entry::Member;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -400,7 +400,7 @@
         match (d.group, replica) {
             (Some(g), None) => {
                 if d.founder && n.disk.synced == Boot::default() {
-                    n.disk.synced = founding(n.id, name, None);
+                    n.disk.synced = Boot::founding(n.id, name, None);
                 }
                 *group = Some(g);
                 let (r, f) = Replica::new(n.id, n.disk.synced.clone(), Store::default(), seed, now);
@@ -428,15 +428,6 @@
     }
 }
 
-/// What a founder's disk holds before its first start.
-fn founding(id: u64, addr: &str, first: Option<Vec<u8>>) -> Boot {
-    let voters = vec![Member { id, addr: addr.into() }];
-    let m = What::Members(Members { voters, learners: vec![] });
-    let whats = std::iter::once(m).chain(first.map(What::Command));
-    let entries = whats.zip(1..).map(|(what, index)| Entry { index, term: 1, what }).collect();
-    Boot { term: 1, entries, ..Boot::default() }
-}
-
 fn check_in(n: &Node, name: &str) -> Option<CheckIn> {
     let Part::Store { group, replica, .. } = &n.part else { return None };
     let leads = match (group, replica) {
