--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -52,6 +52,10 @@
         #[n(2)] pub rev: u64,
         #[n(3)] pub update: Update,
         #[n(4)] pub shares: BTreeMap<String, u32>,
+        /// Jobs a second that this edge may send to each cold server that takes work passed through.
+        #[cbor(n(5), default)] pub cold: BTreeMap<String, u32>,
+        /// Edges that hold a licence.
+        #[cbor(n(6), default)] pub edges: u32,
     }
     pub struct CheckIn {
         #[n(0)] pub me: Member,
@@ -60,6 +64,8 @@
         #[n(2)] pub leads: Option<(u32, Members)>,
         /// Its group's open jobs, if the core's last answer asked for them.
         #[n(3)] pub open: Option<OpenJobs>,
+        /// What operators call this machine; empty where it has no name.
+        #[cbor(n(4), default)] pub name: String,
     }
     #[derive(Default)]
     pub struct Duty {
@@ -78,7 +84,8 @@
         #[n(0)] Renew(#[n(0)] Renewal),
         #[n(1)] CheckIn(#[n(0)] CheckIn),
         #[n(2)] Join(#[n(0)] Member),
-        #[n(3)] PutConfig { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config> },
+        /// `number` is the operator's own, which must rise, and then `base` is one of those; 0 where there is none.
+        #[n(3)] PutConfig { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64 },
         #[n(4)] GetConfig(#[n(0)] u64),
         #[n(5)] Configs,
         #[n(6)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
@@ -95,8 +102,25 @@
         #[n(16)] Places,
         #[n(17)] Scaler,
         #[n(18)] Status,
+        /// The whole list of servers as their directory has it, from the leader's poller.
+        #[n(20)] Directory { #[n(0)] term: u64, #[n(1)] servers: Vec<Listing> },
+        /// A store machine by its name.
+        #[n(21)] RetireNamed(#[n(0)] String),
+        #[n(22)] RetirementNamed(#[n(0)] String),
         #[n(19)] Thought { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
     }
+    /// One server as a directory lists it.
+    #[derive(Eq)]
+    pub struct Listing {
+        /// Names one life of one server.
+        #[n(0)] pub name: String,
+        #[n(1)] pub group: String,
+        #[n(2)] pub addr: String,
+        #[n(3)] pub cell: String,
+        #[n(4)] pub slots: u32,
+        #[n(5)] pub leaving: bool,
+        #[n(6)] pub cold: bool,
+    }
     pub enum CoreTell {
         #[n(0)] Grant(#[n(0)] Box<Grant>),
         #[n(1)] Duty(#[n(0)] Duty),
@@ -114,7 +138,7 @@
     }
     enum CoreCmd {
         #[n(0)] Found(#[n(0)] u64),
-        #[n(1)] Config { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config> },
+        #[n(1)] Config { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64 },
         #[n(2)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
         #[n(3)] Leave(#[n(0)] String),
         #[n(4)] Remove(#[n(0)] String),
@@ -237,12 +261,22 @@
         CoreTell::Agreed(rev)
     }
 
-    fn put_config(&mut self, rev: u64, base: u64, change: String, text: String, config: Config) -> CoreTell {
+    fn put_config(
+        &mut self,
+        rev: u64,
+        base: u64,
+        change: String,
+        text: String,
+        config: Config,
+        number: u64,
+    ) -> CoreTell {
         if let Some(t) = self.changed(&change, &text) {
             return t;
         }
-        let cur = self.kept.view.config_rev;
-        let won = base == cur;
+        // an operator who numbers configs builds on those numbers, and they rise
+        let v = &self.kept.view;
+        let cur = if number > 0 { v.config_number } else { v.config_rev };
+        let won = base == cur && (number == 0 || number > cur);
         self.kept.changes.push_back((change.clone(), won, if won { rev } else { cur }, hash(&text)));
         if self.kept.changes.len() > CHANGES_KEPT {
             self.kept.changes.pop_front();
@@ -259,7 +293,7 @@
             let c = self.kept.view.wanted.get(n).copied().unwrap_or(g.least).clamp(g.least, g.most);
             self.emit(rev, Event::Wanted { group: n.clone(), count: c });
         }
-        self.emit(rev, Event::Config { text, config });
+        self.emit(rev, Event::Config { text, config, number });
         self.done(rev)
     }
 
@@ -279,7 +313,20 @@
         if old.is_some_and(|s| !s.leaving && (&s.group, &s.addr, &s.cell) == (&group, &addr, &cell)) {
             return CoreTell::Agreed(self.kept.view.rev);
         }
-        self.emit(rev, Event::Server(Server { name, group, addr, cell, leaving: false, since: rev, born: 0 }));
+        self.emit(
+            rev,
+            Event::Server(Server {
+                name,
+                group,
+                addr,
+                cell,
+                leaving: false,
+                since: rev,
+                born: 0,
+                slots: 0,
+                cold: false,
+            }),
+        );
         self.done(rev)
     }
 
@@ -382,7 +429,15 @@
             Some(e) if r.have <= self.kept.view.rev && (r.have > 0 || self.kept.view.rev == 0) => Update::Events(e),
             _ => Update::Whole(Box::new(self.kept.view.clone())),
         };
-        CoreTell::Grant(Box::new(Grant { no, term: st.term, rev: self.kept.view.rev, update, shares }))
+        CoreTell::Grant(Box::new(Grant {
+            no,
+            term: st.term,
+            rev: self.kept.view.rev,
+            update,
+            shares,
+            cold: BTreeMap::new(),
+            edges: self.ledger.live(st.now) as u32,
+        }))
     }
 
     fn take_windows(&mut self, now: u64, node: u64, ws: Vec<Window>) {
@@ -762,11 +817,11 @@
                 }
                 CoreCmd::Dismiss(id)
             }
-            CoreAsk::PutConfig { base, change, text, config } => {
+            CoreAsk::PutConfig { base, change, text, config, number } => {
                 if let Some(t) = self.changed(&change, &text) {
                     return Plan::Tell(t);
                 }
-                CoreCmd::Config { base, change, text, config }
+                CoreCmd::Config { base, change, text, config, number }
             }
             CoreAsk::List { name, group, addr, cell } => CoreCmd::List { name, group, addr, cell },
             CoreAsk::Leave(n) => CoreCmd::Leave(n),
@@ -831,7 +886,9 @@
                 }
                 CoreTell::Agreed(index)
             }
-            CoreCmd::Config { base, change, text, config } => self.put_config(index, base, change, text, *config),
+            CoreCmd::Config { base, change, text, config, number } => {
+                self.put_config(index, base, change, text, *config, number)
+            }
             CoreCmd::List { name, group, addr, cell } => self.list(index, name, group, addr, cell),
             CoreCmd::Leave(n) => self.leave(index, &n),
             CoreCmd::Remove(n) => {
@@ -1021,6 +1078,7 @@
             warm_jobs: 1,
             pressure_most: 4.0,
             cache_most: 0.9,
+            pass: None,
         };
         let groups = BTreeMap::from([("lang".to_string(), g)]);
         let config = Config {
@@ -1029,8 +1087,9 @@
             work: BTreeMap::new(),
             scaler: Tuning::default(),
             limits: Limits::default(),
+            ways: BTreeMap::new(),
         };
-        c.emit(1, Event::Config { text: String::new(), config });
+        c.emit(1, Event::Config { text: String::new(), config, number: 0 });
         for slot in 0..4 {
             let h = c.merged.entry(slot).or_default().pairs.entry((OUTSIDE.into(), "lang".into())).or_default();
             (0..50).for_each(|_| h.add(100));
--- a/hutbook/src/coordination/line.rs
+++ b/hutbook/src/coordination/line.rs
@@ -463,6 +463,7 @@
             warm_jobs: 1,
             pressure_most: 4.0,
             cache_most: 0.9,
+            pass: None,
         };
         let work = |w, r| Work { wait_ms: w, rank: r };
         let works = BTreeMap::from([("urgent".to_string(), work(100, 0)), ("review".to_string(), work(4_000, 2))]);
@@ -532,6 +533,7 @@
             work: BTreeMap::from([("urgent".to_string(), Work { wait_ms: 100, rank: 0 })]),
             scaler: Tuning::default(),
             limits: Limits::default(),
+            ways: BTreeMap::new(),
         };
         l.follow(&View { config: Some(config), ..View::default() }, &BTreeMap::new());
         // then it waits on as it would have, and is told at its own bound
--- a/hutbook/src/coordination/store.rs
+++ b/hutbook/src/coordination/store.rs
@@ -84,6 +84,49 @@
         /// The making of the program that was looked up.
         #[n(15)] pub since: u64,
     }
+    /// One turn of work passed through, as it was said and answered.
+    pub struct Link {
+        #[n(0)] pub turn: String,
+        #[cbor(n(1), with = "minicbor::bytes")] pub said: Vec<u8>,
+        /// The data of each event, each followed by a line feed.
+        #[cbor(n(2), with = "minicbor::bytes")] pub answer: Vec<u8>,
+    }
+    /// A turn of work passed through asks whether it may run: before its first byte goes to a server.
+    pub struct TurnLeave {
+        /// Never comes again.
+        #[n(0)] pub turn: String,
+        #[n(1)] pub program: String,
+        /// One line of turns.
+        #[n(2)] pub session: String,
+        /// The turn it goes on from, where the way keeps turns; empty at the start.
+        #[n(3)] pub before: String,
+        /// Tokens that all turns of the program may put out; u64::MAX where none is said.
+        #[n(4)] pub budget: u64,
+        /// The most that this turn puts out.
+        #[n(5)] pub cap: u64,
+        #[n(6)] pub edge: u64,
+        /// ms. Once leave is given it can't be under way for longer than this.
+        #[n(7)] pub run_ms: u64,
+        /// ms. A turn it goes on from is kept at least this much longer, with its chain.
+        #[n(8)] pub retention_ms: u64,
+        /// Turns of the chain that this edge holds already: their texts needn't be sent.
+        #[n(9)] pub have: Vec<String>,
+    }
+    /// The end of such a turn, before its last event is given.
+    pub struct TurnEnd {
+        #[n(0)] pub turn: String,
+        #[n(1)] pub program: String,
+        #[n(2)] pub session: String,
+        #[n(3)] pub before: String,
+        #[n(4)] pub edge: u64,
+        /// Tokens that it put out at the most.
+        #[n(5)] pub tokens: u64,
+        /// Where it ran; empty where it did not.
+        #[n(6)] pub server: String,
+        /// Its own link, where it ended whole and its way keeps turns.
+        #[n(7)] pub kept: Option<Link>,
+        #[n(8)] pub retention_ms: u64,
+    }
     pub enum StoreAsk {
         #[n(0)] Put { #[n(0)] id: String, #[n(1)] allowance: u64, #[n(2)] time_left_ms: u64, #[n(3)] retention_ms: u64 },
         #[n(1)] Program { #[n(0)] id: String },
@@ -97,6 +140,8 @@
         #[n(6)] Status,
         /// Jobs whose intents stand, by edge and server.
         #[n(7)] Open,
+        #[n(8)] TurnLeave(#[n(0)] TurnLeave),
+        #[n(9)] TurnEnd(#[n(0)] TurnEnd),
     }
     pub enum StoreTell {
         #[n(0)] Program(#[n(0)] Program, #[n(1)] u64),
@@ -116,6 +161,13 @@
         #[n(12)] Busy,
         #[n(13)] WrongGroup,
         #[n(14)] Open(#[n(0)] Vec<OpenAt>),
+        /// It may run. The chain before it, oldest first (texts only of what the edge doesn't hold),
+        /// and the server where its line of turns ran last.
+        #[n(15)] TurnMay { #[n(0)] chain: Vec<Link>, #[n(1)] server: String },
+        /// The program's budget is spent: the turn is not run.
+        #[n(16)] TurnSpent,
+        /// The turn that it names is not kept.
+        #[n(17)] TurnUnknown,
     }
     struct StoreCmd {
         /// ms. The store's clock as the leader counts it.
--- a/hutbook/src/coordination/view.rs
+++ b/hutbook/src/coordination/view.rs
@@ -16,6 +16,10 @@
         #[n(5)] pub since: u64,
         /// When its process started, as it says itself; 0 until it has been heard to.
         #[n(6)] pub born: u64,
+        /// Jobs it runs at once, as its directory says; 0 where nothing is said.
+        #[cbor(n(7), default)] pub slots: u32,
+        /// Slow since its start, as its directory says: bound by the group's cold rate.
+        #[cbor(n(8), default)] pub cold: bool,
     }
     pub struct Spot {
         #[n(0)] pub since: u64,
@@ -33,7 +37,7 @@
     }
     pub enum Event {
         #[n(0)] Cluster(#[n(0)] u64),
-        #[n(1)] Config { #[n(0)] text: String, #[n(1)] config: Config },
+        #[n(1)] Config { #[n(0)] text: String, #[n(1)] config: Config, #[cbor(n(2), default)] number: u64 },
         #[n(2)] Server(#[n(0)] Server),
         #[n(3)] Gone(#[n(0)] String),
         #[n(4)] Cell { #[n(0)] cell: String, #[n(1)] out: bool },
@@ -64,6 +68,8 @@
         #[n(11)] pub cores: Vec<Member>,
         /// Groups that a config has removed and jobs may still wait for: as they were.
         #[n(12)] pub fading: BTreeMap<String, Group>,
+        /// The operator's own number of the config in force; 0 where it has none.
+        #[cbor(n(13), default)] pub config_number: u64,
     }
 }
 
@@ -72,7 +78,8 @@
         self.rev = rev;
         match e.clone() {
             Event::Cluster(c) => self.cluster = c,
-            Event::Config { text, config } => {
+            Event::Config { text, config, number } => {
+                self.config_number = number;
                 // what was accepted under the old config is served under it
                 let old = self.config.take().map(|c| c.groups).unwrap_or_default();
                 self.fading.extend(old);
--- a/hutbook/src/protocol/config.rs
+++ b/hutbook/src/protocol/config.rs
@@ -19,6 +19,7 @@
         work: each(&mut r, &v, "work", work),
         scaler: tuning(&mut r, &v["scaler"]),
         limits: limits(&mut r, &v["limits"]),
+        ways: BTreeMap::new(),
     };
     // what one part names must stand in another
     for (n, x) in &c.routes {
@@ -84,6 +85,7 @@
         warm_jobs: r.whole(p, v, "warm_jobs", Some(1), 1, 10_000) as u32,
         pressure_most: r.number(p, v, "pressure_most", Some(8.0), 0.0, 1e6),
         cache_most: r.number(p, v, "cache_most", Some(0.9), 0.0, 1.0),
+        pass: None,
     };
     if g.least > g.most {
         r.find(&at(p, "least"), format!("is {}, more than most ({})", g.least, g.most));
--- a/hutbook/src/state/config.rs
+++ b/hutbook/src/state/config.rs
@@ -21,6 +21,57 @@
         /// Pressure (waiting jobs) and share of KV cache above which the preferred server is passed over.
         #[n(6)] pub pressure_most: f64,
         #[n(7)] pub cache_most: f64,
+        /// Servers that take work passed through; none: turns and tool calls of our own interface.
+        #[n(8)] pub pass: Option<PassGroup>,
+    }
+    /// What is known of servers that take work passed through. Warm ones turn surplus away
+    /// unharmed, so their slots are not divided among edges; cold ones are bound by rate.
+    pub struct PassGroup {
+        /// Sessions that one server takes from the whole fleet.
+        #[n(0)] pub sessions_most: u32,
+        /// A cold server bears this many jobs a second from the whole fleet; 0: it is never cold.
+        #[n(1)] pub cold_per_s: f64,
+        /// Tokens of its cache; 0 where it keeps none.
+        #[n(2)] pub cache_tokens: u64,
+        /// Tokens in one event of its streams.
+        #[n(3)] pub piece_tokens: u64,
+        /// Jobs that it runs in one batch; 0 where it doesn't batch.
+        #[n(4)] pub batch: u32,
+        #[n(5)] pub health_path: String,
+    }
+    #[derive(Copy, Eq)]
+    pub enum Nature {
+        /// May run more than once.
+        #[n(0)] Repeatable,
+        /// At most once for each try of a user agent.
+        #[n(1)] OnceOnly,
+        /// A row of events, once only unless it may be resumed.
+        #[n(2)] Stream,
+    }
+    /// Where work passed through goes: chosen by host and longest prefix.
+    pub struct Way {
+        #[n(0)] pub host: String,
+        /// Begins and ends with a slash.
+        #[n(1)] pub prefix: String,
+        /// (group, weight).
+        #[n(2)] pub to: Vec<(String, u32)>,
+        #[n(3)] pub nature: Nature,
+        /// A stream may be taken up at another server after the last event that was passed on.
+        #[n(4)] pub resumable: bool,
+        /// Turns bring their new input alone; what was said before them is kept here.
+        #[n(5)] pub kept: bool,
+        #[n(6)] pub retention_ms: u64,
+        #[n(7)] pub timeout_ms: u64,
+        /// ms. Within this an answer (a stream's first event) is in time.
+        #[n(8)] pub aim_ms: u64,
+        /// ms. Longest pause between events that is still in time; 0 where none is said.
+        #[n(9)] pub gap_ms: u64,
+        /// 0 goes first.
+        #[n(10)] pub rank: u32,
+        /// Servers that one try may be sent to.
+        #[n(11)] pub tries: u32,
+        /// A server that saw the same thing lately works faster.
+        #[n(12)] pub pinned: bool,
     }
     pub struct Route {
         #[n(0)] pub group: String,
@@ -70,6 +121,8 @@
         #[n(2)] pub work: BTreeMap<String, Work>,
         #[n(3)] pub scaler: Tuning,
         #[n(4)] pub limits: Limits,
+        /// Work passed through, by name.
+        #[cbor(n(5), default)] pub ways: BTreeMap<String, Way>,
     }
 }
 
--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -78,7 +78,7 @@
         Some(_) => return Err(Said::no(422, "bad_change_id", "a change id is a name")),
         None => format!("{:016x}", draw()),
     };
-    Ok(CoreAsk::PutConfig { base, change, text: a.body.clone(), config: Box::new(c) })
+    Ok(CoreAsk::PutConfig { base, change, text: a.body.clone(), config: Box::new(c), number: 0 })
 }
 
 fn list(name: String, body: &str) -> Result<CoreAsk, Said> {
--- a/huts/src/bin/bothy.rs
+++ b/huts/src/bin/bothy.rs
@@ -122,7 +122,7 @@
             if let (Some(d), Some((g, _))) = (asked.take(), &leads) {
                 open = open_jobs(&reach.way, &self.me.addr, *g, &d).await;
             }
-            let c = CheckIn { me: self.me.clone(), cell: self.cell.clone(), leads, open };
+            let c = CheckIn { me: self.me.clone(), cell: self.cell.clone(), leads, open, name: String::new() };
             let mut addrs: Vec<String> = cores.iter().map(|m| m.addr.clone()).collect();
             addrs.extend(self.seeds.iter().cloned());
             if let Some(CoreTell::Duty(d)) = reach.core(&addrs, CoreAsk::CheckIn(c), OPERATOR_MS, CALL_MS).await {
--- a/scramble/src/fleet/callers.rs
+++ b/scramble/src/fleet/callers.rs
@@ -82,7 +82,7 @@
     pub fn put(&self, base: u64, change: &str, text: &str) -> Option<CoreTell> {
         let config = Box::new(config::read(text).expect("a good config"));
         self.plan();
-        let t = self.operate(CoreAsk::PutConfig { base, change: change.into(), text: text.into(), config });
+        let t = self.operate(CoreAsk::PutConfig { base, change: change.into(), text: text.into(), config, number: 0 });
         self.note_config(change, &t);
         t
     }
@@ -105,8 +105,13 @@
         let config = config::read(text).expect("a good config");
         let out: std::rc::Rc<std::cell::RefCell<Vec<Option<CoreTell>>>> = Default::default();
         for change in [a, b] {
-            let ask =
-                CoreAsk::PutConfig { base, change: change.into(), text: text.into(), config: Box::new(config.clone()) };
+            let ask = CoreAsk::PutConfig {
+                base,
+                change: change.into(),
+                text: text.into(),
+                config: Box::new(config.clone()),
+                number: 0,
+            };
             let (o, w, change) = (out.clone(), self.clone(), change.to_string());
             self.spawn("outside", async move {
                 let addrs = w.names("refuge");
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -462,5 +462,11 @@
         (Some(g), Some(r)) if r.leads() => Some((*g, r.raft.members().clone())),
         _ => None,
     };
-    Some(CheckIn { me: Member { id: n.id, addr: name.into() }, cell: n.cell.clone(), leads, open: None })
+    Some(CheckIn {
+        me: Member { id: n.id, addr: name.into() },
+        cell: n.cell.clone(),
+        leads,
+        open: None,
+        name: String::new(),
+    })
 }
