--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -105,7 +105,7 @@
 /// bytes. Largest frame between our processes.
 pub const FRAME_BYTES: usize = 8 * 1024 * 1024;
 /// bytes. Largest body from a caller or an operator.
-pub const BODY_BYTES: usize = 1024 * 1024;
+pub const BODY_BYTES: usize = 4 * 1024 * 1024;
 /// messages. Waiting to be written to one partner; beyond it they are dropped, as a network would.
 pub const OUTBOX: usize = 4_096;
 /// ms. A write to a partner that takes longer ends the session.
@@ -187,3 +187,55 @@
 pub const CHANGES_KEPT: usize = 256;
 /// events. Kept for edges that are a little behind; older ones get a whole capture.
 pub const FEED_EVENTS: usize = 2_048;
+/// ms. Connecting to a server that takes work passed through: a few round trips; a dead one says nothing.
+pub const PASS_CONNECT_MS: u64 = 250;
+/// ms. An idle session to a server is used again for this long where the server says nothing.
+pub const PASS_KEEP_MS: u64 = 800;
+/// ms. Taken off the time that a server says it keeps idle sessions.
+pub const PASS_KEEP_ROOM_MS: u64 = 400;
+/// ms. Longest that an idle session is used again, whatever the server says.
+pub const PASS_KEEP_MOST_MS: u64 = 10_000;
+/// answers. Surplus ones of other jobs that are read past before a session is given up.
+pub const PASS_SURPLUS: usize = 3;
+/// ms. A job that may run once only uses an idle session that was used this lately: servers close
+/// those that have been idle for longer, and what is written into a closing one may have run.
+pub const PASS_ONCE_IDLE_MS: u64 = 500;
+/// ms. Between looks for a place by a job that found none.
+pub const PASS_LOOK_MS: u64 = 10;
+/// ms. A server that failed a job gets none that could go elsewhere for this long, doubling.
+pub const PASS_OUT_MS: u64 = 250;
+/// ms. Longest that such a server is left out before it is tried again.
+pub const PASS_OUT_MOST_MS: u64 = 4_000;
+/// parts. Of prompts, remembered for each server as kept there; the eldest go first.
+pub const PASS_PARTS: usize = 4_096;
+/// tokens a ms. How fast a server reads a prompt, until it has been measured: a large model's on one accelerator.
+pub const PASS_READ_PER_MS: f64 = 35.0;
+/// ms. What each job already on a server is taken to cost the next one there.
+pub const PASS_JOB_COST_MS: f64 = 4.0;
+/// ms. What another cell's server is taken to cost more.
+pub const PASS_CELL_COST_MS: f64 = 3.0;
+/// ms. What a server said of its load counts for this long.
+pub const PASS_SAID_MS: u64 = 400;
+/// share. Of its slots that a server may be given by one edge's own count before it passes for full.
+pub const PASS_FULL: f64 = 1.5;
+/// ms. When a refused job may come back: a few looks at the fleet later.
+pub const PASS_BACK_MS: u64 = 200;
+/// ms. How long work passed through waits for a licence that is just being renewed.
+pub const PASS_UNLICENSED_MS: u64 = 400;
+/// ms. How long a turn asks for its leave: an election of its store fits in.
+pub const PASS_LEAVE_MS: u64 = 1_500;
+/// ms. How long the end of a kept turn is offered while its user agent waits for the last byte.
+pub const PASS_KEPT_MS: u64 = 2_500;
+/// ms. How long the end of any other turn is offered; then its reservation ends it.
+pub const PASS_END_MS: u64 = 10_000;
+/// ms. Between looks at idle sessions to servers.
+pub const PASS_TIDY_MS: u64 = 500;
+/// bytes. Largest body of work passed through.
+pub const PASS_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// ms. An idle session of a user agent that has work passed through is kept this long: longer than
+/// those that we know keep theirs, so that we are not the ones to close it.
+pub const PASS_FRONT_IDLE_MS: u64 = 30_000;
+/// ms. Between looks at a directory of servers: well inside the bound on leaving servers.
+pub const DIRECTORY_MS: u64 = 700;
+/// ms. One page of it must have come by then.
+pub const DIRECTORY_TRY_MS: u64 = 1_000;
--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -85,7 +85,8 @@
         #[n(1)] CheckIn(#[n(0)] CheckIn),
         #[n(2)] Join(#[n(0)] Member),
         /// `number` is the operator's own, which must rise, and then `base` is one of those; 0 where there is none.
-        #[n(3)] PutConfig { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64 },
+        /// `words` is a digest of how the change was asked for, which tells its repeats; 0: its text does.
+        #[n(3)] PutConfig { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64, #[cbor(n(5), default)] words: u64 },
         #[n(4)] GetConfig(#[n(0)] u64),
         #[n(5)] Configs,
         #[n(6)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
@@ -138,7 +139,7 @@
     }
     enum CoreCmd {
         #[n(0)] Found(#[n(0)] u64),
-        #[n(1)] Config { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64 },
+        #[n(1)] Config { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64, #[cbor(n(5), default)] words: u64 },
         #[n(2)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
         #[n(3)] Leave(#[n(0)] String),
         #[n(4)] Remove(#[n(0)] String),
@@ -261,6 +262,7 @@
         CoreTell::Agreed(rev)
     }
 
+    #[allow(clippy::too_many_arguments)]
     fn put_config(
         &mut self,
         rev: u64,
@@ -269,15 +271,16 @@
         text: String,
         config: Config,
         number: u64,
+        words: u64,
     ) -> CoreTell {
-        if let Some(t) = self.changed(&change, &text) {
+        if let Some(t) = self.changed(&change, words) {
             return t;
         }
         // an operator who numbers configs builds on those numbers, and they rise
         let v = &self.kept.view;
         let cur = if number > 0 { v.config_number } else { v.config_rev };
         let won = base == cur && (number == 0 || number > cur);
-        self.kept.changes.push_back((change.clone(), won, if won { rev } else { cur }, hash(&text)));
+        self.kept.changes.push_back((change.clone(), won, if won { rev } else { cur }, words));
         if self.kept.changes.len() > CHANGES_KEPT {
             self.kept.changes.pop_front();
         }
@@ -298,9 +301,9 @@
     }
 
     /// The first verdict on a change that was sent again.
-    fn changed(&self, change: &str, text: &str) -> Option<CoreTell> {
+    fn changed(&self, change: &str, words: u64) -> Option<CoreTell> {
         let c = self.kept.changes.iter().find(|c| c.0 == change)?;
-        if c.3 != hash(text) {
+        if c.3 != words {
             let why = "this change id was used for another document".to_string();
             return Some(CoreTell::Refused { code: "change_reused".into(), why });
         }
@@ -817,11 +820,12 @@
                 }
                 CoreCmd::Dismiss(id)
             }
-            CoreAsk::PutConfig { base, change, text, config, number } => {
-                if let Some(t) = self.changed(&change, &text) {
+            CoreAsk::PutConfig { base, change, text, config, number, words } => {
+                let words = if words == 0 { hash(&text) } else { words };
+                if let Some(t) = self.changed(&change, words) {
                     return Plan::Tell(t);
                 }
-                CoreCmd::Config { base, change, text, config, number }
+                CoreCmd::Config { base, change, text, config, number, words }
             }
             CoreAsk::List { name, group, addr, cell } => CoreCmd::List { name, group, addr, cell },
             CoreAsk::Leave(n) => CoreCmd::Leave(n),
@@ -886,8 +890,8 @@
                 }
                 CoreTell::Agreed(index)
             }
-            CoreCmd::Config { base, change, text, config, number } => {
-                self.put_config(index, base, change, text, *config, number)
+            CoreCmd::Config { base, change, text, config, number, words } => {
+                self.put_config(index, base, change, text, *config, number, words)
             }
             CoreCmd::List { name, group, addr, cell } => self.list(index, name, group, addr, cell),
             CoreCmd::Leave(n) => self.leave(index, &n),
--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -3,6 +3,7 @@
 
 use super::core::{Grant, Renewal, Update, Window};
 use super::line::{Left, Line, Look, Placed, Refusal, Wait};
+use super::pass::Pass;
 use super::shares::Held;
 use super::view::View;
 use crate::constants::*;
@@ -79,6 +80,7 @@
     licence: Mutex<Licence>,
     lanes: RwLock<BTreeMap<String, Lane>>,
     book: Mutex<Book>,
+    pass: Mutex<Pass>,
     /// Retries saved up.
     retries: Mutex<f64>,
 }
@@ -93,6 +95,7 @@
             licence: Mutex::default(),
             lanes: RwLock::default(),
             book: Mutex::default(),
+            pass: Mutex::new(Pass::new(cell)),
             retries: Mutex::new(RETRY_MOST),
         }
     }
@@ -114,6 +117,16 @@
         now < grip(&self.licence).until
     }
 
+    /// The servers that take work passed through, as believed here.
+    pub fn pass(&self) -> MutexGuard<'_, Pass> {
+        grip(&self.pass)
+    }
+
+    /// The last look before work passed through goes out.
+    pub fn may_pass(&self, now: u64, group: &str, server: &str) -> bool {
+        self.licensed(now) && self.pass().stands(group, server)
+    }
+
     /// The last look before anything goes out: may this server get work now?
     pub fn may(&self, now: u64, server: &str, since: u64) -> bool {
         // the licence is held while the view is read, so a grant can't slip between
@@ -194,6 +207,8 @@
         if new.as_ref().map_or(old.rev, |v| v.rev) >= g.rev {
             l.until = sent + LICENCE_MS - DRIFT_MS;
         }
+        let v = new.as_ref().unwrap_or(&old);
+        grip(&self.pass).follow(v, &g.cold, g.edges);
         match new {
             Some(v) => {
                 self.follow(&v, &g.shares);
@@ -207,7 +222,7 @@
     fn follow(&self, v: &View, shares: &BTreeMap<String, u32>) {
         let mut ls = self.lanes.write().unwrap_or_else(|e| e.into_inner());
         if let Some(c) = &v.config {
-            for (n, g) in &c.groups {
+            for (n, g) in c.groups.iter().filter(|(_, g)| g.pass.is_none()) {
                 if !ls.contains_key(n) {
                     let line = Line::new(n, &self.cell, g.clone(), c.work.clone());
                     ls.insert(n.clone(), Arc::new(Mutex::new(line)));
@@ -305,6 +320,11 @@
             }
             e.1 += 1;
         }
+        for (g, busy, _) in self.pass().busy() {
+            let e = b.groups.entry(g).or_default();
+            e.0[1] += f64::from(busy);
+            e.1 += 1;
+        }
     }
 
     fn turn_page(&self, now: u64, b: &mut Book) {
--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 pub mod core;
 pub mod edge;
 pub mod line;
+pub mod pass;
 pub mod raft;
 pub mod replica;
 pub mod scaler;
--- a/hutbook/src/protocol/settings.rs
+++ b/hutbook/src/protocol/settings.rs
@@ -1,7 +1,7 @@
 //! Where a process stands: from a settings file, from flags, or both; flags win.
 
 use super::findings::{is_name, Finding, Reader};
-use crate::constants::DAY_MS;
+use crate::constants::{CORE_VOTERS, DAY_MS, REPAIR_MS, STORE_COPIES};
 use getopts::Options;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -22,6 +22,36 @@
     pub stop_ms: Option<u64>,
     /// Form a new cluster: asked for by hand, once, on one machine.
     pub found: bool,
+    /// Form a new cluster together with these, this one among them: the same list on each, and only on
+    /// the fleet's first start. An empty folder without it always joins.
+    pub founders: Vec<SocketAddr>,
+    /// What operators call this machine; empty where it has no name.
+    pub name: String,
+    /// Where only readiness is asked for.
+    pub ready: Option<SocketAddr>,
+    /// Where work passed through comes in.
+    pub front: Option<SocketAddr>,
+    /// Threads that serve HTTP; by default as many as the machine has use for.
+    pub workers: Option<usize>,
+    /// ms. How long a stopping edge still takes sessions: until those who choose among edges have seen
+    /// that it is not ready.
+    pub linger_ms: u64,
+    pub shape: Shape,
+}
+
+/// How the fleet is built up: the same on every machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shape {
+    pub core_voters: usize,
+    pub store_copies: usize,
+    /// ms. A member silent for this long is taken for dead where a replacement stands ready.
+    pub repair_ms: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Shape { core_voters: CORE_VOTERS, store_copies: STORE_COPIES, repair_ms: REPAIR_MS }
+    }
 }
 
 impl Settings {
@@ -71,8 +101,11 @@
     o.optopt("H", "http", "where callers and operators reach this one", "IP:PORT");
     o.optopt("c", "cell", "the cell (zone) this process stands in", "NAME");
     o.optmulti("S", "seed", "another process's wire address, for first contact (up to three)", "IP:PORT");
+    o.optopt("", "name", "what operators call this machine", "NAME");
+    o.optopt("", "ready", "one more address, where only readiness is asked for (GET /readyz or /ready)", "IP:PORT");
     o.optopt("l", "log", "error, warn, info or debug (default info)", "LEVEL");
     if who == Who::Trailhead {
+        o.optopt("", "front", "where work passed through comes in", "IP:PORT");
         o.optopt("", "stop-s", "a planned stop waits this long for work under way (as long as any may last)", "S");
     }
     if who != Who::Trailhead {
@@ -110,7 +143,8 @@
     });
     let none = jzon::object! {};
     let file = file.as_ref().unwrap_or(&none);
-    let mut known = vec!["wire", "advertise", "http", "cell", "seeds", "log"];
+    let mut known = vec!["wire", "advertise", "http", "cell", "seeds", "log", "name", "ready"];
+    known.extend((who == Who::Trailhead).then_some("front"));
     known.push(if who == Who::Trailhead { "stop_s" } else { "data" });
     if !file.is_null() {
         r.keys("", file, &known);
@@ -135,6 +169,13 @@
     if !is_name(&cell) {
         r.find("cell", "must be a name: up to 128 letters, digits, and -_.:");
     }
+    let pick_name = pick(&mut r, "name").unwrap_or_default();
+    if !pick_name.is_empty() && !is_name(&pick_name) {
+        r.find("name", "must be a name: up to 128 letters, digits, and -_.:");
+    }
+    let ready = pick(&mut r, "ready").map(|a| socket(&mut r, "ready", &a));
+    let front = if who == Who::Trailhead { pick(&mut r, "front") } else { None };
+    let front = front.map(|a| socket(&mut r, "front", &a));
     let log = pick(&mut r, "log").unwrap_or_else(|| "info".into());
     if !["error", "warn", "info", "debug"].contains(&log.as_str()) {
         r.find("log", "must be error, warn, info or debug");
@@ -179,7 +220,25 @@
     if m.opt_present("check") {
         return Ok(Start::Say("the settings are in order\n".into()));
     }
-    Ok(Start::Run(Settings { wire, advertise, http, cell, seeds, data, log, stop_ms, found }))
+    let found_alone = Settings {
+        wire,
+        advertise,
+        http,
+        cell,
+        seeds,
+        data,
+        log,
+        stop_ms,
+        found,
+        founders: vec![],
+        name: pick_name,
+        ready,
+        front,
+        workers: None,
+        linger_ms: 0,
+        shape: Shape::default(),
+    };
+    Ok(Start::Run(found_alone))
 }
 
 fn socket(r: &mut Reader, place: &str, a: &str) -> SocketAddr {
--- a/hutbook/src/transport/daemon.rs
+++ b/hutbook/src/transport/daemon.rs
@@ -1,10 +1,11 @@
 //! What all daemons share: how they start, stop, and say that they are ready.
 
-use super::http::{Asked, Said};
+use super::http::{self, Asked, Said};
 use super::logs;
 use crate::constants::*;
 use crate::protocol::settings::{self, Settings, Start, Who};
 use actix_rt::signal::unix::{signal, SignalKind};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -29,6 +30,11 @@
             return ExitCode::from(BAD_SETTINGS);
         }
     };
+    start(who, s, run)
+}
+
+/// Starts with settings that are in order.
+pub fn start(who: Who, s: Settings, run: impl FnOnce(Settings) -> Result<(), String>) -> ExitCode {
     logs::start(who.name(), &s.log);
     match run(s) {
         Ok(()) => ExitCode::SUCCESS,
@@ -106,3 +112,37 @@
     let l = if l.is_empty() { String::new() } else { format!("{{{}}}", l.join(",")) };
     out.push_str(&format!("corkdrum_{name}{l} {v}\n"));
 }
+
+/// Serves readiness alone at an address of its own.
+pub fn serve_ready<F>(at: Option<SocketAddr>, closing: Closing, ready: F) -> Result<(), String>
+where
+    F: Fn() -> Result<(), String> + Clone + Send + 'static,
+{
+    let Some(at) = at else { return Ok(()) };
+    let (s, _) = http::serve(at, 1, closing.clone(), move |a| {
+        let (r, c) = (ready(), closing.clone());
+        async move {
+            match (a.method.as_str(), a.path.first().map(String::as_str)) {
+                ("GET", Some("ready" | "readyz")) if is_closing(&c) => {
+                    Said::no(503, "closing", "it has been told to stop")
+                }
+                ("GET", Some("ready" | "readyz")) => match r {
+                    Ok(()) => Said::text("ready\n".into()),
+                    Err(why) => Said::no(503, "not_ready", why),
+                },
+                _ => Said::no(404, "unknown_path", "only readiness is served there"),
+            }
+        }
+    })
+    .map_err(|e| format!("{at}: {e}"))?;
+    actix_rt::spawn(s);
+    Ok(())
+}
+
+/// SIGHUP says that settings have changed: it must not end the process.
+pub async fn told_to_read_again(again: impl Fn()) {
+    let Ok(mut h) = signal(SignalKind::hangup()) else { return };
+    while h.recv().await.is_some() {
+        again();
+    }
+}
--- /dev/null
+++ b/hutbook/src/transport/front.rs
@@ -0,0 +1,126 @@
+//! Where work passed through comes in: raw requests, answers given as they are.
+
+use super::field::Field;
+use super::http::Broke;
+use super::lexicon::Lexicon;
+use super::passing::{pass, Incoming, OutBody, Outgoing, PassAnswer, PassGround};
+use super::serve::Gate;
+use super::sessions::{Answer, Bite, Sending, Sessions};
+use crate::constants::*;
+use crate::coordination::pass::Spotted;
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::header::{HeaderMap, HeaderValue, CONNECTION};
+use actix_http::{Request, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+thread_local! {
+    // sessions live on one thread each
+    static SESSIONS: Sessions = Sessions::default();
+}
+
+impl PassGround for Arc<Field> {
+    type Answer = Answer;
+
+    async fn send(&self, to: &Spotted, s: Sending, gate: Gate) -> Result<Answer, Broke> {
+        let c = self.clock;
+        let all = SESSIONS.with(Sessions::clone);
+        all.send(&to.server, &to.addr, to.sessions, s, move || c.now(), &*gate).await
+    }
+}
+
+impl PassAnswer for Answer {
+    fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    async fn next(&mut self) -> Bite {
+        Answer::next(self).await
+    }
+}
+
+/// Closes idle sessions of this thread in time, for ever.
+pub async fn tidy(f: Arc<Field>) {
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(PASS_TIDY_MS)).await;
+        SESSIONS.with(|s| s.tidy(f.clock.now()));
+    }
+}
+
+/// One request: read to its end, passed through in a task of its own, its answer given.
+pub async fn answer(f: Arc<Field>, lex: &'static Lexicon, req: Request, closing: bool) -> Response<BoxBody> {
+    let a = match read(req).await {
+        Ok(a) => a,
+        Err(status) => return plain(status),
+    };
+    let (tx, rx) = oneshot::channel();
+    actix_rt::spawn(async move { pass(&f, &f.edge, lex, a, tx).await });
+    match rx.await {
+        Ok(o) => reply(o, closing),
+        // its task has ended without a word: nothing may be promised
+        Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+fn plain(s: StatusCode) -> Response<BoxBody> {
+    let mut r = Response::new(s);
+    r.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    r
+}
+
+async fn read(mut req: Request) -> Result<Incoming, StatusCode> {
+    let mut body = BytesMut::new();
+    let mut p = req.take_payload();
+    let whole = async {
+        while let Some(b) = p.next().await {
+            let b = b.map_err(|_| StatusCode::BAD_REQUEST)?;
+            if body.len() + b.len() > PASS_BODY_BYTES {
+                return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            body.extend_from_slice(&b);
+        }
+        Ok(())
+    };
+    match actix_rt::time::timeout(Duration::from_millis(HEAD_MS), whole).await {
+        Ok(r) => r?,
+        Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+    }
+    drop(p);
+    let head = req.head_mut();
+    let host = head.headers.get("host").and_then(|h| h.to_str().ok()).unwrap_or_default().to_string();
+    Ok(Incoming {
+        method: head.method.clone(),
+        target: head.uri.clone(),
+        host,
+        headers: std::mem::take(&mut head.headers),
+        body: body.freeze(),
+    })
+}
+
+fn reply(o: Outgoing, closing: bool) -> Response<BoxBody> {
+    let mut r = Response::new(o.status);
+    for (k, v) in o.headers {
+        r.headers_mut().append(k, v);
+    }
+    if closing {
+        r.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    match o.body {
+        OutBody::Whole(b) => r.set_body(b.boxed()),
+        OutBody::Events(rx) => {
+            let st = futures_util::stream::unfold(rx, |mut rx| async move {
+                let b: Result<Bytes, std::io::Error> =
+                    rx.recv().await?.map_err(|_| std::io::ErrorKind::ConnectionAborted.into());
+                Some((b, rx))
+            });
+            r.set_body(BodyStream::new(Box::pin(st)).boxed())
+        }
+    }
+}
--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -103,6 +103,24 @@
 where
     F: Fn(Asked) -> R + Send + Clone + 'static,
     R: Future<Output = Said> + 'static,
+{
+    serve_requests(addr, workers, KEEP_ALIVE_MS, move |req| {
+        let (f, closing) = (f.clone(), closing.clone());
+        async move {
+            let s = match read(req).await {
+                Ok(a) => f(a).await,
+                Err(s) => s,
+            };
+            reply(s, closing.load(Ordering::Relaxed))
+        }
+    })
+}
+
+/// The same with requests and answers as the library has them.
+pub fn serve_requests<F, R>(addr: SocketAddr, workers: usize, keep_ms: u64, f: F) -> std::io::Result<(Server, Active)>
+where
+    F: Fn(Request) -> R + Send + Clone + 'static,
+    R: Future<Output = Response<BoxBody>> + 'static,
 {
     let active = Active::default();
     let act = active.clone();
@@ -112,22 +130,17 @@
         .shutdown_timeout(STOP_MOST_MS / 1_000)
         .bind("http", addr, move || {
             let f = f.clone();
-            let closing = closing.clone();
             let act = act.clone();
             HttpService::build()
-                .keep_alive(Duration::from_millis(KEEP_ALIVE_MS))
+                .keep_alive(Duration::from_millis(keep_ms))
                 .client_request_timeout(Duration::from_millis(HEAD_MS))
                 .client_disconnect_timeout(Duration::from_millis(WRITE_MS))
                 .finish(move |req: Request| {
                     let f = f.clone();
-                    let closing = closing.clone();
                     let busy = Answering::new(&act);
                     async move {
-                        let s = match read(req).await {
-                            Ok(a) => f(a).await,
-                            Err(s) => s,
-                        };
-                        Ok::<_, actix_http::Error>(reply(s, closing.load(Ordering::Relaxed), busy))
+                        let r = f(req).await;
+                        Ok::<_, actix_http::Error>(r.map_body(|_, b| Busy { body: b, _busy: busy }))
                     }
                 })
                 .tcp()
@@ -136,6 +149,24 @@
     Ok((s, active))
 }
 
+/// An answer is under way until its last byte is out.
+struct Busy {
+    body: BoxBody,
+    _busy: Answering,
+}
+
+impl MessageBody for Busy {
+    type Error = Box<dyn std::error::Error>;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(cx)
+    }
+}
+
 async fn read(mut req: Request) -> Result<Asked, Said> {
     let mut a = Asked { method: req.method().to_string(), ..Asked::default() };
     a.path = req.path().split('/').filter(|s| !s.is_empty()).map(plain).collect();
@@ -187,7 +218,7 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
-fn reply(s: Said, closing: bool, busy: Answering) -> Response<BoxBody> {
+fn reply(s: Said, closing: bool) -> Response<BoxBody> {
     let mut b = Response::build(StatusCode::from_u16(s.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     for (k, v) in s.headers {
         b.insert_header((k, v));
@@ -203,9 +234,8 @@
         Out::Events(rx) => {
             b.insert_header(("content-type", "text/event-stream"));
             b.insert_header(("cache-control", "no-store"));
-            // the answer is under way until its last event is out
-            let st = futures_util::stream::unfold((rx, busy), |(mut rx, busy)| async move {
-                rx.recv().await.map(|b| (Ok::<_, std::io::Error>(b), (rx, busy)))
+            let st = futures_util::stream::unfold(rx, |mut rx| async move {
+                rx.recv().await.map(|b| (Ok::<_, std::io::Error>(b), rx))
             });
             b.body(BodyStream::new(Box::pin(st))).map_into_boxed_body()
         }
--- a/hutbook/src/transport/logs.rs
+++ b/hutbook/src/transport/logs.rs
@@ -7,6 +7,7 @@
     let mut b = env_logger::Builder::new();
     b.filter_level(log::LevelFilter::Warn);
     b.filter_module("hutbook", level.parse().unwrap_or(log::LevelFilter::Info));
+    b.filter_module("huts", level.parse().unwrap_or(log::LevelFilter::Info));
     b.filter_module(program, level.parse().unwrap_or(log::LevelFilter::Info));
     b.format(move |f, r| {
         let at = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -11,19 +11,69 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// What one call of an operator comes to.
+pub enum Order {
+    Ask(CoreAsk),
+    /// Changes named items of the config in force: given its text, the whole new one.
+    Patch(Patch),
+}
+
+pub struct Patch {
+    pub apply: Box<dyn Fn(&str) -> Result<CoreAsk, Said> + Send>,
+}
+
+/// How operators speak to this core. It translates; what is decided is decided elsewhere.
+pub trait Dialect: Send + Sync {
+    fn order(&self, a: &Asked) -> Result<Order, Said>;
+    fn said(&self, a: &Asked, t: CoreTell) -> Said;
+    /// Are the paths that all daemons answer served beside it?
+    fn common(&self, a: &Asked) -> bool;
+}
+
+/// The product's own way.
+pub struct Plain;
+
+impl Dialect for Plain {
+    fn order(&self, a: &Asked) -> Result<Order, Said> {
+        ask(a).map(Order::Ask)
+    }
+
+    fn said(&self, _: &Asked, t: CoreTell) -> Said {
+        said(t)
+    }
+
+    fn common(&self, _: &Asked) -> bool {
+        true
+    }
+}
+
 /// Asks the leader, wherever it is; `addrs` are the members this node knows.
-pub async fn answer(reach: Arc<Reach<Wired>>, addrs: Vec<String>, a: Asked) -> Said {
-    let ask = match ask(&a) {
-        Ok(x) => x,
+pub async fn answer(reach: Arc<Reach<Wired>>, addrs: Vec<String>, a: Asked, d: &dyn Dialect) -> Said {
+    let ask = match d.order(&a) {
+        Ok(Order::Ask(x)) => x,
+        Ok(Order::Patch(p)) => {
+            // the change is worked out on what is in force, and holds only if that still is
+            match reach.core(&addrs, CoreAsk::GetConfig(0), OPERATOR_MS, CALL_MS).await {
+                Some(CoreTell::Config { text, .. }) => match (p.apply)(&text) {
+                    Ok(x) => x,
+                    Err(s) => return s,
+                },
+                Some(t) => return d.said(&a, t),
+                None => return no_leader(),
+            }
+        }
         Err(s) => return s,
     };
     match reach.core(&addrs, ask, OPERATOR_MS, CALL_MS).await {
-        Some(t) => said(t),
-        None => Said::no(503, "no_leader", "the core has no leader with a quorum that could be reached")
-            .with("retry-after", "1"),
+        Some(t) => d.said(&a, t),
+        None => no_leader(),
     }
 }
 
+fn no_leader() -> Said {
+    Said::no(503, "no_leader", "the core has no leader with a quorum that could be reached").with("retry-after", "1")
+}
+
 fn ask(a: &Asked) -> Result<CoreAsk, Said> {
     let path: Vec<&str> = a.path.iter().map(String::as_str).collect();
     let name = |s: &&str| {
@@ -78,7 +128,7 @@
         Some(_) => return Err(Said::no(422, "bad_change_id", "a change id is a name")),
         None => format!("{:016x}", draw()),
     };
-    Ok(CoreAsk::PutConfig { base, change, text: a.body.clone(), config: Box::new(c), number: 0 })
+    Ok(CoreAsk::PutConfig { base, change, text: a.body.clone(), config: Box::new(c), number: 0, words: 0 })
 }
 
 fn list(name: String, body: &str) -> Result<CoreAsk, Said> {
--- /dev/null
+++ b/huts/src/bothy.rs
@@ -0,0 +1,213 @@
+//! The store: keeps programs and jobs.
+
+use hutbook::constants::*;
+use hutbook::coordination::core::{id_text, members_json, CheckIn, CoreAsk, CoreTell, Duty};
+use hutbook::coordination::store::{Store, StoreTell};
+use hutbook::protocol::settings::Settings;
+use hutbook::protocol::wire::Body;
+use hutbook::state::disk::Disk;
+use hutbook::state::entry::{from_bytes, to_bytes, Member};
+use hutbook::transport::daemon::{self, common, metric, Closing};
+use hutbook::transport::field::draw;
+use hutbook::transport::http::{self, Said};
+use hutbook::transport::hut::{Clock, Hut};
+use hutbook::transport::post::{Handler, Post};
+use hutbook::transport::reach::{open_jobs, Reach, Wired};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+/// What a data folder says it belongs to.
+const KIND: u64 = 2;
+
+type Slot = Arc<OnceLock<(u32, Arc<Hut<Store>>)>>;
+
+pub fn run(s: Settings) -> Result<(), String> {
+    let clock = Clock::start();
+    let dir = s.data.clone().expect("checked with the settings");
+    let disk = Disk::open(&dir, KIND, draw).map_err(|e| e.to_string())?;
+    let slot = Slot::default();
+    let h = slot.clone();
+    let handler: Handler = Arc::new(move |l, reply| match (l.body, h.get()) {
+        (Body::Raft { group, msg, at }, Some((g, h))) if group == *g => h.msg(l.from, at, msg),
+        (Body::Raft { .. }, _) => {}
+        (Body::Store { group, ask }, Some((g, h))) if group == *g => {
+            h.ask(*ask, StoreTell::Busy, move |t| reply.send(Body::StoreSaid(Box::new(t))))
+        }
+        (Body::Store { .. }, _) => reply.send(Body::StoreSaid(Box::new(StoreTell::NotLeader(None)))),
+        _ => reply.send(Body::Away("a bothy answers for its store group alone".into())),
+    });
+    let post =
+        Post::start(disk.id, disk.cluster, Some(s.wire), s.at(), handler).map_err(|e| format!("{}: {e}", s.wire))?;
+    actix_rt::System::new().block_on(live(s, clock, disk, post, slot))
+}
+
+async fn live(s: Settings, clock: Clock, disk: Disk, post: Arc<Post>, slot: Slot) -> Result<(), String> {
+    let closing = Closing::default();
+    daemon::bear_limits();
+    let me = Member { id: disk.id, addr: s.at().to_string() };
+    let (sl, p, c, my, cell) = (slot.clone(), post.clone(), closing.clone(), me.clone(), s.cell.clone());
+    let (server, active) = http::serve(s.http, 1, closing.clone(), move |a| {
+        let (sl, p, c, my, cell) = (sl.clone(), p.clone(), c.clone(), my.clone(), cell.clone());
+        async move {
+            let ready = match sl.get() {
+                None => Err("no store group has been assigned".to_string()),
+                Some((_, h)) => h.look(|r| r.leader().map(drop).ok_or("the group has no leader".to_string())),
+            };
+            let said = common(&a, &c, ready, || metrics(&sl, &p), || beliefs(&sl, &p, &my, &cell));
+            said.unwrap_or_else(|| Said::no(404, "unknown_path", "nothing is served there"))
+        }
+    })
+    .map_err(|e| format!("{}: {e}", s.http))?;
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    actix_rt::spawn(daemon::told_to_read_again(|| log::info!("settings are read at the start; nothing to do")));
+    log::info!("bothy {} stands at {}", id_text(me.id), me.addr);
+
+    let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
+    let k =
+        Keeper { clock, post, slot: slot.clone(), me, cell: s.cell, name: s.name, seeds, disk: Mutex::new(Some(disk)) };
+    let fault = actix_rt::spawn(k.keep());
+    tokio::select! {
+        r = daemon::told_to_stop(&closing) => r.map_err(|e| e.to_string())?,
+        r = fault => return r.map_err(|e| e.to_string())?,
+    }
+    if let Some((_, h)) = slot.get() {
+        for _ in 0..STOP_MS / CHECK_IN_MS {
+            if !h.look(|r| r.leads() && r.raft.members().voters.len() > 1) {
+                break;
+            }
+            h.step_aside();
+            actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS)).await;
+        }
+    }
+    http::wind_down(handle, &active, STOP_MS).await;
+    Ok(())
+}
+
+/// Speaks to the core and does as it says.
+struct Keeper {
+    clock: Clock,
+    post: Arc<Post>,
+    slot: Slot,
+    me: Member,
+    cell: String,
+    name: String,
+    seeds: Vec<String>,
+    /// Until the replica takes it.
+    disk: Mutex<Option<Disk>>,
+}
+
+impl Keeper {
+    async fn keep(self) -> Result<(), String> {
+        let reach = Reach::new(Wired { post: self.post.clone(), clock: self.clock });
+        // a folder with a group in it serves at once: the core may be as dead as everything else was
+        let (group, mut cores) = {
+            let d = self.disk.lock().unwrap_or_else(|e| e.into_inner());
+            let d = d.as_ref().expect("nobody has taken it yet");
+            let note = d.note("cores").map_err(|e| e.to_string())?;
+            let cores: Vec<Member> = note.and_then(|b| from_bytes(&b)).unwrap_or_default();
+            (d.fact("group").map_err(|e| e.to_string())?, cores)
+        };
+        if let Some(g) = group {
+            self.start(g as u32, false)?;
+        }
+        let mut asked: Option<Duty> = None;
+        loop {
+            let leads =
+                self.slot.get().and_then(|(g, h)| h.look(|r| r.leads().then(|| (*g, r.raft.members().clone()))));
+            let mut open = None;
+            if let (Some(d), Some((g, _))) = (asked.take(), &leads) {
+                open = open_jobs(&reach.way, &self.me.addr, *g, &d).await;
+            }
+            let c = CheckIn { me: self.me.clone(), cell: self.cell.clone(), leads, open, name: self.name.clone() };
+            let mut addrs: Vec<String> = cores.iter().map(|m| m.addr.clone()).collect();
+            addrs.extend(self.seeds.iter().cloned());
+            if let Some(CoreTell::Duty(d)) = reach.core(&addrs, CoreAsk::CheckIn(c), OPERATOR_MS, CALL_MS).await {
+                self.obey(&d, &mut cores)?;
+                asked = d.asks.then_some(d);
+            }
+            // slots stand empty for as long as the core doesn't know what is open
+            let soon = if asked.is_some() { ASKED_MS } else { CHECK_IN_MS };
+            actix_rt::time::sleep(Duration::from_millis(soon)).await;
+        }
+    }
+
+    fn obey(&self, d: &Duty, cores: &mut Vec<Member>) -> Result<(), String> {
+        if let Some(disk) = self.disk.lock().unwrap_or_else(|e| e.into_inner()).as_mut() {
+            if disk.cluster == 0 && d.cluster != 0 {
+                disk.set_cluster(d.cluster).map_err(|e| e.to_string())?;
+                self.post.cluster.store(d.cluster, Ordering::Relaxed);
+            }
+            if !d.cores.is_empty() && *cores != d.cores {
+                disk.set_note("cores", &to_bytes(&d.cores)).map_err(|e| e.to_string())?;
+            }
+        }
+        if !d.cores.is_empty() {
+            cores.clone_from(&d.cores);
+        }
+        match (d.group, self.slot.get()) {
+            (Some(g), None) => self.start(g, d.founder)?,
+            (Some(_), Some((_, h))) => {
+                let mut r = h.replica.lock().unwrap_or_else(|e| e.into_inner());
+                r.machine.orders.wanted.clone_from(&d.wanted);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn start(&self, group: u32, founder: bool) -> Result<(), String> {
+        let Some(mut disk) = self.disk.lock().unwrap_or_else(|e| e.into_inner()).take() else { return Ok(()) };
+        let fault = |e: hutbook::state::disk::DiskError| e.to_string();
+        disk.set_fact("group", u64::from(group)).map_err(fault)?;
+        if founder && disk.found(&self.me.addr, None).map_err(fault)? {
+            log::info!("formed store group {group}");
+        }
+        let none = Arc::new(|_| None);
+        let h =
+            Hut::start(group, disk, Store::default(), draw(), self.clock, self.post.clone(), none).map_err(fault)?;
+        let _ = self.slot.set((group, h));
+        Ok(())
+    }
+}
+
+fn beliefs(slot: &Slot, post: &Post, me: &Member, cell: &str) -> jzon::JsonValue {
+    let mut j = jzon::object! {
+        node: id_text(me.id), kind: "bothy", cell: cell, cluster: id_text(post.cluster.load(Ordering::Relaxed)),
+    };
+    if let Some((g, h)) = slot.get() {
+        h.look(|r| {
+            let (programs, jobs, clock) = r.machine.counts();
+            j["group"] = (*g).into();
+            j["term"] = r.raft.term.into();
+            j["leader"] = r.raft.leader.map(id_text).into();
+            j["members"] = members_json(r.raft.members());
+            j["applied"] = r.raft.applied().into();
+            j["programs"] = programs.into();
+            j["jobs"] = jobs.into();
+            j["clock_ms"] = clock.into();
+        });
+    }
+    j
+}
+
+fn metrics(slot: &Slot, post: &Post) -> String {
+    let mut o = String::new();
+    metric(&mut o, "frames_refused_total", &[], post.refused.load(Ordering::Relaxed));
+    if let Some((_, h)) = slot.get() {
+        metric(&mut o, "sync_ms", &[], h.sync_ms.load(Ordering::Relaxed));
+        metric(&mut o, "sync_failed_total", &[], h.sync_failed.load(Ordering::Relaxed));
+        h.look(|r| {
+            let (programs, jobs, clock) = r.machine.counts();
+            metric(&mut o, "term", &[], r.raft.term);
+            metric(&mut o, "leads", &[], u8::from(r.leads()));
+            metric(&mut o, "commit", &[], r.raft.commit);
+            metric(&mut o, "log_entries", &[], r.raft.log_len());
+            metric(&mut o, "programs", &[], programs);
+            metric(&mut o, "jobs", &[], jobs);
+            metric(&mut o, "store_clock_ms", &[], clock);
+        });
+    }
+    o
+}
--- a/huts/src/lib.rs
+++ b/huts/src/lib.rs
@@ -1,1 +1,4 @@
-//! The programs of corkdrum; each lives in its own file under `bin`.
+//! The programs of corkdrum: what each does stands here, its start in a file under `bin`.
+pub mod bothy;
+pub mod refuge;
+pub mod trailhead;
--- /dev/null
+++ b/huts/src/refuge.rs
@@ -0,0 +1,171 @@
+//! The core: keeps the fleet's agreed state and steers it.
+
+use hutbook::constants::*;
+use hutbook::coordination::core::{id_text, members_json, ponder, Core, CoreAsk, CoreTell};
+use hutbook::protocol::settings::Settings;
+use hutbook::protocol::wire::{Body, CORE};
+use hutbook::state::disk::Disk;
+use hutbook::state::entry::Member;
+use hutbook::transport::daemon::{self, common, metric, Closing};
+use hutbook::transport::directory::{self, Directory};
+use hutbook::transport::field::draw;
+use hutbook::transport::http;
+use hutbook::transport::hut::{Clock, Hut};
+use hutbook::transport::operators::{self, Dialect};
+use hutbook::transport::post::{Handler, Post};
+use hutbook::transport::reach::{Reach, Wired};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+/// What a data folder says it belongs to.
+const KIND: u64 = 1;
+
+pub fn run(s: Settings, dialect: Box<dyn Dialect>, list: Option<Box<dyn Directory>>) -> Result<(), String> {
+    let clock = Clock::start();
+    let dir = s.data.clone().expect("checked with the settings");
+    let mut disk = Disk::open(&dir, KIND, draw).map_err(|e| e.to_string())?;
+    let me = Member { id: disk.id, addr: s.at().to_string() };
+    // the first of the founders forms the cluster, the others join it
+    let founds = s.found || s.founders.first() == Some(&s.wire);
+    if founds && disk.cluster == 0 {
+        let cluster = draw();
+        // the log first: a folder that names a cluster always holds its beginning
+        disk.found(&me.addr, Some(Core::founding(cluster))).map_err(|e| e.to_string())?;
+        disk.set_cluster(cluster).map_err(|e| e.to_string())?;
+        log::info!("formed cluster {}", id_text(cluster));
+    }
+    let hut: Arc<OnceLock<Arc<Hut<Core>>>> = Arc::default();
+    let h = hut.clone();
+    let handler: Handler = Arc::new(move |l, reply| match (l.body, h.get()) {
+        (Body::Raft { group: CORE, msg, at }, Some(h)) => h.msg(l.from, at, msg),
+        (Body::Core(ask), Some(h)) => h.ask(*ask, CoreTell::Busy, move |t| reply.send(Body::CoreSaid(Box::new(t)))),
+        (Body::Core(_), None) => reply.send(Body::CoreSaid(Box::new(CoreTell::NotLeader(None)))),
+        (Body::Raft { .. }, _) => {}
+        _ => reply.send(Body::Away("a refuge answers for the core alone".into())),
+    });
+    let post =
+        Post::start(disk.id, disk.cluster, Some(s.wire), s.at(), handler).map_err(|e| format!("{}: {e}", s.wire))?;
+    actix_rt::System::new().block_on(live(s, clock, disk, me, post, hut, Arc::from(dialect), list))
+}
+
+#[allow(clippy::too_many_arguments)]
+async fn live(
+    s: Settings,
+    clock: Clock,
+    mut disk: Disk,
+    me: Member,
+    post: Arc<Post>,
+    slot: Arc<OnceLock<Arc<Hut<Core>>>>,
+    dialect: Arc<dyn Dialect>,
+    list: Option<Box<dyn Directory>>,
+) -> Result<(), String> {
+    let closing = Closing::default();
+    daemon::bear_limits();
+    let reach = Arc::new(Reach::new(Wired { post: post.clone(), clock }));
+    let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
+    // a newcomer asks to be let in until it has learnt which cluster this is
+    while disk.cluster == 0 {
+        match reach.core(&seeds, CoreAsk::Join(me.clone()), OPERATOR_MS, CALL_MS).await {
+            Some(CoreTell::Duty(d)) if d.cluster != 0 => disk.set_cluster(d.cluster).map_err(|e| e.to_string())?,
+            Some(CoreTell::Refused { why, .. }) => log::warn!("not let in yet: {why}"),
+            _ => log::info!("no core has answered yet"),
+        }
+        actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS)).await;
+    }
+    post.cluster.store(disk.cluster, Ordering::Relaxed);
+    let think = Arc::new(|k| Some(ponder(&k)));
+    let hut = Hut::start(CORE, disk, Core::new(), draw(), clock, post.clone(), think).map_err(|e| e.to_string())?;
+    let _ = slot.set(hut.clone());
+    log::info!("refuge {} stands at {}", id_text(me.id), me.addr);
+
+    let (h, p, c, r) = (hut.clone(), post.clone(), closing.clone(), reach.clone());
+    let (my, first) = (me.clone(), seeds.clone());
+    let cell = s.cell.clone();
+    let (server, active) = http::serve(s.http, daemon::workers(), closing.clone(), move |a| {
+        let (d, h, p, c, r, my, first, cell) =
+            (dialect.clone(), h.clone(), p.clone(), c.clone(), r.clone(), my.clone(), first.clone(), cell.clone());
+        async move {
+            let ready = h.look(|x| x.leader().map(drop).ok_or("no leader is known".to_string()));
+            match common(&a, &c, ready, || metrics(&h, &p), || beliefs(&h, &my, &cell)).filter(|_| d.common(&a)) {
+                Some(s) => s,
+                None => operators::answer(r, members(&h, &my, &first), a, &*d).await,
+            }
+        }
+    })
+    .map_err(|e| format!("{}: {e}", s.http))?;
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    if let Some(l) = list {
+        actix_rt::spawn(directory::follow(hut.clone(), l));
+    }
+    actix_rt::spawn(daemon::told_to_read_again(|| log::info!("settings are read at the start; nothing to do")));
+    actix_rt::spawn(stay_in(hut.clone(), reach, me, seeds));
+
+    daemon::told_to_stop(&closing).await.map_err(|e| e.to_string())?;
+    // leadership goes over first, so that nobody waits for an election
+    for _ in 0..STOP_MS / CHECK_IN_MS {
+        if !hut.look(|r| r.leads() && r.raft.members().voters.len() > 1) {
+            break;
+        }
+        hut.step_aside();
+        actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS)).await;
+    }
+    http::wind_down(handle, &active, STOP_MS).await;
+    Ok(())
+}
+
+/// A member that the group doesn't list, or lists elsewhere, asks to be let in.
+async fn stay_in(hut: Arc<Hut<Core>>, reach: Arc<Reach<Wired>>, me: Member, seeds: Vec<String>) {
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS * 2)).await;
+        let listed = hut.look(|r| r.raft.members().all().any(|m| *m == me));
+        if !listed {
+            if let Some(CoreTell::Refused { why, .. }) =
+                reach.core(&members(&hut, &me, &seeds), CoreAsk::Join(me.clone()), OPERATOR_MS, CALL_MS).await
+            {
+                log::warn!("not let in: {why}");
+            }
+        }
+    }
+}
+
+/// Whom to ask for the leader: this node itself, the members, and the seeds.
+fn members(hut: &Hut<Core>, me: &Member, seeds: &[String]) -> Vec<String> {
+    let mut v = vec![me.addr.clone()];
+    v.extend(hut.look(|r| r.raft.members().all().map(|m| m.addr.clone()).collect::<Vec<_>>()));
+    v.extend(seeds.iter().cloned());
+    let mut seen = std::collections::BTreeSet::new();
+    v.retain(|a| seen.insert(a.clone()));
+    v
+}
+
+fn beliefs(hut: &Hut<Core>, me: &Member, cell: &str) -> jzon::JsonValue {
+    hut.look(|r| {
+        let mut j = r.machine.view().json();
+        j["node"] = id_text(me.id).into();
+        j["kind"] = "refuge".into();
+        j["cell"] = cell.into();
+        j["term"] = r.raft.term.into();
+        j["leader"] = r.raft.leader.map(id_text).into();
+        j["members"] = members_json(r.raft.members());
+        j
+    })
+}
+
+fn metrics(hut: &Hut<Core>, post: &Post) -> String {
+    let mut o = String::new();
+    hut.look(|r| {
+        metric(&mut o, "term", &[], r.raft.term);
+        metric(&mut o, "leads", &[], u8::from(r.leads()));
+        metric(&mut o, "commit", &[], r.raft.commit);
+        metric(&mut o, "log_entries", &[], r.raft.log_len());
+        metric(&mut o, "revision", &[], r.machine.view().rev);
+        metric(&mut o, "config_revision", &[], r.machine.view().config_rev);
+        metric(&mut o, "edges_known", &[], r.machine.ledger().edges.len());
+    });
+    metric(&mut o, "sync_ms", &[], hut.sync_ms.load(Ordering::Relaxed));
+    metric(&mut o, "sync_failed_total", &[], hut.sync_failed.load(Ordering::Relaxed));
+    metric(&mut o, "frames_refused_total", &[], post.refused.load(Ordering::Relaxed));
+    o
+}
--- /dev/null
+++ b/huts/src/trailhead.rs
@@ -0,0 +1,169 @@
+//! The edge: serves callers and dispatches their work, under a short licence.
+
+use hutbook::constants::*;
+use hutbook::coordination::core::id_text;
+use hutbook::coordination::edge::Edge;
+use hutbook::protocol::settings::Settings;
+use hutbook::protocol::wire::Body;
+use hutbook::transport::callers::{self, Tally};
+use hutbook::transport::daemon::{self, common, metric, Closing};
+use hutbook::transport::field::{draw, Field};
+use hutbook::transport::front;
+use hutbook::transport::http;
+use hutbook::transport::hut::Clock;
+use hutbook::transport::lexicon::Lexicon;
+use hutbook::transport::post::{Handler, Post};
+use hutbook::transport::reach::{pump, renew, Reach, Wired};
+use hutbook::transport::serve::look_around;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub fn run(s: Settings, lex: &'static Lexicon) -> Result<(), String> {
+    let clock = Clock::start();
+    // no disk: every start is a new node, and nothing an older one promised binds it
+    let edge = Arc::new(Edge::new(draw(), &s.cell, &s.http.to_string()));
+    let handler: Handler = Arc::new(|_, reply| reply.send(Body::Away("a trailhead answers callers only".into())));
+    let post = Post::start(edge.id, 0, Some(s.wire), s.at(), handler).map_err(|e| format!("{}: {e}", s.wire))?;
+    actix_rt::System::new().block_on(live(s, lex, clock, edge, post))
+}
+
+async fn live(
+    s: Settings,
+    lex: &'static Lexicon,
+    clock: Clock,
+    edge: Arc<Edge>,
+    post: Arc<Post>,
+) -> Result<(), String> {
+    let closing = Closing::default();
+    let tally = Arc::new(Tally::default());
+    let way = Wired { post: post.clone(), clock };
+    let field = Arc::new(Field::new(edge.clone(), way.clone()));
+    let (f, t, c, p) = (field.clone(), tally.clone(), closing.clone(), post.clone());
+    let workers = s.workers.unwrap_or_else(daemon::workers);
+    let (server, active) = http::serve(s.http, workers, closing.clone(), move |a| {
+        let (f, t, c, p) = (f.clone(), t.clone(), c.clone(), p.clone());
+        async move {
+            match common(&a, &c, ready(&f), || metrics(&f, &t, &p), || beliefs(&f)) {
+                Some(s) => s,
+                None => callers::answer(f, t, a).await,
+            }
+        }
+    })
+    .map_err(|e| format!("{}: {e}", s.http))?;
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    let f = field.clone();
+    daemon::serve_ready(s.ready, closing.clone(), move || ready(&f))?;
+    let passing = match s.front {
+        Some(at) => {
+            let (f, c) = (field.clone(), closing.clone());
+            let (server, active) = http::serve_requests(at, workers, PASS_FRONT_IDLE_MS, move |r| {
+                front::answer(f.clone(), lex, r, daemon::is_closing(&c))
+            })
+            .map_err(|e| format!("{at}: {e}"))?;
+            let h = server.handle();
+            actix_rt::spawn(server);
+            Some((h, active))
+        }
+        None => None,
+    };
+    actix_rt::spawn(daemon::told_to_read_again(|| log::info!("settings are read at the start; nothing to do")));
+    log::info!("trailhead {} stands at {}", id_text(edge.id), s.http);
+
+    let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
+    let (e, w, p) = (edge.clone(), way.clone(), post.clone());
+    actix_rt::spawn(async move {
+        let reach = Reach::new(w);
+        let told = |has| {
+            // frames of another cluster are refused from the first licence on
+            p.cluster.store(e.view().cluster, Ordering::Relaxed);
+            log::info!("{}", if has { "licensed" } else { "without a licence: nothing new is dispatched" });
+        };
+        renew(&e, &reach, &seeds, told).await;
+    });
+    let e = edge.clone();
+    actix_rt::spawn(async move { pump(&e, &way).await });
+    let f = field.clone();
+    actix_rt::spawn(async move { look_around(&f, &f.edge).await });
+
+    daemon::told_to_stop(&closing).await.map_err(|e| e.to_string())?;
+    // whoever chooses among edges sees first that this one is not ready, and sends its sessions elsewhere
+    if let Some((h, active)) = passing {
+        actix_rt::time::sleep(Duration::from_millis(s.linger_ms)).await;
+        let bound = s.stop_ms.unwrap_or(STOP_MS).saturating_sub(s.linger_ms);
+        http::wind_down(h, &active, bound).await;
+    }
+    // no new sessions; what is under way or waits finishes within its time, whoever still listens
+    let bound = s.stop_ms.unwrap_or_else(|| edge.longest());
+    log::info!("stopping: waiting for work under way, {bound} ms at the most");
+    let busy = async {
+        let mut said_at = 0;
+        while tally.under_way.load(Ordering::Relaxed) > 0 {
+            if field.clock.now() >= said_at + STILL_MS {
+                said_at = field.clock.now();
+                log::info!("stopping: {} jobs still under way", tally.under_way.load(Ordering::Relaxed));
+            }
+            actix_rt::time::sleep(Duration::from_millis(TICK_MS)).await;
+        }
+    };
+    let end = async {
+        let busy = actix_rt::time::timeout(Duration::from_millis(bound), busy);
+        tokio::join!(http::wind_down(handle, &active, bound), busy)
+    };
+    let left = tokio::select! {
+        (quiet, busy) = end => !quiet || busy.is_err(),
+        // told a second time: at once
+        r = daemon::told_to_stop(&closing) => r.map(|_| true).map_err(|e| e.to_string())?,
+    };
+    if left {
+        log::warn!("stopped with {} jobs under way", tally.under_way.load(Ordering::Relaxed));
+    }
+    Ok(())
+}
+
+/// Can it take work?
+fn ready(f: &Field) -> Result<(), String> {
+    match (f.edge.licensed(f.clock.now()), f.edge.view().config.is_some()) {
+        (true, true) => Ok(()),
+        (false, _) => Err("no licence".to_string()),
+        _ => Err("no configuration is in force yet".to_string()),
+    }
+}
+
+fn beliefs(f: &Field) -> jzon::JsonValue {
+    let e = &f.edge;
+    let mut j = e.view().json();
+    j["node"] = id_text(e.id).into();
+    j["kind"] = "trailhead".into();
+    j["cell"] = e.cell.as_str().into();
+    j["licensed"] = e.licensed(f.clock.now()).into();
+    j
+}
+
+fn metrics(f: &Field, t: &Tally, post: &Post) -> String {
+    let mut o = String::new();
+    let now = f.clock.now();
+    for (v, n) in [
+        ("done", &t.done),
+        ("failed", &t.failed),
+        ("refused", &t.refused),
+        ("in_doubt", &t.in_doubt),
+        ("unavailable", &t.unavailable),
+    ] {
+        metric(&mut o, "verdicts_total", &[("verdict", v)], n.load(Ordering::Relaxed));
+    }
+    metric(&mut o, "under_way", &[], t.under_way.load(Ordering::Relaxed));
+    metric(&mut o, "licensed", &[], u8::from(f.edge.licensed(now)));
+    metric(&mut o, "revision", &[], f.edge.view().rev);
+    metric(&mut o, "config_revision", &[], f.edge.view().config_rev);
+    metric(&mut o, "frames_refused_total", &[], post.refused.load(Ordering::Relaxed));
+    for (g, queued, busy, limit, worst) in f.edge.lanes_now(now) {
+        let l = [("group", g.as_str())];
+        metric(&mut o, "queued", &l, queued);
+        metric(&mut o, "busy", &l, busy);
+        metric(&mut o, "limit", &l, limit);
+        metric(&mut o, "wait_of_set_point", &l, worst);
+    }
+    o
+}
--- a/scramble/src/fleet/callers.rs
+++ b/scramble/src/fleet/callers.rs
@@ -82,7 +82,14 @@
     pub fn put(&self, base: u64, change: &str, text: &str) -> Option<CoreTell> {
         let config = Box::new(config::read(text).expect("a good config"));
         self.plan();
-        let t = self.operate(CoreAsk::PutConfig { base, change: change.into(), text: text.into(), config, number: 0 });
+        let t = self.operate(CoreAsk::PutConfig {
+            base,
+            change: change.into(),
+            text: text.into(),
+            config,
+            number: 0,
+            words: 0,
+        });
         self.note_config(change, &t);
         t
     }
@@ -111,6 +118,7 @@
                 text: text.into(),
                 config: Box::new(config.clone()),
                 number: 0,
+                words: 0,
             };
             let (o, w, change) = (out.clone(), self.clone(), change.to_string());
             self.spawn("outside", async move {
