--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -239,3 +239,6 @@
 pub const DIRECTORY_MS: u64 = 700;
 /// ms. One page of it must have come by then.
 pub const DIRECTORY_TRY_MS: u64 = 1_000;
+/// ms. Bytes that a partner's machine hasn't taken for this long end their session: many round trips,
+/// and less than an election should wait for.
+pub const UNACKED_MS: u64 = 800;
--- a/hutbook/src/transport/passing.rs
+++ b/hutbook/src/transport/passing.rs
@@ -289,7 +289,7 @@
         };
         left -= 1;
         let start = g.now();
-        let req = sending(&a, lex, &w, &s, &at, body.clone(), None, start);
+        let req = sending(&a, lex, &s, &at, body.clone(), None, start);
         let (e2, g2, p) = (e.clone(), g.clone(), at.clone());
         let gate: Gate = Box::new(move || e2.may_pass(g2.now(), &p.group, &p.server));
         // once it may have run, a once-only job is seen through whoever still listens
@@ -371,7 +371,7 @@
 /// Leave is asked until it is given, refused, or out of time.
 async fn leave<G: PassGround>(g: &G, t: &TurnLeave, to: &Reply, until: u64) -> Option<StoreTell> {
     loop {
-        let r = g.store(&t.program, StoreAsk::TurnLeave(t.clone())).await;
+        let r = within(g, until, g.store(&t.program, StoreAsk::TurnLeave(t.clone()))).await.flatten();
         match r {
             Some(StoreTell::TurnMay { .. } | StoreTell::TurnSpent | StoreTell::TurnUnknown) => return r,
             _ if g.now() >= until || to.is_closed() => return None,
@@ -404,7 +404,7 @@
     });
     let until = g.now() + for_ms;
     loop {
-        match g.store(&t.program, ask.clone()).await {
+        match within(g, until, g.store(&t.program, ask.clone())).await.flatten() {
             Some(StoreTell::Settled) => return true,
             _ if g.now() >= until => return false,
             _ => g.nap(HUNT_MS).await,
@@ -444,7 +444,6 @@
 fn sending(
     a: &Incoming,
     lex: &Lexicon,
-    w: &Way,
     s: &Said,
     at: &Spotted,
     body: Bytes,
@@ -470,7 +469,6 @@
     if let Some(id) = from.or(s.last_event.as_deref()) {
         set(lex.last_event, id);
     }
-    let _ = w;
     Sending {
         method: a.method.clone(),
         target: a.target.clone(),
@@ -653,7 +651,7 @@
         let want = Want { been: been.clone(), ..s.want.clone() };
         let p = e.pass().place(g.now(), group, &want)?;
         let start = g.now();
-        let req = sending(a, lex, w, s, &p, body.clone(), Some(&id), start);
+        let req = sending(a, lex, s, &p, body.clone(), Some(&id), start);
         let (e2, g2, q) = (e.clone(), g.clone(), p.clone());
         let gate: Gate = Box::new(move || e2.may_pass(g2.now(), &q.group, &q.server));
         match judge(g.send(&p, req, gate).await, lex) {
--- a/hutbook/src/transport/post.rs
+++ b/hutbook/src/transport/post.rs
@@ -158,7 +158,7 @@
             return;
         }
     };
-    let _ = s.set_nodelay(true);
+    tune(&s);
     let (mut r, w) = s.into_split();
     let (q, read) = (p.clone(), addr.clone());
     let reader = actix_rt::spawn(async move {
@@ -174,6 +174,13 @@
     p.broke(&addr);
 }
 
+/// What was written and isn't taken within a moment ends the session: behind a silent cut it would be
+/// tried again ever more seldom, for seconds after the cut has healed.
+fn tune(s: &TcpStream) {
+    let _ = s.set_nodelay(true);
+    let _ = socket2::SockRef::from(s).set_tcp_user_timeout(Some(Duration::from_millis(UNACKED_MS)));
+}
+
 async fn write(mut w: OwnedWriteHalf, frames: &mut mpsc::Receiver<Vec<u8>>) {
     while let Some(f) = frames.recv().await {
         let done = actix_rt::time::timeout(Duration::from_millis(WRITE_MS), w.write_all(&f)).await;
@@ -211,7 +218,7 @@
         };
         let (p, h) = (p.clone(), handler.clone());
         actix_rt::spawn(async move {
-            let _ = s.set_nodelay(true);
+            tune(&s);
             let (mut r, w) = s.into_split();
             let (tx, mut frames) = mpsc::channel(OUTBOX);
             actix_rt::spawn(async move { write(w, &mut frames).await });
