--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -71,6 +71,20 @@
 pub const RUN_MS: u64 = 120_000;
 /// ms. How often a store leader commits its clock while nothing else does.
 pub const CLOCK_MS: u64 = 500;
+/// ms. A program's account stands this long after its last use: far longer than any pause between two
+/// turns, and as long as the end of a turn may be offered late.
+pub const LEDGER_MS: u64 = SETTLE_FOR_MS;
+/// turns. Settled ones that an account remembers; many times what a program takes in the time that a
+/// message can be late.
+pub const ENDED_KEPT: usize = 1_024;
+/// sessions. Whose last server an account remembers: more than a program's lines of turns side by side.
+pub const SESSIONS_KEPT: usize = 64;
+/// accounts. Beyond them a new program is told to come back, so that memory stays bounded.
+pub const LEDGERS_KEPT: usize = 100_000;
+/// bytes. Texts of turns kept; beyond them no turn gets leave, so that memory stays bounded.
+pub const TEXT_BYTES: u64 = 64 * 1024 * 1024;
+/// bytes. Texts of one chain that go out with a leave: below the frame bound.
+pub const CHAIN_BYTES: u64 = 6 * 1024 * 1024;
 /// slots. Programs are spread over store groups by this table; many more than groups ever.
 pub const STORE_SLOTS: u64 = 256;
 
--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -7,4 +7,5 @@
 pub mod scaler;
 pub mod shares;
 pub mod store;
+mod turns;
 pub mod view;
--- a/hutbook/src/coordination/store.rs
+++ b/hutbook/src/coordination/store.rs
@@ -4,6 +4,7 @@
 use super::raft::{Change, Denial, Raft};
 use super::replica::{Machine, Plan, Stand, Todo};
 use super::shares::OpenAt;
+use super::turns::Turns;
 use crate::constants::*;
 use crate::state::entry::{to_bytes, Member, Members};
 use std::collections::{BTreeMap, BTreeSet};
@@ -180,6 +181,8 @@
         #[n(1)] programs: BTreeMap<String, Program>,
         #[n(2)] jobs: BTreeMap<String, Job>,
         #[n(3)] ends: BTreeMap<u64, Vec<String>>,
+        /// Work passed through; a capture from before it was kept holds none.
+        #[cbor(n(4), default)] turns: Turns,
     }
 }
 
@@ -214,6 +217,11 @@
         (self.kept.programs.len(), self.kept.jobs.len(), self.kept.clock)
     }
 
+    /// Of work passed through: accounts, turns kept, and bytes of their texts.
+    pub fn turn_counts(&self) -> (usize, usize, u64) {
+        self.kept.turns.counts()
+    }
+
     fn known(&self, program: &str, key: &str, digest: u64) -> Option<StoreTell> {
         let j = self.kept.jobs.get(&job_id(program, key))?;
         // a digest of 0 asks for whatever stands under the key
@@ -480,6 +488,10 @@
         };
         self.kept.clock = self.kept.clock.max(cmd.clock);
         self.pass_time();
+        let c = self.kept.clock;
+        self.kept.turns.pass_time(c);
+        // only a leader's answer is heard by anybody
+        let told = self.base.is_some();
         match cmd.ask {
             None => StoreTell::Settled,
             Some(StoreAsk::Put { id, allowance, time_left_ms, retention_ms }) => {
@@ -513,6 +525,8 @@
                 };
                 self.refuse(&i, &code)
             }
+            Some(StoreAsk::TurnLeave(l)) => self.kept.turns.leave(c, &l, told),
+            Some(StoreAsk::TurnEnd(e)) => self.kept.turns.end(c, e),
             Some(_) => StoreTell::Lost,
         }
     }
--- a/huts/src/bin/bothy.rs
+++ b/huts/src/bin/bothy.rs
@@ -189,6 +189,10 @@
             j["programs"] = programs.into();
             j["jobs"] = jobs.into();
             j["clock_ms"] = clock.into();
+            let (accounts, turns, bytes) = r.machine.turn_counts();
+            j["accounts"] = accounts.into();
+            j["turns_kept"] = turns.into();
+            j["turn_bytes"] = bytes.into();
         });
     }
     j
@@ -209,6 +213,10 @@
             metric(&mut o, "programs", &[], programs);
             metric(&mut o, "jobs", &[], jobs);
             metric(&mut o, "store_clock_ms", &[], clock);
+            let (accounts, turns, bytes) = r.machine.turn_counts();
+            metric(&mut o, "accounts", &[], accounts);
+            metric(&mut o, "turns_kept", &[], turns);
+            metric(&mut o, "turn_bytes", &[], bytes);
         });
     }
     o
