--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -23,6 +23,8 @@
 pub const APPEND_BYTES: usize = 512 * 1024;
 /// bytes. One piece of a capture: far below the frame bound.
 pub const PIECE_BYTES: usize = 256 * 1024;
+/// ms. A piece of a capture that hasn't been taken is sent again: it and its answer fit in twice on a slow link.
+pub const PIECE_AGAIN_MS: u64 = 300;
 /// entries. Proposals not yet committed that a leader holds before it says busy.
 pub const OPEN_PROPOSALS: u64 = 4_096;
 /// reads. Linearizable reads waiting for one confirmation round.
--- a/hutbook/src/coordination/raft.rs
+++ b/hutbook/src/coordination/raft.rs
@@ -97,6 +97,8 @@
     probe: Option<u64>,
     /// Bytes of a capture already taken by the partner, while one is under way.
     piece: Option<(u64, u64)>,
+    /// When that piece was sent; 0 once it has been taken.
+    piece_at: u64,
 }
 
 struct Held {
@@ -430,6 +432,7 @@
                 heard: now,
                 probe: None,
                 piece: None,
+                piece_at: 0,
             });
         }
     }
@@ -497,6 +500,7 @@
                     p.heard = now;
                     if p.piece.is_some_and(|(i, _)| i == index) {
                         p.piece = Some((index, upto));
+                        p.piece_at = 0;
                         self.feed(now, from);
                     }
                 }
@@ -653,15 +657,21 @@
     fn feed(&mut self, now: u64, to: u64) {
         let (last, base) = (self.last(), self.base);
         let Some(p) = self.partners.get_mut(&to) else { return };
-        if p.next <= base {
-            return self.feed_capture(to);
+        // a silent partner gets bare heartbeats, not the log or the capture again and again
+        let quiet = now.saturating_sub(p.heard) > ELECTION_MS;
+        if p.next <= base && !quiet {
+            // one piece at a time: every new entry comes by here, and would bring another copy of it
+            let due = now >= p.piece_at + PIECE_AGAIN_MS;
+            p.piece_at = if due { now } else { p.piece_at };
+            if due {
+                self.feed_capture(to);
+            }
+            return;
         }
         if p.probe.is_some_and(|t| now < t + HEARTBEAT_MS) {
             return;
         }
-        // a silent partner gets bare heartbeats, not the log again and again
-        let quiet = now.saturating_sub(p.heard) > ELECTION_MS;
-        let prev = p.next - 1;
+        let prev = (p.next - 1).max(base);
         let mut entries = vec![];
         let mut size = 0;
         if !quiet {
@@ -957,4 +967,40 @@
         r.step(now, In::Synced(m));
         assert_eq!(r.commit, 3);
     }
+
+    #[test]
+    fn a_capture_goes_out_one_piece_at_a_time_and_never_to_a_silent_partner() {
+        // given a leader whose log begins after what its partners hold, and a flood of proposals
+        let mut r = leader();
+        let (now, mark) = (ELECTION_MS + ELECTION_SPREAD_MS, r.mark);
+        r.step(now, In::Synced(mark));
+        r.step(now, appended(3));
+        r.keep_capture(now, 3, vec![0; 3 * PIECE_BYTES]);
+        let mut sent = |r: &mut Raft, now: u64, i: In| {
+            let o = r.step(now, i);
+            o.iter().filter(|o| matches!(o, Out::Send { to: 3, msg: RaftMsg::Piece { .. } })).count()
+        };
+        let refuses = |r: &mut Raft, now| {
+            r.step(now, In::Msg { from: 3, msg: RaftMsg::Appended { term: 4, yes: false, at: 0, round: 0 } })
+        };
+        refuses(&mut r, now);
+        // when the partner has just been heard, then it is sent one piece, not one for each proposal
+        let n: usize = (0..50).map(|t| sent(&mut r, now + 1, In::Propose { ticket: t, bytes: vec![1] })).sum();
+        assert!(n <= 1, "{n} pieces");
+        // when it falls silent, then it is sent none any more, for as long as that lasts
+        let quiet = now + ELECTION_MS + PIECE_AGAIN_MS;
+        let n: usize = (0..100)
+            .map(|t| {
+                let at = quiet + t * 10;
+                r.step(at, appended(3));
+                sent(&mut r, at, In::Tick)
+            })
+            .sum();
+        assert_eq!(n, 0);
+        // and once it speaks again it gets the piece
+        let at = quiet + 2_000;
+        let o = refuses(&mut r, at);
+        let o = o.into_iter().chain(r.step(at + HEARTBEAT_MS, In::Tick));
+        assert!(o.filter(|o| matches!(o, Out::Send { to: 3, msg: RaftMsg::Piece { .. } })).count() >= 1);
+    }
 }
--- a/hutbook/src/transport/passing.rs
+++ b/hutbook/src/transport/passing.rs
@@ -357,7 +357,7 @@
             }
         }
     };
-    log::debug!("{name}: {}", why.unwrap_or("the user agent has gone"));
+    log::info!("DBG {name}: been {:?} {}", s.want.been, why.unwrap_or("the user agent has gone"));
     let out = match why {
         // what may have run can't be promised not to have
         Some(c) if sent_any.get() && s.want.once => own(502, c, None),
@@ -441,15 +441,7 @@
 }
 
 #[allow(clippy::too_many_arguments)]
-fn sending(
-    a: &Incoming,
-    lex: &Lexicon,
-    s: &Said,
-    at: &Spotted,
-    body: Bytes,
-    from: Option<&str>,
-    now: u64,
-) -> Sending {
+fn sending(a: &Incoming, lex: &Lexicon, s: &Said, at: &Spotted, body: Bytes, from: Option<&str>, now: u64) -> Sending {
     let mut h = HeaderMap::with_capacity(a.headers.len() + 2);
     let named = text(&a.headers, "connection").unwrap_or_default().to_ascii_lowercase();
     for (k, v) in a.headers.iter() {
