--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -54,6 +54,8 @@
 pub const CORE_LEAST: usize = 3;
 /// members. Copies of every store group.
 pub const STORE_COPIES: usize = 3;
+/// ms. Between steps of a repair: each is one agreed change, and a whole repair is a few of them.
+pub const MEND_MS: u64 = 100;
 /// ms. How often a bothy or a joining refuge speaks to the core.
 pub const CHECK_IN_MS: u64 = 500;
 /// ms. A store group's leader speaks again this soon while the core wants to know its open jobs.
--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -83,7 +83,8 @@
     pub enum CoreAsk {
         #[n(0)] Renew(#[n(0)] Renewal),
         #[n(1)] CheckIn(#[n(0)] CheckIn),
-        #[n(2)] Join(#[n(0)] Member),
+        /// A core machine that asks to be let in, or says where it stands; and its cell.
+        #[n(2)] Join(#[n(0)] Member, #[cbor(n(1), default)] String),
         /// `number` is the operator's own, which must rise, and then `base` is one of those; 0 where there is none.
         #[n(3)] PutConfig { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64 },
         #[n(4)] GetConfig(#[n(0)] u64),
@@ -188,7 +189,44 @@
     groups: BTreeMap<String, ([f64; 4], u32)>,
 }
 
+/// What every core machine of a fleet is started with alike; not agreed in the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shape {
+    /// Voters the core grows to by itself.
+    pub core_voters: usize,
+    /// Copies of every store group.
+    pub store_copies: usize,
+    /// ms. A member silent for this long is replaced where another stands ready.
+    pub repair_ms: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Shape { core_voters: CORE_VOTERS, store_copies: STORE_COPIES, repair_ms: REPAIR_MS }
+    }
+}
+
+/// The id of a core machine that founds a cluster with others: all of them know it by its
+/// address alone. Never 0, which stands for nobody.
+pub fn founder_id(addr: &str) -> u64 {
+    hash(&format!("founder {addr}")) | 1
+}
+
+/// The cluster that core machines at these addresses found, in whatever order they are named.
+pub fn founding_cluster(addrs: &[String]) -> u64 {
+    let mut a = addrs.to_vec();
+    a.sort();
+    a.dedup();
+    hash(&format!("cluster {}", a.join(" "))) | 1
+}
+
+/// The founders themselves, as their ids and addresses.
+pub fn founders(addrs: &[String]) -> Vec<Member> {
+    addrs.iter().map(|a| Member { id: founder_id(a), addr: a.clone() }).collect()
+}
+
 pub struct Core {
+    shape: Shape,
     kept: Kept,
     journal: Journal<Event>,
     /// Leader's memory; gone with the leadership.
@@ -199,7 +237,10 @@
     seen: BTreeMap<u64, u64>,
     check_at: u64,
     last_change: u64,
+    last_own: u64,
     members: Members,
+    /// Cells of the core's machines, as they told this leader.
+    cells: BTreeMap<u64, String>,
     /// Voters heard from lately.
     alive: std::collections::BTreeSet<u64>,
     /// Removed groups for which nothing waits, since when.
@@ -211,7 +252,12 @@
 impl Core {
     /// A core that has agreed on nothing; `found` names the cluster it forms.
     pub fn new() -> Core {
+        Core::with(Shape::default())
+    }
+
+    pub fn with(shape: Shape) -> Core {
         Core {
+            shape,
             kept: Kept::default(),
             journal: Journal::new(FEED_EVENTS, 0),
             ledger: Ledger::default(),
@@ -220,7 +266,9 @@
             seen: BTreeMap::new(),
             check_at: 0,
             last_change: 0,
+            last_own: 0,
             members: Members::default(),
+            cells: BTreeMap::new(),
             alive: Default::default(),
             births: BTreeMap::new(),
             idle: BTreeMap::new(),
@@ -600,15 +648,19 @@
                 out.push(Todo::Propose(to_bytes(&CoreCmd::Faded { term, group: g.clone() })));
             }
         }
-        if let Some((group, is)) = self.next_stores(st.now) {
-            out.push(Todo::Propose(to_bytes(&CoreCmd::Stores { term, group, is })));
-        }
     }
 
     /// The next change to a store group's wanted members, if one is due.
     fn next_stores(&self, now: u64) -> Option<(u32, StoreGroup)> {
         let v = &self.kept.view;
-        let live = |id: u64| self.bothies.get(&id).is_some_and(|b| now < b.heard + REPAIR_MS);
+        let repair = self.shape.repair_ms;
+        let live = |id: u64| self.bothies.get(&id).is_some_and(|b| now < b.heard + repair);
+        // another stands where it stood: it is dead for sure, and nothing waits for it
+        let replaced = |m: &Member| {
+            let old = self.bothies.get(&m.id).map_or(0, |b| b.heard);
+            let other = |b: &Bothy| b.me.id != m.id && b.me.addr == m.addr && b.heard > old + CHECK_IN_MS / 2;
+            self.bothies.values().any(other)
+        };
         let free = |b: &&Bothy| {
             now < b.heard + 2 * CHECK_IN_MS
                 && !self.kept.retired.contains(&b.me.id)
@@ -621,20 +673,31 @@
         // one change at a time: what was wanted before must have come about
         let ids = |m: &[Member]| m.iter().map(|x| x.id).collect::<std::collections::BTreeSet<_>>();
         let settled = ids(&s.wanted) == ids(&s.actual);
-        let cells: Vec<&str> =
-            s.wanted.iter().filter_map(|m| self.bothies.get(&m.id)).map(|b| b.cell.as_str()).collect();
-        let spare = self.bothies.values().filter(free).min_by_key(|b| cells.iter().filter(|c| **c == b.cell).count());
-        if s.wanted.len() < STORE_COPIES {
-            let b = spare.filter(|_| settled)?;
-            let mut is = s.clone();
-            is.wanted.push(b.me.clone());
+        let dead = s.wanted.iter().find(|m| replaced(m)).or_else(|| {
+            // a new leader has heard nobody yet
+            s.wanted.iter().find(|m| !live(m.id) && now > self.ledger.rose + repair)
+        });
+        let cell = |m: &Member| self.bothies.get(&m.id).map(|b| b.cell.as_str());
+        let kept: Vec<&Member> = s.wanted.iter().filter(|m| dead.is_none_or(|d| d.id != m.id)).collect();
+        let there = |c: &str| kept.iter().filter(|m| cell(m) == Some(c)).count();
+        let spare = self.bothies.values().filter(free).min_by_key(|b| there(&b.cell));
+        let mut is = s.clone();
+        if s.wanted.len() < self.shape.store_copies && dead.is_none() {
+            is.wanted.push(spare.filter(|_| settled)?.me.clone());
             return Some((*g, is));
         }
         // a dead copy is replaced where a spare stands ready; the new one comes first
-        let dead = s.wanted.iter().find(|m| !live(m.id) && now > self.ledger.rose + REPAIR_MS)?;
-        let mut is = s.clone();
-        is.wanted.retain(|m| m.id != dead.id);
-        is.wanted.push(spare?.me.clone());
+        if let Some(d) = dead {
+            is.wanted.retain(|m| m.id != d.id);
+            is.wanted.push(spare?.me.clone());
+            return Some((*g, is));
+        }
+        // a cell with most of the copies would take the group with it
+        let spare = spare.filter(|_| settled)?;
+        let crowd = s.wanted.iter().filter(|m| cell(m).is_some_and(|c| there(c) * 2 > s.wanted.len()));
+        let out = crowd.max_by_key(|m| m.id).filter(|m| cell(m).is_some_and(|c| there(&spare.cell) + 1 < there(c)))?;
+        is.wanted.retain(|m| m.id != out.id);
+        is.wanted.push(spare.me.clone());
         Some((*g, is))
     }
 
@@ -735,7 +798,7 @@
                     let ids = |m: &[Member]| m.iter().map(|x| id_text(x.id)).collect::<Vec<_>>();
                     stores[g.to_string()] = jzon::object! { wanted: ids(&s.wanted), actual: ids(&s.actual) };
                 }
-                let silent = self.bothies.values().filter(|b| st.now > b.heard + REPAIR_MS).count();
+                let silent = self.bothies.values().filter(|b| st.now > b.heard + self.shape.repair_ms).count();
                 let mut edges = jzon::array![];
                 for (n, e) in &self.ledger.edges {
                     let _ = edges.push(jzon::object! { node: id_text(*n), address: e.addr.as_str(), cell: e.cell.as_str(), licensed: e.until >= st.now, revision: e.have });
@@ -797,7 +860,8 @@
                 }
                 None => return Plan::Read,
             },
-            CoreAsk::Join(m) => {
+            CoreAsk::Join(m, cell) => {
+                self.cells.insert(m.id, cell);
                 if self.kept.retired.contains(&m.id) {
                     let why = "it was removed by an operator; start it with an empty folder".to_string();
                     return Plan::Tell(CoreTell::Refused { code: "removed".into(), why });
@@ -853,7 +917,7 @@
         match ask {
             CoreAsk::Renew(r) => self.grant(st, r),
             CoreAsk::CheckIn(c) => self.check_in(st, c),
-            CoreAsk::Join(_) => {
+            CoreAsk::Join(..) => {
                 let d = Duty { cluster: self.kept.view.cluster, cores: self.members.voters.clone(), ..Duty::default() };
                 CoreTell::Duty(d)
             }
@@ -972,6 +1036,7 @@
         self.seen.clear();
         self.births.clear();
         self.idle.clear();
+        self.cells.clear();
         self.check_at = st.now + CHECK_MS;
     }
 
@@ -989,9 +1054,17 @@
             let cmd = CoreCmd::Born { term: st.term, server, since, born, fell };
             out.push(Todo::Propose(to_bytes(&cmd)));
         }
-        if st.now >= self.last_change + CHECK_IN_MS {
-            self.last_change = st.now;
+        if st.now >= self.last_own + CHECK_IN_MS {
+            self.last_own = st.now;
             self.own(st, &mut out);
+        }
+        // a repair goes on as soon as the step before is agreed, and no step is taken twice
+        let calm = raft.applied() == raft.last() && st.now >= self.last_change + MEND_MS;
+        if calm || st.now >= self.last_change + CHECK_IN_MS {
+            self.last_change = st.now;
+            if let Some((group, is)) = self.next_stores(st.now) {
+                out.push(Todo::Propose(to_bytes(&CoreCmd::Stores { term: st.term, group, is })));
+            }
             out.extend(self.next_core(st.now, raft).map(Todo::Change));
         }
         out.extend(self.think(st).map(Todo::Think));
@@ -1009,24 +1082,55 @@
 }
 
 impl Core {
-    /// The core's own members: newcomers learn, then vote; a dead one goes once enough others live.
+    /// The core's own members: newcomers learn, then vote; a dead one goes once another stands
+    /// ready, or enough others live.
     fn next_core(&self, now: u64, raft: &Raft) -> Option<Change> {
         let m = raft.members();
-        let heard = raft.heard();
-        let of = |id: u64| heard.iter().find(|(p, _, _)| *p == id);
-        let live = |id: u64| id == raft.id || of(id).is_some_and(|h| now < h.2 + REPAIR_MS);
-        let dead = m.voters.iter().find(|v| !live(v.id));
-        let alive = m.voters.iter().filter(|v| live(v.id)).count();
-        if let Some(d) = dead.filter(|_| alive >= CORE_LEAST) {
-            return Some(Change::Remove(d.id));
+        let heard: BTreeMap<u64, u64> = raft.heard().into_iter().map(|h| (h.0, h.2)).collect();
+        let silent = |id: u64, ms: u64| id != raft.id && heard.get(&id).is_none_or(|h| now >= h + ms);
+        // a newcomer stands where it stood: it is dead for sure. Newcomers come last in the list
+        let replaced = |x: &Member| {
+            let later = m.all().skip_while(|y| y.id != x.id).skip(1);
+            silent(x.id, ELECTION_MS) && later.into_iter().any(|y| y.addr == x.addr)
+        };
+        if let Some(l) = m.learners.iter().find(|l| replaced(l)) {
+            return Some(Change::Remove(l.id));
+        }
+        let dead =
+            m.voters.iter().find(|v| replaced(v)).or(m.voters.iter().find(|v| silent(v.id, self.shape.repair_ms)));
+        let alive = m.voters.iter().filter(|v| !silent(v.id, self.shape.repair_ms) && !replaced(v)).count();
+        let cell = |x: &Member| self.cells.get(&x.id).map_or("", |c| c.as_str());
+        let kept: Vec<&Member> = m.voters.iter().filter(|v| dead.is_none_or(|d| d.id != v.id)).collect();
+        let there = |c: &str| kept.iter().filter(|v| !c.is_empty() && cell(v) == c).count();
+        let ready = m.learners.iter().filter(|l| raft.caught_up(now, l.id) && !self.kept.retired.contains(&l.id));
+        let next = ready.min_by_key(|l| there(cell(l)));
+        if let Some(d) = dead {
+            // without one in its place it is only given up after long, and never below three
+            let enough = alive >= CORE_LEAST.min(self.shape.core_voters);
+            let given_up = silent(d.id, self.shape.repair_ms.max(REPAIR_MS));
+            let stands_in = next.is_some() || m.voters.len() > self.shape.core_voters;
+            if enough && (stands_in || given_up || replaced(d)) || next.is_some() && replaced(d) {
+                return Some(Change::Remove(d.id));
+            }
         }
         // removed by an operator: the leader itself goes last
         let gone = m.all().filter(|x| self.kept.retired.contains(&x.id));
         if let Some(g) = gone.max_by_key(|x| x.id != raft.id) {
             return Some(Change::Remove(g.id));
         }
-        let room = m.voters.len() < CORE_VOTERS || dead.is_some();
-        m.learners.iter().find(|l| raft.caught_up(now, l.id)).filter(|_| room).map(|l| Change::Promote(l.id))
+        // a cell with most of the voters would take the core with it: one more elsewhere, then one fewer there
+        let (most, size) =
+            m.voters.iter().map(|v| (there(cell(v)), v)).max_by_key(|x| x.0).map_or((0, 0), |x| (x.0, kept.len()));
+        let crowded = |v: &&Member| there(cell(v)) == most && most > 1;
+        if size > self.shape.core_voters && dead.is_none() {
+            let out = m.voters.iter().filter(|v| v.id != raft.id && crowded(v)).max_by_key(|v| v.id);
+            return out.map(|v| Change::Remove(v.id));
+        }
+        let spread = most * 2 > size
+            && size >= CORE_LEAST
+            && next.is_some_and(|l| !cell(l).is_empty() && there(cell(l)) + 1 < most);
+        let room = m.voters.len() < self.shape.core_voters || dead.is_some() || spread;
+        next.filter(|_| room).map(|l| Change::Promote(l.id))
     }
 }
 
@@ -1064,6 +1168,25 @@
         assert_eq!(c.kept.decisions.len(), 1);
     }
 
+    #[test]
+    fn founders_know_each_other_by_their_addresses_alone() {
+        // given three addresses, named in another order by each
+        let a = ["10.0.0.1:1".to_string(), "10.0.0.2:1".into(), "10.0.0.3:1".into()];
+        let b = [a[2].clone(), a[0].clone(), a[1].clone()];
+        // when each works out who founds what, then it is the same
+        assert_eq!(founding_cluster(&a), founding_cluster(&b));
+        let sorted = |x: &[String]| {
+            let mut f = founders(x);
+            f.sort();
+            f
+        };
+        assert_eq!(sorted(&a), sorted(&b));
+        // and another list is another cluster, and nobody has the id of nobody
+        assert_ne!(founding_cluster(&a), founding_cluster(&a[..2]));
+        let ids: std::collections::BTreeSet<u64> = a.iter().map(|x| founder_id(x)).collect();
+        assert!(ids.len() == 3 && !ids.contains(&0));
+    }
+
     #[test]
     fn a_decision_is_dropped_when_its_workload_moved_meanwhile() {
         use crate::state::config::{Group, Kind, Limits, Tuning};
--- a/hutbook/src/state/disk.rs
+++ b/hutbook/src/state/disk.rs
@@ -38,7 +38,15 @@
 impl Boot {
     /// What a group's founder starts from: itself as the only member, and a first command.
     pub fn founding(id: u64, addr: &str, first: Option<Vec<u8>>) -> Boot {
-        let voters = vec![Member { id, addr: addr.into() }];
+        Boot::founding_with(&[Member { id, addr: addr.into() }], first)
+    }
+
+    /// What each of several founders starts from: the same members in the same order, the same
+    /// first command, term 1 and no vote given. So it makes no difference who is elected first.
+    pub fn founding_with(voters: &[Member], first: Option<Vec<u8>>) -> Boot {
+        let mut voters = voters.to_vec();
+        voters.sort();
+        voters.dedup();
         let members = What::Members(Members { voters, learners: vec![] });
         let whats = std::iter::once(members).chain(first.map(What::Command));
         let entries = whats.zip(1..).map(|(what, index)| Entry { index, term: 1, what }).collect();
@@ -126,6 +134,12 @@
         Ok(d)
     }
 
+    /// Opens a founder's folder: on its first start it takes the id that the other founders
+    /// know it by. A folder that is there already keeps the id it has.
+    pub fn open_founder(dir: &Path, kind: u64, id: u64) -> Result<Disk, DiskError> {
+        Disk::open(dir, kind, || id)
+    }
+
     fn over(path: PathBuf, opener: Opener, fresh: bool, kind: u64, draw: impl Fn() -> u64) -> Result<Disk, DiskError> {
         let mut d = Disk { path, opener, db: None, id: 0, cluster: 0 };
         d.reopen()?;
@@ -211,11 +225,22 @@
 
     /// Forms a new group with this node as its only member, unless there is a log already.
     pub fn found(&mut self, addr: &str, first: Option<Vec<u8>>) -> Result<bool, DiskError> {
+        self.found_with(&[Member { id: self.id, addr: addr.into() }], first)
+    }
+
+    /// Forms a new group of these members, unless there is a log already or this node is none of them.
+    ///
+    /// What stops a second group: every founder writes the same first entries, and whoever leads
+    /// needs a majority of that one list, of which any two overlap. A folder founds once, since it
+    /// holds a log from then on; an emptied one is started without the first-start mark, draws
+    /// an id that is on no list and can only join. Lists that differ give clusters that differ,
+    /// which refuse each other's frames.
+    pub fn found_with(&mut self, members: &[Member], first: Option<Vec<u8>>) -> Result<bool, DiskError> {
         let b = self.boot()?;
-        if !b.entries.is_empty() || b.capture.is_some() {
+        if !b.entries.is_empty() || b.capture.is_some() || members.iter().all(|m| m.id != self.id) {
             return Ok(false);
         }
-        let f = Boot::founding(self.id, addr, first);
+        let f = Boot::founding_with(members, first);
         self.write(&[DiskOp::Meta { term: f.term, voted: f.voted }, DiskOp::Append { entries: f.entries }])?;
         Ok(true)
     }
@@ -341,6 +366,33 @@
         std::fs::remove_dir_all(&d).unwrap();
     }
 
+    #[test]
+    fn several_found_the_same_and_only_once() {
+        // given three founders' folders, each told of the members in another order
+        let mut m: Vec<Member> = [3, 1, 2].map(|id| Member { id, addr: format!("a{id}") }).into();
+        let d = folder("founders");
+        let mut boots = vec![];
+        for id in 1..=3 {
+            let mut k = Disk::open_founder(&d.join(id.to_string()), 1, id).unwrap();
+            m.rotate_left(1);
+            // when each founds
+            assert!(k.found_with(&m, Some(vec![7])).unwrap());
+            boots.push(k.boot().unwrap());
+            // then it doesn't a second time, also after a start
+            assert!(!k.found_with(&m, Some(vec![8])).unwrap());
+            drop(k);
+            let mut k = Disk::open_founder(&d.join(id.to_string()), 1, 99).unwrap();
+            assert!(k.id == id && !k.found_with(&m, Some(vec![8])).unwrap());
+        }
+        // and all start from the same log, without a vote
+        assert!(boots.iter().all(|b| *b == boots[0]));
+        assert_eq!((boots[0].term, boots[0].voted, boots[0].entries.len()), (1, None, 2));
+        // and one that is on no list founds nothing
+        let mut k = Disk::open(&d.join("other"), 1, || 4).unwrap();
+        assert!(!k.found_with(&m, None).unwrap() && k.boot().unwrap() == Boot::default());
+        std::fs::remove_dir_all(&d).unwrap();
+    }
+
     /// A run of a node: terms, entries that replace others, captures.
     fn recorded(n: u64) -> Vec<Vec<DiskOp>> {
         let (mut out, mut last, mut cut) = (vec![], 0, 0);
--- a/huts/src/bin/refuge.rs
+++ b/huts/src/bin/refuge.rs
@@ -64,7 +64,7 @@
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
     // a newcomer asks to be let in until it has learnt which cluster this is
     while disk.cluster == 0 {
-        match reach.core(&seeds, CoreAsk::Join(me.clone()), OPERATOR_MS, CALL_MS).await {
+        match reach.core(&seeds, CoreAsk::Join(me.clone(), s.cell.clone()), OPERATOR_MS, CALL_MS).await {
             Some(CoreTell::Duty(d)) if d.cluster != 0 => disk.set_cluster(d.cluster).map_err(|e| e.to_string())?,
             Some(CoreTell::Refused { why, .. }) => log::warn!("not let in yet: {why}"),
             _ => log::info!("no core has answered yet"),
@@ -94,7 +94,7 @@
     .map_err(|e| format!("{}: {e}", s.http))?;
     let handle = server.handle();
     actix_rt::spawn(server);
-    actix_rt::spawn(stay_in(hut.clone(), reach, me, seeds));
+    actix_rt::spawn(stay_in(hut.clone(), reach, me, s.cell.clone(), seeds));
 
     daemon::told_to_stop(&closing).await.map_err(|e| e.to_string())?;
     // leadership goes over first, so that nobody waits for an election
@@ -109,17 +109,25 @@
     Ok(())
 }
 
-/// A member that the group doesn't list, or lists elsewhere, asks to be let in.
-async fn stay_in(hut: Arc<Hut<Core>>, reach: Arc<Reach<Wired>>, me: Member, seeds: Vec<String>) {
+/// A member that the group doesn't list, or lists elsewhere, asks to be let in; so does one
+/// without a leader, which may have been let go while it slept and can't know. A new leader
+/// is told once where this machine stands.
+async fn stay_in(hut: Arc<Hut<Core>>, reach: Arc<Reach<Wired>>, me: Member, cell: String, seeds: Vec<String>) {
+    let mut told = 0;
     loop {
-        actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS * 2)).await;
-        let listed = hut.look(|r| r.raft.members().all().any(|m| *m == me));
-        if !listed {
-            if let Some(CoreTell::Refused { why, .. }) =
-                reach.core(&members(&hut, &me, &seeds), CoreAsk::Join(me.clone()), OPERATOR_MS, CALL_MS).await
-            {
-                log::warn!("not let in: {why}");
-            }
+        actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS)).await;
+        let (listed, led, term) = hut.look(|r| {
+            let listed = r.raft.members().all().any(|m| *m == me);
+            (listed, r.raft.leader.is_some(), r.raft.term)
+        });
+        if listed && led && told == term {
+            continue;
+        }
+        let ask = CoreAsk::Join(me.clone(), cell.clone());
+        match reach.core(&members(&hut, &me, &seeds), ask, OPERATOR_MS, CALL_MS).await {
+            Some(CoreTell::Duty(_)) => told = term,
+            Some(CoreTell::Refused { why, .. }) => log::warn!("not let in: {why}"),
+            _ => {}
         }
     }
 }
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -1,6 +1,7 @@
 //! The fleet as stories handle it, and the ground its edges and callers stand on.
 
 use super::*;
+use hutbook::coordination::core::{founder_id, founders, founding_cluster, Shape};
 use hutbook::coordination::line::Look;
 use hutbook::coordination::store::StoreAsk;
 use hutbook::coordination::view::View;
@@ -167,6 +168,39 @@
         self.boot(&name);
     }
 
+    /// The first `n` refuges found the cluster together, each from the others' addresses alone.
+    pub fn founders(&self, n: usize) {
+        let addrs: Vec<String> = (1..=n).map(|i| format!("refuge{i}")).collect();
+        let cluster = founding_cluster(&addrs);
+        for (i, name) in addrs.iter().enumerate() {
+            self.add(name, CELLS[(i + 1) % 3], Part::Core(None));
+            let mut w = self.0.borrow_mut();
+            w.cluster = cluster;
+            let n = w.nodes.get_mut(name).expect("just added");
+            n.id = founder_id(name);
+            n.disk.synced = Boot::founding_with(&founders(&addrs), Some(Core::founding(cluster)));
+        }
+        addrs.iter().for_each(|n| self.boot(n));
+    }
+
+    /// What every core machine is started with from here on.
+    pub fn shape(&self, s: Shape) {
+        self.0.borrow_mut().shape = s;
+    }
+
+    /// A core machine in a cell of its own choosing, with an empty folder.
+    pub fn refuge_in(&self, i: usize, cell: &str) {
+        let name = format!("refuge{i}");
+        self.add(&name, cell, Part::Core(None));
+        self.boot(&name);
+    }
+
+    pub fn bothy_in(&self, i: usize, cell: &str) {
+        let name = format!("bothy{i}");
+        self.add(&name, cell, Part::Store { group: None, replica: None, cores: vec![] });
+        self.boot(&name);
+    }
+
     pub fn bothy(&self, i: usize) {
         let name = format!("bothy{i}");
         self.add(&name, CELLS[i % 3], Part::Store { group: None, replica: None, cores: vec![] });
@@ -188,11 +222,11 @@
     fn boot(&self, name: &str) {
         let now = self.now();
         let mut w = self.0.borrow_mut();
-        let seed = w.rng.next_u64();
+        let (seed, shape) = (w.rng.next_u64(), w.shape);
         let n = w.nodes.get_mut(name).expect("known node");
         match &mut n.part {
             Part::Core(r) => {
-                let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), Core::new(), seed, now);
+                let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), Core::with(shape), seed, now);
                 *r = Some(Box::new(rep));
                 w.core_fruit(name, f);
                 w.to(TICK_MS, name, News::Tick);
@@ -530,16 +564,26 @@
     }
 }
 
-/// A refuge that the group doesn't list asks to be let in.
+/// A refuge that the group doesn't list, or that has no leader, asks to be let in; a new leader
+/// is told once where it stands.
 async fn stay_in(way: Way, name: String) {
     let reach = Reach::new(way.clone());
+    let mut told = 0;
     loop {
         way.nap(CHECK_IN_MS).await;
         let (id, addrs) = (way.world.id(&name), way.world.names("refuge"));
         let me = Member { id, addr: name.clone() };
-        let listed = way.world.core(&name, |r| r.raft.members().all().any(|m| *m == me)).unwrap_or(true);
-        if !listed {
-            let _ = reach.core(&addrs, CoreAsk::Join(me), OPERATOR_MS, CALL_MS).await;
+        let look = way.world.core(&name, |r| {
+            let listed = r.raft.members().all().any(|m| *m == me);
+            (listed && r.raft.leader.is_some(), r.raft.term)
+        });
+        let Some((fine, term)) = look else { continue };
+        if fine && told == term {
+            continue;
+        }
+        let cell = way.world.0.borrow().nodes[&name].cell.clone();
+        if let Some(CoreTell::Duty(_)) = reach.core(&addrs, CoreAsk::Join(me, cell), OPERATOR_MS, CALL_MS).await {
+            told = term;
         }
     }
 }
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 use disk::Disk;
 use exec::Exec;
 use hutbook::constants::*;
-use hutbook::coordination::core::{ponder, CheckIn, Core, CoreAsk, CoreTell, Duty};
+use hutbook::coordination::core::{ponder, CheckIn, Core, CoreAsk, CoreTell, Duty, Shape};
 use hutbook::coordination::edge::Edge;
 use hutbook::coordination::replica::{Feed, Fruit, Fruits, Machine, Replica};
 use hutbook::coordination::store::{Store, StoreTell};
@@ -158,6 +158,7 @@
     pub exec: Exec,
     pub saw: Saw,
     cluster: u64,
+    shape: Shape,
     /// Requests under way at each edge: one count for each, and the entry's own.
     jobs: BTreeMap<String, std::rc::Rc<()>>,
     /// Letters sent between our processes, by kind.
@@ -178,6 +179,7 @@
             exec: Exec::default(),
             saw: Saw::default(),
             cluster: 0,
+            shape: Shape::default(),
             jobs: BTreeMap::new(),
             letters: BTreeMap::new(),
         }
@@ -467,6 +469,7 @@
         cell: n.cell.clone(),
         leads,
         open: None,
-        name: String::new(),
+        // a story calls a machine what its node is called
+        name: name.into(),
     })
 }
--- /dev/null
+++ b/scramble/tests/membership.rs
@@ -0,0 +1,194 @@
+//! Given-when-then stories of who is a member: founding by several, repair, and spread over cells.
+
+use hutbook::coordination::core::{CoreTell, Shape};
+use rstest::rstest;
+use scramble::fleet::World;
+use std::collections::BTreeSet;
+
+const CONFIG: &str = include_str!("../../examples/glenmorven.json");
+/// ms. A whole repair fits in here, from the newcomer's start.
+const REPAIR_IN_MS: u64 = 3_500;
+const SHAPE: Shape = Shape { core_voters: 3, store_copies: 3, repair_ms: 2_000 };
+
+/// Three founders and three bothies that stand.
+fn founded(seed: u64) -> World {
+    founded_as(seed, SHAPE)
+}
+
+fn founded_as(seed: u64, s: Shape) -> World {
+    let w = World::new(seed);
+    w.shape(s);
+    w.founders(3);
+    (1..=3).for_each(|i| w.bothy(i));
+    assert!(w.until(10_000, |w| whole(w, "refuge", 3) && whole(w, "bothy", 3)), "it did not come up");
+    w
+}
+
+/// The group is led, has as many voters as it should, and every one of them is a machine that is up.
+fn whole(w: &World, kind: &str, n: usize) -> bool {
+    let Some(l) = w.leaders(kind).into_iter().next() else { return false };
+    let m = w.core(&l, |r| r.raft.members().clone()).or(w.store(&l, |r| r.raft.members().clone()));
+    let up: BTreeSet<u64> = w.names(kind).iter().filter(|x| w.is_up(x)).map(|x| w.id(x)).collect();
+    let settled =
+        w.core(&l, |r| r.raft.applied() == r.raft.last()).or(w.store(&l, |r| r.raft.applied() == r.raft.last()));
+    m.is_some_and(|m| m.voters.len() == n && m.voters.iter().all(|v| up.contains(&v.id))) && settled == Some(true)
+}
+
+/// ms until the group is whole again; fails when it takes longer than it may.
+fn repaired(w: &World, kind: &str, n: usize) -> u64 {
+    let from = w.now();
+    assert!(w.until(REPAIR_IN_MS, |w| whole(w, kind, n)), "{kind} was not whole after {REPAIR_IN_MS} ms");
+    w.now() - from
+}
+
+#[rstest]
+fn several_found_one_cluster(#[values(1, 2, 3, 4)] seed: u64) {
+    // given three empty core machines that know each other's addresses, one of them cut off
+    let w = World::new(seed);
+    w.shape(SHAPE);
+    w.founders(3);
+    w.isolate(&["refuge2"]);
+    // when two have agreed on something and the third is back
+    assert!(w.until(5_000, |w| w.leaders("refuge").iter().any(|l| w.view(l).cluster != 0)));
+    let first: Vec<u64> = ["refuge1", "refuge3"].iter().map(|n| w.view(n).cluster).filter(|c| *c != 0).collect();
+    w.heal();
+    // then there is one cluster, with three voters, and it takes a config
+    assert!(w.until(5_000, |w| w.names("refuge").iter().all(|n| w.view(n).cluster == first[0])));
+    assert!(whole(&w, "refuge", 3));
+    assert!(matches!(w.put(0, "first", CONFIG), Some(CoreTell::Agreed(_))));
+}
+
+#[rstest]
+fn a_founder_that_was_wiped_joins_and_founds_nothing(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(2_000, 15_000)] repair_ms: u64,
+) {
+    // given a founded core that has agreed on a config
+    let w = founded_as(seed, Shape { repair_ms, ..SHAPE });
+    assert!(matches!(w.put(0, "first", CONFIG), Some(CoreTell::Agreed(_))));
+    let cluster = w.view(&w.leader("refuge")).cluster;
+    // when each machine in turn loses its disk, the leader too, each as soon as the one before is made good
+    for n in ["refuge2", "refuge1", "refuge3"] {
+        w.empty(n);
+        w.run(800);
+        w.start(n);
+        let ms = repaired(&w, "refuge", 3);
+        println!("core, seed {seed}: {ms} ms");
+    }
+    // then it is the same cluster with the same config
+    let v = w.view(&w.leader("refuge"));
+    assert_eq!((v.cluster, v.config_text.as_str()), (cluster, CONFIG));
+}
+
+#[rstest]
+fn a_store_machine_that_was_wiped_is_replaced_in_time(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(2_000, 15_000)] repair_ms: u64,
+) {
+    // given a store of three and no spare, however patient it is with the silent
+    let w = founded_as(seed, Shape { repair_ms, ..SHAPE });
+    // when each machine in turn loses its disk, the leader first
+    let l = w.leader("bothy");
+    let rest: Vec<String> = w.names("bothy").into_iter().filter(|n| *n != l).collect();
+    for n in std::iter::once(&l).chain(&rest) {
+        w.empty(n);
+        w.run(800);
+        w.start(n);
+        // then the newcomer at its address has its place before the next goes
+        let ms = repaired(&w, "bothy", 3);
+        println!("store, seed {seed}: {ms} ms");
+    }
+}
+
+#[rstest]
+fn both_kinds_are_wiped_at_one_machine_and_the_core_leader_goes(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    // given a fleet
+    let w = founded(seed);
+    // when the core's and the store's leader lose their disks at once
+    let (c, s) = (w.leader("refuge"), w.leader("bothy"));
+    w.empty(&c);
+    w.empty(&s);
+    w.run(1_000);
+    w.start(&c);
+    w.start(&s);
+    // then both are whole in time
+    let from = w.now();
+    let ok = w.until(REPAIR_IN_MS, |w| whole(w, "refuge", 3) && whole(w, "bothy", 3));
+    assert!(ok, "not whole after {REPAIR_IN_MS} ms");
+    println!("both, seed {seed}: {} ms", w.now() - from);
+}
+
+#[rstest]
+fn one_that_only_slept_is_let_in_again(#[values(1, 2, 3)] seed: u64) {
+    // given a core of three and a store of three, each with a spare
+    let w = founded(seed);
+    w.refuge(4, false);
+    w.bothy(4);
+    w.run(1_500);
+    // when one of each freezes for longer than a repair waits
+    let l = w.leader("refuge");
+    let c = w.names("refuge").into_iter().find(|n| *n != l && n != "refuge4").unwrap();
+    let l = w.leader("bothy");
+    let s = w.names("bothy").into_iter().find(|n| *n != l && n != "bothy4").unwrap();
+    w.freeze(&c);
+    w.freeze(&s);
+    let gone = |w: &World, kind: &str, n: &str| {
+        let Some(l) = w.leaders(kind).into_iter().next() else { return false };
+        let m = w.core(&l, |r| r.raft.members().clone()).or(w.store(&l, |r| r.raft.members().clone()));
+        m.is_some_and(|m| m.voters.len() == 3 && m.voters.iter().all(|v| v.id != w.id(n)))
+    };
+    // then the spares stand in for them
+    assert!(w.until(2_000 + REPAIR_IN_MS, |w| gone(w, "refuge", &c) && gone(w, "bothy", &s)), "nobody stood in");
+    // and when they wake and another of each loses its disk for good, they are wanted again
+    w.wake(&c);
+    w.wake(&s);
+    w.run(2_000);
+    w.empty("refuge4");
+    w.empty("bothy4");
+    assert!(w.until(2_000 + REPAIR_IN_MS, |w| whole(w, "refuge", 3) && whole(w, "bothy", 3)), "they were not let in");
+    assert!(!gone(&w, "refuge", &c) && !gone(&w, "bothy", &s));
+}
+
+/// Most voters of the group that stand in one cell, by `at`.
+fn crowd(w: &World, kind: &str, at: &[(&str, &str)]) -> usize {
+    let l = w.leader(kind);
+    let m = w.core(&l, |r| r.raft.members().clone()).or(w.store(&l, |r| r.raft.members().clone())).unwrap();
+    let cells = m.voters.iter().filter_map(|v| at.iter().find(|(n, _)| w.id(n) == v.id)).map(|x| x.1);
+    let cells: Vec<&str> = cells.collect();
+    cells.iter().map(|c| cells.iter().filter(|d| *d == c).count()).max().unwrap_or(0)
+}
+
+#[rstest]
+fn no_cell_keeps_most_of_a_group(#[values(1, 2, 3)] seed: u64) {
+    // given a core and a store whose first machines all stand in one cell
+    let w = World::new(seed);
+    w.shape(Shape { core_voters: 5, store_copies: 5, repair_ms: 2_000 });
+    let at = [("ben", [1, 2, 3]), ("glen", [4, 5, 0]), ("strath", [6, 0, 0])];
+    w.refuge(1, true);
+    let mut cells: Vec<(String, &str)> = vec![("refuge1".into(), "glen")];
+    for (cell, is) in at {
+        for i in is.into_iter().filter(|i| *i > 0) {
+            w.refuge_in(i + 1, cell);
+            w.bothy_in(i, cell);
+            cells.push((format!("refuge{}", i + 1), cell));
+            cells.push((format!("bothy{i}"), cell));
+        }
+        // the cells come up one after the other
+        w.run(3_000);
+    }
+    // when all of them stand
+    let cells: Vec<(&str, &str)> = cells.iter().map(|(n, c)| (n.as_str(), *c)).collect();
+    let ok = w.until(20_000, |w| {
+        whole(w, "refuge", 5) && whole(w, "bothy", 5) && crowd(w, "refuge", &cells) < 3 && crowd(w, "bothy", &cells) < 3
+    });
+    // then each has five, and no cell has three of them
+    assert!(ok, "core {} and store {} in one cell", crowd(&w, "refuge", &cells), crowd(&w, "bothy", &cells));
+    w.run(5_000);
+    assert!(whole(&w, "refuge", 5) && whole(&w, "bothy", 5), "it did not come to rest");
+}
+
+#[test]
+fn a_fleet_that_says_nothing_has_the_shape_it_had() {
+    let s = Shape::default();
+    assert_eq!((s.core_voters, s.store_copies, s.repair_ms), (5, 3, 15_000));
+}
