--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -110,6 +110,12 @@
         #[n(22)] RetirementNamed(#[n(0)] String),
         #[n(19)] Thought { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
     }
+    /// What a directory says of one server, with the revision of its cold time that this may
+    /// end: 0 where it may not.
+    struct Relisted {
+        #[n(0)] listing: Listing,
+        #[n(1)] since: u64,
+    }
     /// One server as a directory lists it.
     #[derive(Eq)]
     pub struct Listing {
@@ -152,6 +158,8 @@
         /// What was found out about the process of a server whose warm-up began at `since`.
         /// Nothing waits any more for a group that a config has removed.
         #[n(12)] Faded { #[n(0)] term: u64, #[n(1)] group: String },
+        /// How the directory's list differs from what is agreed.
+        #[n(13)] Directory { #[n(0)] term: u64, #[n(1)] put: Vec<Relisted>, #[n(2)] gone: Vec<String> },
         #[n(11)] Born { #[n(0)] term: u64, #[n(1)] server: String, #[n(2)] since: u64, #[n(3)] born: u64, #[n(4)] fell: bool },
     }
     pub struct Noted {
@@ -241,6 +249,8 @@
     members: Members,
     /// Cells of the core's machines, as they told this leader.
     cells: BTreeMap<u64, String>,
+    /// Servers that were cold when the directory's last list came, and since which revision.
+    sighted: BTreeMap<String, u64>,
     /// Voters heard from lately.
     alive: std::collections::BTreeSet<u64>,
     /// Removed groups for which nothing waits, since when.
@@ -269,6 +279,7 @@
             last_own: 0,
             members: Members::default(),
             cells: BTreeMap::new(),
+            sighted: BTreeMap::new(),
             alive: Default::default(),
             births: BTreeMap::new(),
             idle: BTreeMap::new(),
@@ -338,6 +349,10 @@
         }
         // a group whose bounds moved keeps its count inside them
         for (n, g) in &config.groups {
+            // work passed through starts with all there are, until the scaler says otherwise
+            if g.pass.is_some() && !self.kept.view.wanted.contains_key(n) {
+                continue;
+            }
             let c = self.kept.view.wanted.get(n).copied().unwrap_or(g.least).clamp(g.least, g.most);
             self.emit(rev, Event::Wanted { group: n.clone(), count: c });
         }
@@ -373,11 +388,55 @@
                 born: 0,
                 slots: 0,
                 cold: false,
+                listed_by_directory: false,
             }),
         );
         self.done(rev)
     }
 
+    /// How the directory's whole list differs from what is agreed; nothing is proposed where it doesn't.
+    fn directory(&mut self, st: Stand, term: u64, servers: &[Listing]) -> Plan<CoreTell> {
+        if term != st.term {
+            let why = "that list was polled under another term".to_string();
+            return Plan::Tell(CoreTell::Refused { code: "stale_term".into(), why });
+        }
+        let v = &self.kept.view;
+        let listed: std::collections::BTreeSet<&str> = servers.iter().map(|l| l.name.as_str()).collect();
+        let mut put = vec![];
+        for l in servers {
+            let old = v.servers.get(&l.name);
+            // the list before this one came when it was cold already, so this one began after that
+            let since = old.filter(|s| self.sighted.get(&l.name) == Some(&s.since)).map_or(0, |s| s.since);
+            if old != Some(&relisted(old, l.clone(), since, v.rev)) {
+                put.push(Relisted { listing: l.clone(), since });
+            }
+        }
+        let ours = v.servers.values().filter(|s| s.listed_by_directory);
+        let gone: Vec<String> =
+            ours.clone().filter(|s| !listed.contains(s.name.as_str())).map(|s| s.name.clone()).collect();
+        self.sighted = ours.filter(|s| s.cold).map(|s| (s.name.clone(), s.since)).collect();
+        if put.is_empty() && gone.is_empty() {
+            return Plan::Tell(CoreTell::Agreed(v.rev));
+        }
+        Plan::Propose(to_bytes(&CoreCmd::Directory { term, put, gone }))
+    }
+
+    fn directory_agreed(&mut self, rev: u64, put: Vec<Relisted>, gone: Vec<String>) -> CoreTell {
+        for r in put {
+            let old = self.kept.view.servers.get(&r.listing.name);
+            let new = relisted(old, r.listing, r.since, rev);
+            if old != Some(&new) {
+                self.emit(rev, Event::Server(new));
+            }
+        }
+        for n in gone {
+            if self.kept.view.servers.get(&n).is_some_and(|s| s.listed_by_directory) {
+                self.emit(rev, Event::Gone(n));
+            }
+        }
+        self.done(rev)
+    }
+
     fn leave(&mut self, rev: u64, name: &str) -> CoreTell {
         let Some(s) = self.kept.view.servers.get(name).cloned() else {
             return CoreTell::Unknown(format!("no server {name} is listed"));
@@ -403,12 +462,23 @@
         }
         if out {
             let v = &self.kept.view;
+            // whoever passes work through says itself when nothing is left to take it
+            let mut ours = v.servers.values().filter(|s| !v.passes(&s.group) && !s.listed_by_directory);
             let left = v.servers.values().any(|s| s.cell != cell && !v.out.contains_key(&s.cell) && !s.leaving);
-            if !left {
+            let passes = v.config.as_ref().is_some_and(|c| c.groups.values().any(|g| g.pass.is_some()));
+            if !left && (!passes || ours.next().is_some()) {
                 let why = format!("no server outside {cell} would be left to take its work");
                 return CoreTell::Refused { code: "last_cell".into(), why };
             }
         }
+        if !out && self.kept.view.out.contains_key(&cell) {
+            // they may have turned cold meanwhile: cold until the directory says otherwise
+            let v = &self.kept.view;
+            let back = v.servers.values().filter(|s| s.cell == cell && s.listed_by_directory).cloned();
+            for s in back.collect::<Vec<_>>() {
+                self.emit(rev, Event::Server(Server { cold: true, since: rev, ..s }));
+            }
+        }
         self.emit(rev, Event::Cell { cell, out });
         self.done(rev)
     }
@@ -419,12 +489,16 @@
         while self.kept.samples.len() > most {
             self.kept.samples.pop_front();
         }
-        let stale = d.moves.iter().find(|m| self.kept.view.wanted.get(&m.group) != Some(&m.from));
+        // counted as in the scene that it was decided on: what is wanted, and for work passed through is there
+        let stale = d.moves.iter().find(|m| self.kept.view.room(&m.group).1 != m.from);
         let outcome = match stale {
             Some(m) => format!("not applied: {} no longer stood at {}", m.group, m.from),
             None => {
                 for m in &d.moves {
-                    self.emit(rev, Event::Wanted { group: m.group.clone(), count: m.to });
+                    let all = self.kept.view.passes(&m.group) && m.to >= self.kept.view.room(&m.group).0;
+                    // all there are means those to come as well
+                    let count = if all { u32::MAX } else { m.to };
+                    self.emit(rev, Event::Wanted { group: m.group.clone(), count });
                 }
                 "applied".to_string()
             }
@@ -628,11 +702,12 @@
     /// Proposals that follow from what the leader sees: emptied drains, store members.
     fn own(&mut self, st: Stand, out: &mut Vec<Todo<Scene>>) {
         let term = st.term;
-        if self.ledger.accounted {
-            let draining = self.kept.view.places.iter().flat_map(|(g, p)| p.iter().map(move |(n, s)| (g, n, s)));
-            for (g, n, s) in draining {
+        if self.ledger.all_have(st.now, self.kept.view.rev) {
+            for (g, p) in &self.kept.view.places {
+                // what runs at a server that work passes through to is nobody's to count
+                let known = self.kept.view.passes(g) || self.ledger.accounted;
                 // empty once nobody can still hold it or have work on it
-                if s.draining && self.ledger.all_have(st.now, self.kept.view.rev) && self.ledger.busy(n) == 0 {
+                for (n, _) in p.iter().filter(|(n, s)| s.draining && known && self.ledger.busy(n) == 0) {
                     let cmd = CoreCmd::Emptied { term, group: g.clone(), server: n.clone() };
                     out.push(Todo::Propose(to_bytes(&cmd)));
                 }
@@ -749,6 +824,7 @@
                     let _ = a.push(jzon::object! {
                         name: s.name.as_str(), group: s.group.as_str(), address: s.addr.as_str(), cell: s.cell.as_str(),
                         leaving: s.leaving, usable: v.usable(&s.name), listed_at: s.since, busy: self.ledger.busy(&s.name),
+                        slots: s.slots, cold: s.cold,
                     });
                 }
                 a
@@ -805,7 +881,7 @@
                 }
                 jzon::object! {
                     cluster: id_text(v.cluster), term: st.term, revision: v.rev, config_revision: v.config_rev,
-                    core: members_json(&self.members), edges: edges, stores: stores, silent_stores: silent,
+                    config_number: v.config_number, core: members_json(&self.members), edges: edges, stores: stores, silent_stores: silent,
                     servers: v.servers.len(), evacuated: v.out.keys().cloned().collect::<Vec<_>>(),
                 }
             }
@@ -814,6 +890,26 @@
     }
 }
 
+/// A server as it stands once the directory has said this of it.
+fn relisted(old: Option<&Server>, l: Listing, since: u64, rev: u64) -> Server {
+    // a name is one life of one server
+    let old = old.filter(|s| (&s.group, &s.addr, &s.cell) == (&l.group, &l.addr, &l.cell));
+    Server {
+        // lists lag, and not all alike: nobody comes back from leaving
+        leaving: l.leaving || old.is_some_and(|s| s.leaving),
+        // new to the list is cold until a list that began later says otherwise
+        cold: l.cold || old.is_none_or(|s| s.cold && s.since != since),
+        since: old.map_or(rev, |s| s.since),
+        born: old.map_or(0, |s| s.born),
+        name: l.name,
+        group: l.group,
+        addr: l.addr,
+        cell: l.cell,
+        slots: l.slots,
+        listed_by_directory: true,
+    }
+}
+
 pub fn id_text(id: u64) -> String {
     format!("{id:016x}")
 }
@@ -907,6 +1003,7 @@
                 }
                 CoreCmd::Retire(n)
             }
+            CoreAsk::Directory { term, servers } => return self.directory(st, term, &servers),
             CoreAsk::Thought { term, decision, sample } => return self.thought(st, term, &decision, &sample),
             _ => return Plan::Read,
         };
@@ -978,6 +1075,7 @@
             | CoreCmd::Decided { term: t, .. }
             | CoreCmd::Born { term: t, .. }
             | CoreCmd::Faded { term: t, .. }
+            | CoreCmd::Directory { term: t, .. }
                 if t != term =>
             {
                 stale
@@ -996,6 +1094,7 @@
                 self.born(index, &server, since, born, fell);
                 CoreTell::Agreed(index)
             }
+            CoreCmd::Directory { put, gone, .. } => self.directory_agreed(index, put, gone),
             CoreCmd::Faded { group, .. } => {
                 if self.kept.view.fading.contains_key(&group) {
                     self.emit(index, Event::Faded(group));
@@ -1037,6 +1136,7 @@
         self.births.clear();
         self.idle.clear();
         self.cells.clear();
+        self.sighted.clear();
         self.check_at = st.now + CHECK_MS;
     }
 
@@ -1187,6 +1287,77 @@
         assert!(ids.len() == 3 && !ids.contains(&0));
     }
 
+    #[test]
+    fn decisions_on_work_passed_through_count_what_is_in_use() {
+        use crate::state::config::{Group, Kind, Limits, PassGroup, Tuning};
+        // given six listed servers, all of them in use though nothing was said of how many
+        let mut c = Core::new();
+        let pass = PassGroup {
+            sessions_most: 100,
+            cold_per_s: 0.0,
+            cache_tokens: 0,
+            piece_tokens: 4,
+            batch: 0,
+            health_path: "/".into(),
+        };
+        let g = Group {
+            kind: Kind::Model,
+            slo_ms: 500,
+            least: 1,
+            most: 1_000,
+            in_flight: 4,
+            warm_jobs: 1,
+            pressure_most: 4.0,
+            cache_most: 0.9,
+            pass: Some(pass),
+        };
+        let config = Config {
+            groups: BTreeMap::from([("g".to_string(), g)]),
+            routes: BTreeMap::new(),
+            work: BTreeMap::new(),
+            scaler: Tuning::default(),
+            limits: Limits::default(),
+            ways: BTreeMap::new(),
+        };
+        c.put_config(1, 0, "a".into(), String::new(), config.clone(), 0);
+        let listing = |i: u64| Listing {
+            name: format!("s{i}"),
+            group: "g".into(),
+            addr: format!("a{i}"),
+            cell: "c".into(),
+            slots: 4,
+            leaving: false,
+            cold: false,
+        };
+        let put = |r: std::ops::Range<u64>| r.map(|i| Relisted { listing: listing(i), since: 0 }).collect();
+        c.directory_agreed(2, put(0..6), vec![]);
+        let d = |from: u32, to: u32| Decision {
+            course: Course::Shrink,
+            abnormal: vec![],
+            ranks: vec![],
+            moves: vec![scaler::Move { group: "g".into(), from, to }],
+            judge: String::new(),
+            reasons: vec![],
+            load: BTreeMap::new(),
+        };
+        let s = || Sample { counts: BTreeMap::new(), load: BTreeMap::new(), ok: true };
+        let used = |c: &Core| c.view().servers.keys().filter(|n| c.view().usable(n)).count();
+        // when a step down counts from those six, it holds; from any other number it doesn't
+        c.decided(3, 1, d(5, 3), s());
+        assert_eq!(used(&c), 6);
+        c.decided(4, 1, d(6, 4), s());
+        assert_eq!(used(&c), 4);
+        // and a config again, or a server more, leaves it there
+        c.put_config(5, 1, "b".into(), String::new(), config, 0);
+        c.directory_agreed(6, put(6..7), vec![]);
+        assert_eq!(used(&c), 4);
+        // and a step up to all there are takes those to come as well
+        c.decided(7, 1, d(4, 7), s());
+        assert_eq!(used(&c), 7);
+        c.directory_agreed(8, put(7..9), vec![]);
+        assert_eq!(used(&c), 9);
+    }
+
     #[test]
     fn a_decision_is_dropped_when_its_workload_moved_meanwhile() {
         use crate::state::config::{Group, Kind, Limits, Tuning};
--- a/hutbook/src/coordination/shares.rs
+++ b/hutbook/src/coordination/shares.rs
@@ -336,7 +336,8 @@
     fn aim(&mut self, now: u64, v: &View) {
         if self.rev != v.rev {
             self.rev = v.rev;
-            let open = v.servers.values().filter(|s| v.usable(&s.name));
+            // work passed through holds no slots here
+            let open = v.servers.values().filter(|s| !v.passes(&s.group) && v.usable(&s.name));
             self.open = open.map(|s| (s.name.clone(), s.group.clone())).collect();
             if let Some(c) = &v.config {
                 let model = |s: &&super::view::Server| v.group(&s.group).is_some_and(|g| g.kind == Kind::Model);
--- a/hutbook/src/coordination/view.rs
+++ b/hutbook/src/coordination/view.rs
@@ -20,6 +20,8 @@
         #[cbor(n(7), default)] pub slots: u32,
         /// Slow since its start, as its directory says: bound by the group's cold rate.
         #[cbor(n(8), default)] pub cold: bool,
+        /// Known from a directory, and gone when the directory no longer has it.
+        #[cbor(n(9), default)] pub listed_by_directory: bool,
     }
     pub struct Spot {
         #[n(0)] pub since: u64,
@@ -127,6 +129,11 @@
         self.config.as_ref().and_then(|c| c.groups.get(name)).or_else(|| self.fading.get(name))
     }
 
+    /// Does this group's work pass through, so that its servers' slots are not divided?
+    pub fn passes(&self, group: &str) -> bool {
+        self.group(group).is_some_and(|g| g.pass.is_some())
+    }
+
     /// Servers that could hold a place in this group.
     fn fit(&self, group: &str) -> Vec<&Server> {
         let ok = |s: &&Server| s.group == group && !s.leaving && !self.out.contains_key(&s.cell);
@@ -137,6 +144,11 @@
     pub fn room(&self, group: &str) -> (u32, u32) {
         let Some(g) = self.group(group) else { return (0, 0) };
         let fit = self.fit(group).len() as u32;
+        if g.pass.is_some() {
+            // starts with all there are; and what isn't there is not in use, whatever was wanted
+            let want = self.wanted.get(group).copied().unwrap_or(u32::MAX);
+            return (fit.min(g.most), want.max(g.least).min(g.most).min(fit));
+        }
         (fit.min(g.most), self.wanted.get(group).copied().unwrap_or(g.least).clamp(g.least, g.most))
     }
 
@@ -159,19 +171,18 @@
                 s.draining |= !fit.contains_key(n.as_str());
             }
             new.retain(|n, _| self.servers.contains_key(n));
-            let active = |m: &BTreeMap<String, Spot>| m.values().filter(|s| !s.draining).count() as u32;
-            while active(&new) < want {
-                // a draining one is warm still, so it goes before a cold spare
-                let back = new.iter().find(|(n, s)| s.draining && fit.contains_key(n.as_str())).map(|(n, _)| n.clone());
-                let per_cell = |c: &str| new.iter().filter(|(n, s)| !s.draining && fit[n.as_str()].cell == c).count();
-                let spare = fit.values().filter(|s| !new.contains_key(&s.name)).min_by_key(|s| per_cell(&s.cell));
-                let Some(n) = back.or(spare.map(|s| s.name.clone())) else { break };
-                new.insert(n, Spot { since: rev, draining: false });
+            let mut active = new.values().filter(|s| !s.draining).count() as u32;
+            if active < want {
+                fill(&mut new, &fit, want - active, rev);
             }
-            while active(&new) > want {
-                let last = new.iter().filter(|(_, s)| !s.draining).max_by_key(|(_, s)| s.since);
-                let n = last.map(|(n, _)| n.clone()).expect("more than wanted are active");
+            // those that came last go first
+            let mut last: Vec<(u64, String)> =
+                new.iter().filter(|(_, s)| !s.draining).map(|(n, s)| (s.since, n.clone())).collect();
+            last.sort_unstable();
+            while active > want {
+                let (_, n) = last.pop().expect("more than wanted are active");
                 new.get_mut(&n).expect("just seen").draining = true;
+                active -= 1;
             }
             if &new != old {
                 out.push((g.clone(), new));
@@ -186,6 +197,7 @@
         for s in self.servers.values() {
             servers[s.name.as_str()] = jzon::object! {
                 group: s.group.as_str(), address: s.addr.as_str(), cell: s.cell.as_str(), leaving: s.leaving, since: s.since, born: s.born,
+                slots: s.slots, cold: s.cold,
             };
         }
         let mut places = jzon::object! {};
@@ -201,6 +213,7 @@
         }
         jzon::object! {
             cluster: format!("{:016x}", self.cluster), revision: self.rev, config_revision: self.config_rev,
+            config_number: self.config_number,
             config_digest: format!("{:016x}", hash(&self.config_text)), core: ids(&self.cores), servers: servers,
             places: places, evacuated: self.out.keys().cloned().collect::<Vec<_>>(), stores: stores,
         }
@@ -212,6 +225,34 @@
     }
 }
 
+/// Gives `short` more places: to draining ones first, which are warm still, then to spares from
+/// the cells with the fewest.
+fn fill(new: &mut BTreeMap<String, Spot>, fit: &BTreeMap<&str, &Server>, short: u32, rev: u64) {
+    let back: Vec<String> =
+        new.iter().filter(|(n, s)| s.draining && fit.contains_key(n.as_str())).map(|(n, _)| n.clone()).collect();
+    let mut cells: BTreeMap<&str, u32> = BTreeMap::new();
+    let active = new.iter().filter(|(_, s)| !s.draining).filter_map(|(n, _)| fit.get(n.as_str()));
+    active.for_each(|s| *cells.entry(&s.cell).or_default() += 1);
+    // last in each cell's list is first by name
+    let mut spares: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    let fresh = fit.values().rev().filter(|s| !new.contains_key(&s.name));
+    fresh.for_each(|s| spares.entry(&s.cell).or_default().push(&s.name));
+    let mut back = back.into_iter();
+    for _ in 0..short {
+        let n = match back.next() {
+            Some(n) => n,
+            None => {
+                let of = spares.iter().filter_map(|(c, v)| Some((cells.get(c).unwrap_or(&0), *v.last()?, *c)));
+                let Some((_, n, c)) = of.min() else { return };
+                spares.get_mut(c).expect("just seen").pop();
+                n.to_string()
+            }
+        };
+        *cells.entry(&fit[n.as_str()].cell).or_default() += 1;
+        new.insert(n, Spot { since: rev, draining: false });
+    }
+}
+
 /// A fixed hash: every node must agree on it for ever.
 pub fn hash(s: &str) -> u64 {
     use sha2::Digest;
@@ -222,3 +263,125 @@
 pub fn slot_of(program: &str) -> u64 {
     hash(program) % crate::constants::STORE_SLOTS
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::config::{Kind, Limits, PassGroup, Tuning};
+    use rand_chacha::ChaCha8Rng;
+    use rand_core::{Rng, SeedableRng};
+
+    fn group(pass: bool) -> Group {
+        let pass = pass.then(|| PassGroup {
+            sessions_most: 100,
+            cold_per_s: 0.0,
+            cache_tokens: 0,
+            piece_tokens: 4,
+            batch: 0,
+            health_path: "/".into(),
+        });
+        Group {
+            kind: Kind::Model,
+            slo_ms: 500,
+            least: 1,
+            most: 40,
+            in_flight: 4,
+            warm_jobs: 1,
+            pressure_most: 4.0,
+            cache_most: 0.9,
+            pass,
+        }
+    }
+
+    fn view(pass: bool) -> View {
+        let config = Config {
+            groups: BTreeMap::from([("g".to_string(), group(pass))]),
+            routes: BTreeMap::new(),
+            work: BTreeMap::new(),
+            scaler: Tuning::default(),
+            limits: Limits::default(),
+            ways: BTreeMap::new(),
+        };
+        View { config: Some(config), ..View::default() }
+    }
+
+    fn server(name: &str, cell: &str) -> Server {
+        Server {
+            name: name.into(),
+            group: "g".into(),
+            addr: name.into(),
+            cell: cell.into(),
+            leaving: false,
+            since: 1,
+            born: 0,
+            slots: 0,
+            cold: false,
+            listed_by_directory: false,
+        }
+    }
+
+    /// The places as the first, slow form of `settle` gave them: each one looked for anew.
+    fn slowly(v: &View, rev: u64) -> BTreeMap<String, Spot> {
+        let fit: BTreeMap<&str, &Server> = v.fit("g").into_iter().map(|s| (s.name.as_str(), s)).collect();
+        let (_, want) = v.room("g");
+        let mut new = v.places.get("g").cloned().unwrap_or_default();
+        for (n, s) in new.iter_mut() {
+            s.draining |= !fit.contains_key(n.as_str());
+        }
+        new.retain(|n, _| v.servers.contains_key(n));
+        let active = |m: &BTreeMap<String, Spot>| m.values().filter(|s| !s.draining).count() as u32;
+        while active(&new) < want {
+            let back = new.iter().find(|(n, s)| s.draining && fit.contains_key(n.as_str())).map(|(n, _)| n.clone());
+            let per_cell = |c: &str| new.iter().filter(|(n, s)| !s.draining && fit[n.as_str()].cell == c).count();
+            let spare = fit.values().filter(|s| !new.contains_key(&s.name)).min_by_key(|s| per_cell(&s.cell));
+            let Some(n) = back.or(spare.map(|s| s.name.clone())) else { break };
+            new.insert(n, Spot { since: rev, draining: false });
+        }
+        while active(&new) > want {
+            let last = new.iter().filter(|(_, s)| !s.draining).max_by_key(|(_, s)| s.since);
+            let n = last.map(|(n, _)| n.clone()).expect("more than wanted are active");
+            new.get_mut(&n).expect("just seen").draining = true;
+        }
+        new
+    }
+
+    #[test]
+    fn places_are_given_as_if_each_were_looked_for_anew() {
+        for seed in 0..40 {
+            // given servers that come, leave, are evacuated and go, and counts that move
+            let mut r = ChaCha8Rng::seed_from_u64(seed);
+            let mut v = view(seed % 2 == 0);
+            for rev in 1..80 {
+                let (n, c) = (format!("s{:02}", r.next_u64() % 30), format!("c{}", r.next_u64() % 4));
+                match r.next_u64() % 6 {
+                    0 | 1 => drop(v.servers.insert(n.clone(), server(&n, &c))),
+                    2 => drop(v.servers.remove(&n)),
+                    3 => v.servers.get_mut(&n).into_iter().for_each(|s| s.leaving = true),
+                    4 if v.out.remove(&c).is_none() => drop(v.out.insert(c, rev)),
+                    _ => drop(v.wanted.insert("g".into(), 1 + (r.next_u64() % 20) as u32)),
+                }
+                // when the places are settled, then they are those
+                let want = slowly(&v, rev);
+                let got = v.settle(rev).into_iter().next().map(|x| x.1);
+                assert_eq!(got.clone().unwrap_or(v.places.get("g").cloned().unwrap_or_default()), want, "{seed} {rev}");
+                if let Some(spots) = got {
+                    v.fold(rev, &Event::Places { group: "g".into(), spots });
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn work_passed_through_uses_all_there_are_until_fewer_are_wanted() {
+        // given a group that work is passed through to, and five servers
+        let mut v = view(true);
+        (0..5).for_each(|i| drop(v.servers.insert(format!("s{i}"), server(&format!("s{i}"), "c"))));
+        // when nothing has been said of how many, then it is all of them
+        assert_eq!(v.room("g"), (5, 5));
+        // and what was wanted counts no further than what is there
+        v.wanted.insert("g".into(), 4);
+        assert_eq!(v.room("g"), (5, 4));
+        (0..2).for_each(|i| v.servers.get_mut(&format!("s{i}")).unwrap().leaving = true);
+        assert_eq!(v.room("g"), (3, 3));
+    }
+}
--- /dev/null
+++ b/scramble/tests/directory.rs
@@ -0,0 +1,258 @@
+//! Given-when-then stories of servers that a directory lists and work is passed through to.
+
+use hutbook::constants::*;
+use hutbook::coordination::core::{CoreAsk, CoreTell, Listing};
+use hutbook::coordination::view::View;
+use hutbook::protocol::config;
+use hutbook::state::config::{Config, Group, Kind, PassGroup};
+use rstest::rstest;
+use scramble::fleet::World;
+
+const CONFIG: &str = include_str!("../../examples/glenmorven.json");
+const CELLS: [&str; 3] = ["ben", "glen", "strath"];
+
+/// A group that work is passed through to, whose cold servers bear so many jobs a second.
+fn group(cold_per_s: f64) -> Group {
+    let p = PassGroup {
+        sessions_most: 200,
+        cold_per_s,
+        cache_tokens: 0,
+        piece_tokens: 4,
+        batch: 0,
+        health_path: "/health".into(),
+    };
+    Group {
+        kind: Kind::Model,
+        slo_ms: 250,
+        least: 1,
+        most: 1_000,
+        in_flight: 8,
+        warm_jobs: 2,
+        pressure_most: 4.0,
+        cache_most: 0.9,
+        pass: Some(p),
+    }
+}
+
+fn listing(name: &str, cell: &str) -> Listing {
+    Listing {
+        name: name.into(),
+        group: "through".into(),
+        addr: format!("{name}:80"),
+        cell: cell.into(),
+        slots: 8,
+        leaving: false,
+        cold: false,
+    }
+}
+
+fn listings(n: usize) -> Vec<Listing> {
+    (0..n).map(|i| listing(&format!("s{i:03}"), CELLS[i % 3])).collect()
+}
+
+fn configured(cold_per_s: f64) -> Config {
+    let mut c = config::read(CONFIG).expect("a good config");
+    c.groups.insert("through".into(), group(cold_per_s));
+    c
+}
+
+fn put(w: &World, base: u64, change: &str, number: u64, c: &Config) -> Option<CoreTell> {
+    let (text, config) = (format!("{change}'s text"), Box::new(c.clone()));
+    w.operate(CoreAsk::PutConfig { base, change: change.into(), text, config, number })
+}
+
+/// A fleet that passes work through to one group.
+fn fleet(seed: u64, cold_per_s: f64) -> World {
+    let w = World::new(seed);
+    w.raise();
+    assert!(matches!(put(&w, 0, "first", 1, &configured(cold_per_s)), Some(CoreTell::Agreed(_))));
+    w
+}
+
+fn term(w: &World) -> u64 {
+    w.core(&w.leader("refuge"), |r| r.raft.term).expect("it is up")
+}
+
+fn view(w: &World) -> View {
+    w.view(&w.leader("refuge"))
+}
+
+fn poll(w: &World, servers: &[Listing]) -> Option<CoreTell> {
+    w.operate(CoreAsk::Directory { term: term(w), servers: servers.to_vec() })
+}
+
+fn polled(w: &World, servers: &[Listing]) {
+    let t = poll(w, servers);
+    assert!(matches!(t, Some(CoreTell::Agreed(_))), "{t:?}");
+}
+
+fn usable(w: &World) -> Vec<String> {
+    let v = view(w);
+    v.servers.keys().filter(|n| v.usable(n)).cloned().collect()
+}
+
+fn names(of: &[Listing]) -> Vec<String> {
+    of.iter().map(|l| l.name.clone()).collect()
+}
+
+#[rstest]
+fn a_polled_list_is_in_use_and_changes_nothing_twice(#[values(1, 2)] seed: u64) {
+    // given a fleet, and a directory with twelve servers
+    let w = fleet(seed, 0.0);
+    let mut l = listings(12);
+    // when its list comes, then all of them are in use
+    polled(&w, &l);
+    assert_eq!(usable(&w), names(&l));
+    // and the same list again is not even agreed on, once they have been seen warm
+    polled(&w, &l);
+    polled(&w, &l);
+    assert!(view(&w).servers.values().all(|s| !s.cold));
+    let rev = view(&w).rev;
+    assert_eq!(poll(&w, &l), Some(CoreTell::Agreed(rev)));
+    assert_eq!(view(&w).rev, rev);
+    // when one leaves, one is gone and one is new, then only those change
+    l[3].leaving = true;
+    let gone = l.remove(7);
+    l.push(listing("t000", "ben"));
+    polled(&w, &l);
+    let mut now = names(&l);
+    now.remove(3);
+    assert_eq!(usable(&w), now);
+    assert!(!view(&w).servers.contains_key(&gone.name));
+    // and every edge knows it within a renewal
+    w.run(RENEW_MS * 2);
+    for e in w.names("trailhead") {
+        let v = w.edge(&e).view();
+        assert_eq!(v.servers.keys().filter(|n| v.usable(n)).cloned().collect::<Vec<_>>(), now);
+    }
+}
+
+#[rstest]
+fn who_is_leaving_does_not_come_back_by_a_list_that_lags(#[values(1, 2)] seed: u64) {
+    // given a server that the directory has as leaving
+    let w = fleet(seed, 0.0);
+    let mut l = listings(3);
+    l[1].leaving = true;
+    polled(&w, &l);
+    // when an older list comes after it, then it gets nothing all the same
+    l[1].leaving = false;
+    polled(&w, &l);
+    assert_eq!(usable(&w), ["s000", "s002"]);
+}
+
+#[test]
+fn what_operators_list_is_not_the_directorys_to_remove() {
+    // given a server that an operator has listed, and some of the directory
+    let w = fleet(1, 0.0);
+    let ask = CoreAsk::List { name: "hand".into(), group: "lang".into(), addr: "hand:1".into(), cell: "ben".into() };
+    assert!(matches!(w.operate(ask), Some(CoreTell::Agreed(_))));
+    polled(&w, &listings(3));
+    // when the directory's list is empty
+    polled(&w, &[]);
+    // then only its own are gone
+    assert_eq!(view(&w).servers.keys().collect::<Vec<_>>(), ["hand"]);
+}
+
+#[rstest]
+fn a_poller_of_an_earlier_term_is_not_heard(#[values(1, 2, 3)] seed: u64) {
+    // given a list polled under a leader that dies meanwhile
+    let w = fleet(seed, 0.0);
+    let (old, l) = (term(&w), w.leader("refuge"));
+    polled(&w, &listings(3));
+    w.kill(&l);
+    assert!(w.until(5_000, |w| w.leaders("refuge").iter().any(|n| *n != l)));
+    // when it reaches the next leader, then it is void
+    let t = w.operate(CoreAsk::Directory { term: old, servers: vec![] });
+    assert!(matches!(t, Some(CoreTell::Refused { ref code, .. }) if code == "stale_term"), "{t:?}");
+    assert_eq!(usable(&w).len(), 3);
+}
+
+#[rstest]
+fn a_release_puts_the_new_one_in_use_before_the_old_one_leaves(#[values(1, 2)] seed: u64) {
+    // given eight servers in use
+    let w = fleet(seed, 0.0);
+    let mut l = listings(8);
+    polled(&w, &l);
+    for i in 0..3 {
+        // when a new one is listed, it is in use at once
+        l.push(listing(&format!("new{i}"), CELLS[i % 3]));
+        polled(&w, &l);
+        assert!(usable(&w).contains(&format!("new{i}")));
+        // and the old one gets nothing more once it is leaving, and is forgotten once it is gone
+        l[0].leaving = true;
+        polled(&w, &l);
+        assert!(!usable(&w).contains(&l[0].name) && usable(&w).len() == 8);
+        let old = l.remove(0);
+        polled(&w, &l);
+        assert!(!view(&w).places["through"].contains_key(&old.name));
+    }
+}
+
+#[test]
+fn every_cell_may_be_evacuated_where_work_is_passed_through() {
+    // given servers in two cells
+    let w = fleet(1, 0.0);
+    let l: Vec<Listing> = listings(6).into_iter().filter(|l| l.cell != "strath").collect();
+    polled(&w, &l);
+    // when both are evacuated, the last too
+    for c in ["ben", "glen"] {
+        let t = w.operate(CoreAsk::Evacuate { cell: c.into(), out: true });
+        assert!(matches!(t, Some(CoreTell::Agreed(_))), "{t:?}");
+    }
+    // then none is in use, and those of a cell taken back are
+    assert!(usable(&w).is_empty());
+    let t = w.operate(CoreAsk::Evacuate { cell: "glen".into(), out: false });
+    assert!(matches!(t, Some(CoreTell::Agreed(_))), "{t:?}");
+    assert_eq!(usable(&w).len(), 2);
+}
+
+#[rstest]
+fn new_and_back_means_cold_until_a_later_list_says_otherwise(#[values(1, 2)] seed: u64) {
+    // given servers of which the directory says from the first that they are warm
+    let w = fleet(seed, 9.0);
+    let mut l = listings(6);
+    let cold = |w: &World| view(w).servers.values().filter(|s| s.cold).count();
+    polled(&w, &l);
+    assert_eq!(cold(&w), 6);
+    // when lists that began later say so again, then they are
+    polled(&w, &l);
+    polled(&w, &l);
+    assert_eq!(cold(&w), 0);
+    // and one that it says is cold is so at once
+    l[2].cold = true;
+    polled(&w, &l);
+    assert_eq!(cold(&w), 1);
+    l[2].cold = false;
+    polled(&w, &l);
+    polled(&w, &l);
+    assert_eq!(cold(&w), 0);
+    // and those of a cell taken back are cold, whatever a list that was on its way says
+    w.operate(CoreAsk::Evacuate { cell: "ben".into(), out: true });
+    polled(&w, &l);
+    w.operate(CoreAsk::Evacuate { cell: "ben".into(), out: false });
+    polled(&w, &l);
+    assert_eq!(cold(&w), 2);
+    polled(&w, &l);
+    assert_eq!(cold(&w), 0);
+}
+
+#[test]
+fn slots_of_servers_passed_through_to_are_not_divided() {
+    // given servers of both kinds
+    let w = fleet(1, 0.0);
+    polled(&w, &listings(6));
+    let ask = CoreAsk::List { name: "hand".into(), group: "lang".into(), addr: "hand:1".into(), cell: "ben".into() };
+    assert!(matches!(w.operate(ask), Some(CoreTell::Agreed(_))));
+    // when an edge renews, then it has a share of the product's own alone
+    let mut mine = 0;
+    for i in 0..20 {
+        w.run(RENEW_MS);
+        let mut r = w.edge("trailhead1").renewal(w.now());
+        (r.node, r.addr) = (7, "hollow:1".into());
+        r.demand = vec![("lang".into(), 50), ("through".into(), 50)];
+        let Some(CoreTell::Grant(g)) = w.operate(CoreAsk::Renew(r)) else { panic!("no grant") };
+        assert!(g.shares.keys().all(|s| s == "hand"), "{i}: {:?}", g.shares);
+        mine += g.shares.len();
+    }
+    assert!(mine > 0, "no share was given at all");
+}
