--- a/hutbook/src/coordination/raft.rs
+++ b/hutbook/src/coordination/raft.rs
@@ -976,7 +976,7 @@
         r.step(now, In::Synced(mark));
         r.step(now, appended(3));
         r.keep_capture(now, 3, vec![0; 3 * PIECE_BYTES]);
-        let mut sent = |r: &mut Raft, now: u64, i: In| {
+        let sent = |r: &mut Raft, now: u64, i: In| {
             let o = r.step(now, i);
             o.iter().filter(|o| matches!(o, Out::Send { to: 3, msg: RaftMsg::Piece { .. } })).count()
         };
@@ -987,11 +987,14 @@
         // when the partner has just been heard, then it is sent one piece, not one for each proposal
         let n: usize = (0..50).map(|t| sent(&mut r, now + 1, In::Propose { ticket: t, bytes: vec![1] })).sum();
         assert!(n <= 1, "{n} pieces");
+        let mark = r.mark;
+        r.step(now + 1, In::Synced(mark));
         // when it falls silent, then it is sent none any more, for as long as that lasts
         let quiet = now + ELECTION_MS + PIECE_AGAIN_MS;
-        let n: usize = (0..100)
+        let n: usize = (0..200)
             .map(|t| {
-                let at = quiet + t * 10;
+                let (at, mark) = (quiet + t * 10, r.mark);
+                r.step(at, In::Synced(mark));
                 r.step(at, appended(3));
                 sent(&mut r, at, In::Tick)
             })
--- a/hutbook/src/protocol/settings.rs
+++ b/hutbook/src/protocol/settings.rs
@@ -1,7 +1,8 @@
 //! Where a process stands: from a settings file, from flags, or both; flags win.
 
 use super::findings::{is_name, Finding, Reader};
-use crate::constants::{CORE_VOTERS, DAY_MS, REPAIR_MS, STORE_COPIES};
+use crate::constants::DAY_MS;
+use crate::coordination::core::Shape;
 use getopts::Options;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -39,21 +40,6 @@
     pub shape: Shape,
 }
 
-/// How the fleet is built up: the same on every machine.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Shape {
-    pub core_voters: usize,
-    pub store_copies: usize,
-    /// ms. A member silent for this long is taken for dead where a replacement stands ready.
-    pub repair_ms: u64,
-}
-
-impl Default for Shape {
-    fn default() -> Self {
-        Shape { core_voters: CORE_VOTERS, store_copies: STORE_COPIES, repair_ms: REPAIR_MS }
-    }
-}
-
 impl Settings {
     /// The address that partners are told.
     pub fn at(&self) -> SocketAddr {
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -1,7 +1,9 @@
 //! The core: keeps the fleet's agreed state and steers it.
 
 use hutbook::constants::*;
-use hutbook::coordination::core::{id_text, members_json, ponder, Core, CoreAsk, CoreTell};
+use hutbook::coordination::core::{
+    founder_id, founding_cluster, id_text, members_json, ponder, Core, CoreAsk, CoreTell,
+};
 use hutbook::protocol::settings::Settings;
 use hutbook::protocol::wire::{Body, CORE};
 use hutbook::state::disk::Disk;
@@ -24,14 +26,21 @@
 pub fn run(s: Settings, dialect: Box<dyn Dialect>, list: Option<Box<dyn Directory>>) -> Result<(), String> {
     let clock = Clock::start();
     let dir = s.data.clone().expect("checked with the settings");
-    let mut disk = Disk::open(&dir, KIND, draw).map_err(|e| e.to_string())?;
+    // a founder's id is known to the others before it has said a word
+    let founders: Vec<String> = s.founders.iter().map(|a| a.to_string()).collect();
+    let at = s.at().to_string();
+    let id = || if founders.contains(&at) { founder_id(&at) } else { draw() };
+    let mut disk = Disk::open(&dir, KIND, id).map_err(|e| e.to_string())?;
     let me = Member { id: disk.id, addr: s.at().to_string() };
-    // the first of the founders forms the cluster, the others join it
-    let founds = s.found || s.founders.first() == Some(&s.wire);
-    if founds && disk.cluster == 0 {
-        let cluster = draw();
+    let founders: Vec<Member> = match s.found {
+        true => vec![me.clone()],
+        false => founders.into_iter().map(|addr| Member { id: founder_id(&addr), addr }).collect(),
+    };
+    if founders.contains(&me) && disk.cluster == 0 {
+        let addrs: Vec<String> = founders.iter().map(|m| m.addr.clone()).collect();
+        let cluster = if s.found { draw() } else { founding_cluster(&addrs) };
         // the log first: a folder that names a cluster always holds its beginning
-        disk.found(&me.addr, Some(Core::founding(cluster))).map_err(|e| e.to_string())?;
+        disk.found_with(&founders, Some(Core::founding(cluster))).map_err(|e| e.to_string())?;
         disk.set_cluster(cluster).map_err(|e| e.to_string())?;
         log::info!("formed cluster {}", id_text(cluster));
     }
@@ -66,7 +75,7 @@
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
     // a newcomer asks to be let in until it has learnt which cluster this is
     while disk.cluster == 0 {
-        match reach.core(&seeds, CoreAsk::Join(me.clone()), OPERATOR_MS, CALL_MS).await {
+        match reach.core(&seeds, CoreAsk::Join(me.clone(), s.cell.clone()), OPERATOR_MS, CALL_MS).await {
             Some(CoreTell::Duty(d)) if d.cluster != 0 => disk.set_cluster(d.cluster).map_err(|e| e.to_string())?,
             Some(CoreTell::Refused { why, .. }) => log::warn!("not let in yet: {why}"),
             _ => log::info!("no core has answered yet"),
@@ -75,7 +84,8 @@
     }
     post.cluster.store(disk.cluster, Ordering::Relaxed);
     let think = Arc::new(|k| Some(ponder(&k)));
-    let hut = Hut::start(CORE, disk, Core::new(), draw(), clock, post.clone(), think).map_err(|e| e.to_string())?;
+    let hut =
+        Hut::start(CORE, disk, Core::with(s.shape), draw(), clock, post.clone(), think).map_err(|e| e.to_string())?;
     let _ = slot.set(hut.clone());
     log::info!("refuge {} stands at {}", id_text(me.id), me.addr);
 
@@ -100,7 +110,7 @@
         actix_rt::spawn(directory::follow(hut.clone(), l));
     }
     actix_rt::spawn(daemon::told_to_read_again(|| log::info!("settings are read at the start; nothing to do")));
-    actix_rt::spawn(stay_in(hut.clone(), reach, me, seeds));
+    actix_rt::spawn(stay_in(hut.clone(), reach, me, s.cell.clone(), seeds));
 
     daemon::told_to_stop(&closing).await.map_err(|e| e.to_string())?;
     // leadership goes over first, so that nobody waits for an election
@@ -115,17 +125,25 @@
     Ok(())
 }
 
-/// A member that the group doesn't list, or lists elsewhere, asks to be let in.
-async fn stay_in(hut: Arc<Hut<Core>>, reach: Arc<Reach<Wired>>, me: Member, seeds: Vec<String>) {
+/// A member that the group doesn't list, or lists elsewhere, asks to be let in; so does one
+/// without a leader, which may have been let go while it slept and can't know. A new leader
+/// is told once where this machine stands.
+async fn stay_in(hut: Arc<Hut<Core>>, reach: Arc<Reach<Wired>>, me: Member, cell: String, seeds: Vec<String>) {
+    let mut told = 0;
     loop {
-        actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS * 2)).await;
-        let listed = hut.look(|r| r.raft.members().all().any(|m| *m == me));
-        if !listed {
-            if let Some(CoreTell::Refused { why, .. }) =
-                reach.core(&members(&hut, &me, &seeds), CoreAsk::Join(me.clone()), OPERATOR_MS, CALL_MS).await
-            {
-                log::warn!("not let in: {why}");
-            }
+        actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS)).await;
+        let (listed, led, term) = hut.look(|r| {
+            let listed = r.raft.members().all().any(|m| *m == me);
+            (listed, r.raft.leader.is_some(), r.raft.term)
+        });
+        if listed && led && told == term {
+            continue;
+        }
+        let ask = CoreAsk::Join(me.clone(), cell.clone());
+        match reach.core(&members(&hut, &me, &seeds), ask, OPERATOR_MS, CALL_MS).await {
+            Some(CoreTell::Duty(_)) => told = term,
+            Some(CoreTell::Refused { why, .. }) => log::warn!("not let in: {why}"),
+            _ => {}
         }
     }
 }
