--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -42,6 +42,11 @@
 pub const LICENCE_MS: u64 = 1_500;
 /// ms. Taken off the term at the edge and added at the core: clocks drift far less than this.
 pub const DRIFT_MS: u64 = 50;
+/// ms. What an edge may send to a cold server counts this long beyond its licence: the rate that
+/// such a server bears is one for every second, and its last second may have begun just before.
+pub const COLD_AFTER_MS: u64 = 1_000;
+/// jobs. A second, for each edge that sends to a cold server where there are too many to give each one.
+pub const COLD_EACH: u32 = 2;
 /// ms. How often the slots of all servers are divided anew: many renewals share one division.
 pub const TARGETS_MS: u64 = 100;
 /// edges × servers. For each so many, the slots are divided one interval later.
--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -52,7 +52,8 @@
         #[n(2)] pub rev: u64,
         #[n(3)] pub update: Update,
         #[n(4)] pub shares: BTreeMap<String, u32>,
-        /// Jobs a second that this edge may send to each cold server that takes work passed through.
+        /// Jobs a second that this edge may send to each cold server that takes work passed through;
+        /// none to a cold one that isn't named here.
         #[cbor(n(5), default)] pub cold: BTreeMap<String, u32>,
         /// Edges that hold a licence.
         #[cbor(n(6), default)] pub edges: u32,
@@ -547,6 +548,7 @@
         self.ledger.hear(st.now, r.node, seen, r.have, &r.cell, &r.addr, r.demand, r.held);
         self.ledger.births(st.now, &self.kept.view, r.node, &mut self.births);
         let (no, shares) = self.ledger.grant(st.now, &self.kept.view, r.node);
+        let cold = self.ledger.cold(st.now, &self.kept.view, r.node);
         let update = match self.journal.since(r.have) {
             Some(e) if r.have <= self.kept.view.rev && (r.have > 0 || self.kept.view.rev == 0) => Update::Events(e),
             _ => Update::Whole(Box::new(self.kept.view.clone())),
@@ -557,7 +559,7 @@
             rev: self.kept.view.rev,
             update,
             shares,
-            cold: BTreeMap::new(),
+            cold,
             edges: self.ledger.live(st.now) as u32,
         }))
     }
--- a/hutbook/src/coordination/shares.rs
+++ b/hutbook/src/coordination/shares.rs
@@ -105,6 +105,110 @@
     bounds: BTreeMap<String, u32>,
     /// What all edges together may have under way on a server.
     sums: BTreeMap<String, u32>,
+    cold: Cold,
+}
+
+/// What one edge may send to one cold server in a second; and what it was told before, as long as
+/// it may still act on that.
+#[derive(Default)]
+struct Given {
+    now: u32,
+    until: u64,
+    was: u32,
+    was_until: u64,
+}
+
+impl Given {
+    /// The most that it may have sent in the second before `at`.
+    fn most(&self, at: u64) -> u32 {
+        let live = |n, until| if at <= until { n } else { 0 };
+        live(self.now, self.until).max(live(self.was, self.was_until))
+    }
+
+    fn give(&mut self, at: u64, n: u32) {
+        if n < self.now {
+            let was = if at <= self.was_until { self.was } else { 0 };
+            (self.was, self.was_until) = (was.max(self.now), self.until);
+        }
+        (self.now, self.until) = (n, at + LICENCE_MS + DRIFT_MS + COLD_AFTER_MS);
+    }
+}
+
+/// Rates of the cold servers that work is passed through to, over all edges. An edge's rate is
+/// raised only out of what no other edge can still act on, as its slots are.
+#[derive(Default)]
+struct Cold {
+    at: u64,
+    rev: u64,
+    /// Edges that can act, and what each server bears, as the aims were made for.
+    edges: Vec<u64>,
+    bounds: BTreeMap<String, u32>,
+    aims: BTreeMap<String, BTreeMap<u64, u32>>,
+    given: BTreeMap<String, BTreeMap<u64, Given>>,
+}
+
+impl Cold {
+    fn aim(&mut self, now: u64, v: &View, edges: Vec<u64>) {
+        self.at = now + TARGETS_MS;
+        let mut news = self.edges != edges;
+        if self.rev != v.rev {
+            self.rev = v.rev;
+            let bound = |s: &super::view::Server| {
+                let per_s = v.group(&s.group)?.pass.as_ref()?.cold_per_s;
+                // under one a second there is no rate to divide
+                (per_s >= 1.0 && v.usable(&s.name)).then(|| (s.name.clone(), per_s as u32))
+            };
+            let new: BTreeMap<String, u32> = v.servers.values().filter(|s| s.cold).filter_map(bound).collect();
+            news |= self.bounds != new;
+            self.bounds = new;
+        }
+        self.given.retain(|_, g| {
+            g.retain(|_, x| now <= x.until.max(x.was_until));
+            !g.is_empty()
+        });
+        if news {
+            self.edges = edges;
+            self.aims = self.bounds.iter().map(|(s, b)| (s.clone(), portion(*b, &self.edges, hash(s)))).collect();
+        }
+    }
+
+    fn grant(&mut self, now: u64, node: u64) -> BTreeMap<String, u32> {
+        let mut out = BTreeMap::new();
+        for (s, bound) in &self.bounds {
+            let g = self.given.entry(s.clone()).or_default();
+            let others: u32 = g.iter().filter(|(n, _)| **n != node).map(|(_, x)| x.most(now)).sum();
+            let aim = self.aims.get(s).and_then(|a| a.get(&node)).copied().unwrap_or(0);
+            let n = aim.min(bound.saturating_sub(others));
+            if n > 0 || g.contains_key(&node) {
+                g.entry(node).or_default().give(now, n);
+            }
+            if n > 0 {
+                out.insert(s.clone(), n);
+            }
+        }
+        out
+    }
+}
+
+/// A cold server's rate divided among edges; where there are more edges than it bears, a few get
+/// two each, always the same ones while the edges stay the same, and others at another server.
+fn portion(bound: u32, edges: &[u64], salt: u64) -> BTreeMap<u64, u32> {
+    let mix = |n: u64| {
+        let x = (n ^ salt).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (x ^ (x >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    };
+    let mut order: Vec<(u64, u64)> = edges.iter().map(|n| (mix(*n), *n)).collect();
+    order.sort_unstable();
+    let n = order.len() as u32;
+    if n == 0 {
+        return BTreeMap::new();
+    }
+    if bound < n {
+        let few = (bound / COLD_EACH).max(1) as usize;
+        return order.into_iter().take(few).map(|(_, e)| (e, COLD_EACH.min(bound))).collect();
+    }
+    let each = |i: u32| bound / n + u32::from(i < bound % n);
+    order.into_iter().zip(0..).map(|((_, e), i)| (e, each(i))).collect()
 }
 
 impl Ledger {
@@ -332,6 +436,20 @@
         (self.edges[&node].no, out)
     }
 
+    /// Jobs a second that this edge may send to each cold server that work is passed through to.
+    pub fn cold(&mut self, now: u64, v: &View, node: u64) -> BTreeMap<String, u32> {
+        // what an earlier leader has given may still be acted on, and nobody knows how much that is
+        if now <= self.rose + LICENCE_MS + DRIFT_MS + COLD_AFTER_MS {
+            return BTreeMap::new();
+        }
+        if now >= self.cold.at || self.cold.rev != v.rev {
+            let acts = |e: &EdgeBook| e.no > 0 && now <= e.until + COLD_AFTER_MS;
+            let edges = self.edges.iter().filter(|(_, e)| acts(e)).map(|x| *x.0).collect();
+            self.cold.aim(now, v, edges);
+        }
+        self.cold.grant(now, node)
+    }
+
     /// Divides every server's bound by what the edges say they could use.
     fn aim(&mut self, now: u64, v: &View) {
         if self.rev != v.rev {
@@ -391,6 +509,37 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_cold_servers_rate_is_divided_whole_or_goes_to_a_few() {
+        // given more to divide than edges, then nothing is lost and nobody has two more than another
+        let edges: Vec<u64> = (1..=6).collect();
+        let d = portion(21, &edges, 7);
+        assert_eq!(d.values().sum::<u32>(), 21);
+        assert!(d.len() == 6 && d.values().all(|n| (3..=4).contains(n)), "{d:?}");
+        // given more edges than it bears, then a few have two each: the same few, and others elsewhere
+        let edges: Vec<u64> = (1..=64).collect();
+        let d = portion(21, &edges, 7);
+        assert!(d.len() == 10 && d.values().all(|n| *n == 2), "{d:?}");
+        assert_eq!(portion(21, &edges, 7), d);
+        assert_ne!(portion(21, &edges, 8).keys().collect::<Vec<_>>(), d.keys().collect::<Vec<_>>());
+        assert_eq!(portion(1, &edges, 7).values().sum::<u32>(), 1);
+    }
+
+    #[test]
+    fn a_lowered_rate_counts_until_nobody_can_act_on_it() {
+        // given an edge that had ten a second and is told three
+        let mut g = Given::default();
+        g.give(0, 10);
+        g.give(300, 3);
+        // when it renews again and again, then the ten count as long as its licence and a second, no longer
+        let end = LICENCE_MS + DRIFT_MS + COLD_AFTER_MS;
+        for at in (600..end).step_by(300) {
+            g.give(at, 3);
+            assert_eq!(g.most(at), 10);
+        }
+        assert_eq!((g.most(end), g.most(end + 1)), (10, 3));
+    }
+
     #[test]
     fn shares_add_up_to_the_bound_and_follow_demand() {
         // given edges of different demand, when a bound is divided
--- a/scramble/tests/directory.rs
+++ b/scramble/tests/directory.rs
@@ -1,12 +1,19 @@
 //! Given-when-then stories of servers that a directory lists and work is passed through to.
 
 use hutbook::constants::*;
+use hutbook::coordination::core::Renewal;
 use hutbook::coordination::core::{CoreAsk, CoreTell, Listing};
 use hutbook::coordination::view::View;
 use hutbook::protocol::config;
 use hutbook::state::config::{Config, Group, Kind, PassGroup};
+use hutbook::transport::reach::{Reach, Speak};
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
 use rstest::rstest;
 use scramble::fleet::World;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
 
 const CONFIG: &str = include_str!("../../examples/glenmorven.json");
 const CELLS: [&str; 3] = ["ben", "glen", "strath"];
@@ -256,3 +263,145 @@
     }
     assert!(mine > 0, "no share was given at all");
 }
+
+/// (from, until, edge, server, jobs a second): what each edge could send, as it saw it itself.
+type Sent = Rc<RefCell<Vec<(u64, u64, u64, String, u32)>>>;
+
+/// An edge that does nothing but renew, from one moment until it is killed at another.
+fn hollow(w: &World, node: u64, from: u64, until: u64, out: &Sent) {
+    let (w2, out) = (w.clone(), out.clone());
+    w.spawn("outside", async move {
+        let way = w2.way("outside");
+        way.nap(from).await;
+        let reach = Reach::new(way.clone());
+        let (mut have, mut seen, mut term) = (0, 0, 0);
+        let mut held: BTreeMap<String, u32> = BTreeMap::new();
+        let (mut since, mut lapses) = (way.now(), 0);
+        let note = |held: &BTreeMap<String, u32>, since: u64, until: u64| {
+            let all = held.iter().map(|(s, n)| (since, until, node, s.clone(), *n));
+            out.borrow_mut().extend(all.filter(|x| x.0 < x.1));
+        };
+        while way.now() < until {
+            let sent = way.now();
+            let (demand, held2, windows) = (vec![], vec![], vec![]);
+            let (cell, addr) = ("ben".to_string(), format!("hollow{node}"));
+            let r = Renewal { node, cell, addr, have, seen, demand, held: held2, windows, term };
+            if let Some(CoreTell::Grant(g)) =
+                reach.core(&w2.names("refuge"), CoreAsk::Renew(r), LICENCE_MS, RENEW_TRY_MS).await
+            {
+                let now = way.now();
+                note(&held, since, now.min(lapses));
+                (have, seen, term, held, since) = (g.rev, g.no, g.term, g.cold, now);
+                lapses = sent + LICENCE_MS - DRIFT_MS;
+            }
+            way.nap((sent + RENEW_MS).saturating_sub(way.now())).await;
+        }
+        // killed: but a frozen one would act until its licence is over
+        note(&held, since, lapses);
+    });
+}
+
+/// The most that all edges together could send to a server in any second.
+fn most_in_a_second(sent: &Sent, server: &str) -> u32 {
+    let all: Vec<_> = sent.borrow().iter().filter(|x| x.3 == server).cloned().collect();
+    let at = |t: u64| {
+        let mut by: BTreeMap<u64, u32> = BTreeMap::new();
+        for x in all.iter().filter(|x| x.0 <= t && x.1 + 1_000 > t) {
+            let e = by.entry(x.2).or_default();
+            *e = (*e).max(x.4);
+        }
+        by.values().sum::<u32>()
+    };
+    all.iter().map(|x| at(x.0)).max().unwrap_or(0)
+}
+
+/// What all edges together can send to a server now.
+fn now(sent: &Sent, t: u64, server: &str) -> u32 {
+    sent.borrow().iter().filter(|x| x.3 == server && x.0 <= t && t < x.1).map(|x| x.4).sum()
+}
+
+#[rstest]
+fn a_cold_server_is_never_promised_more_than_it_bears(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(21.0, 7.5)] rate: f64,
+    #[values(5, 30)] edges: u64,
+) {
+    // given three cold servers and edges that come and go, on a network that loses letters
+    let w = World::new(seed);
+    w.founders(3);
+    let mut r = ChaCha8Rng::seed_from_u64(seed);
+    let mut draw = move |n: u64| r.next_u64() % n;
+    assert!(matches!(put(&w, 0, "first", 1, &configured(rate)), Some(CoreTell::Agreed(_))));
+    let mut l = listings(3);
+    l.iter_mut().for_each(|l| l.cold = true);
+    polled(&w, &l);
+    let sent = Sent::default();
+    let start = w.now();
+    for node in 1..=edges {
+        let from = draw(20_000);
+        hollow(&w, node, from, start + from + 500 + draw(15_000), &sent);
+    }
+    // when the leader goes too, and one server turns warm and cold again
+    w.lose(20);
+    w.run(9_000);
+    let lead = w.leader("refuge");
+    w.kill(&lead);
+    w.run(4_000);
+    w.start(&lead);
+    w.lose(0);
+    l[0].cold = false;
+    polled(&w, &l);
+    polled(&w, &l);
+    polled(&w, &l);
+    w.run(600);
+    l[0].cold = true;
+    polled(&w, &l);
+    w.run(25_000);
+    // then in no second could they send it more than it bears
+    for s in names(&l) {
+        let most = most_in_a_second(&sent, &s);
+        assert!(f64::from(most) <= rate, "{s}: {most}");
+        assert!(most > 0, "{s} was promised nothing");
+    }
+}
+
+#[rstest]
+fn edges_that_stay_share_a_cold_servers_whole_rate(#[values((6, 21), (21, 21), (64, 20))] case: (u64, u32)) {
+    // given edges that stay, and a cold server that bears 21 a second
+    let (edges, whole) = case;
+    let w = World::new(1);
+    w.founders(3);
+    assert!(matches!(put(&w, 0, "first", 1, &configured(21.0)), Some(CoreTell::Agreed(_))));
+    let mut l = listings(2);
+    l[0].cold = true;
+    polled(&w, &l);
+    polled(&w, &l);
+    polled(&w, &l);
+    let sent = Sent::default();
+    let end = w.now() + 8_000;
+    (1..=edges).for_each(|n| hollow(&w, n, n % 5, end, &sent));
+    w.run(12_000);
+    // when they have settled, then it is promised in whole, or two each to a few of too many
+    let t = end - 1_000;
+    assert_eq!(now(&sent, t, "s000"), whole);
+    let n = sent.borrow().iter().filter(|x| x.3 == "s000" && x.0 <= t && t < x.1).count();
+    assert_eq!(n as u64, if edges > 21 { 10 } else { edges });
+    // and of a warm one nothing is said
+    assert!(sent.borrow().iter().all(|x| x.3 == "s000"));
+}
+
+#[test]
+fn servers_without_a_cold_rate_are_never_cold() {
+    // given a group whose servers bear everything from the first
+    let w = World::new(1);
+    w.founders(3);
+    assert!(matches!(put(&w, 0, "first", 1, &configured(0.0)), Some(CoreTell::Agreed(_))));
+    let mut l = listings(2);
+    l[0].cold = true;
+    polled(&w, &l);
+    let sent = Sent::default();
+    let end = w.now() + 5_000;
+    hollow(&w, 1, 1, end, &sent);
+    w.run(6_000);
+    assert!(sent.borrow().is_empty());
+}
