--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -190,6 +190,8 @@
 pub const CONFIGS_KEPT: usize = 64;
 /// decisions. The scaler's last ones kept readable.
 pub const DECISIONS_KEPT: usize = 64;
+/// machines. Whose names are kept, with the id of each of their lives: far more than a fleet has.
+pub const NAMES_KEPT: usize = 1_024;
 /// change ids. Remembered so that a repeated change gets its first verdict.
 pub const CHANGES_KEPT: usize = 256;
 /// events. Kept for edges that are a little behind; older ones get a whole capture.
--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -61,7 +61,7 @@
     pub struct CheckIn {
         #[n(0)] pub me: Member,
         #[n(1)] pub cell: String,
-        /// From a store group's leader: the group and its members.
+        /// From a store group's leader: the group and its members, as it has agreed on them.
         #[n(2)] pub leads: Option<(u32, Members)>,
         /// Its group's open jobs, if the core's last answer asked for them.
         #[n(3)] pub open: Option<OpenJobs>,
@@ -159,6 +159,8 @@
         /// What was found out about the process of a server whose warm-up began at `since`.
         /// Nothing waits any more for a group that a config has removed.
         #[n(12)] Faded { #[n(0)] term: u64, #[n(1)] group: String },
+        #[n(14)] Named { #[n(0)] name: String, #[n(1)] node: u64 },
+        #[n(15)] RetireNamed(#[n(0)] String),
         /// How the directory's list differs from what is agreed.
         #[n(13)] Directory { #[n(0)] term: u64, #[n(1)] put: Vec<Relisted>, #[n(2)] gone: Vec<String> },
         #[n(11)] Born { #[n(0)] term: u64, #[n(1)] server: String, #[n(2)] since: u64, #[n(3)] born: u64, #[n(4)] fell: bool },
@@ -180,6 +182,9 @@
         #[n(3)] samples: VecDeque<Sample>,
         #[n(4)] decisions: VecDeque<Noted>,
         #[n(5)] retired: Vec<u64>,
+        /// Names of store machines and the id of each of their lives, oldest first.
+        #[cbor(n(6), default)] names: Vec<(String, u64)>,
+        #[cbor(n(7), default)] retired_names: Vec<String>,
     }
 }
 
@@ -187,6 +192,7 @@
 struct Bothy {
     me: Member,
     cell: String,
+    name: String,
     heard: u64,
 }
 
@@ -715,6 +721,13 @@
                 }
             }
         }
+        for b in self.bothies.values().filter(|b| !b.name.is_empty()) {
+            // a name is known to every later leader, so that it is never taken for one never heard of
+            if !self.kept.names.iter().any(|(n, id)| *id == b.me.id && *n == b.name) {
+                let cmd = CoreCmd::Named { name: b.name.clone(), node: b.me.id };
+                out.push(Todo::Propose(to_bytes(&cmd)));
+            }
+        }
         let v = &self.kept.view;
         let quiet = |l: &Ledger, g: &String| l.all_have(st.now, v.config_rev) && l.demand(g) == 0;
         self.idle.retain(|g, _| v.fading.contains_key(g) && quiet(&self.ledger, g));
@@ -727,6 +740,70 @@
         }
     }
 
+    /// Does this name belong to that life of a store machine?
+    fn is_named(&self, node: u64, name: &str) -> bool {
+        !name.is_empty()
+            && (self.bothies.get(&node).is_some_and(|b| b.name == name)
+                || self.kept.names.iter().any(|(n, id)| *id == node && n == name))
+    }
+
+    /// Is this store machine to go, or gone, by its id or its name? A name is retired whatever
+    /// disk its machine comes back with.
+    fn retires(&self, node: u64) -> bool {
+        self.kept.retired.contains(&node) || self.kept.retired_names.iter().any(|n| self.is_named(node, n))
+    }
+
+    fn knows(&self, name: &str) -> bool {
+        self.kept.names.iter().any(|(n, _)| n == name)
+            || self.bothies.values().any(|b| !name.is_empty() && b.name == name)
+    }
+
+    /// A new leader has not heard everybody yet.
+    fn hears_all(&self, now: u64) -> bool {
+        now >= self.ledger.rose + 4 * CHECK_IN_MS
+    }
+
+    fn retire_named(&self, now: u64, name: String) -> Plan<CoreTell> {
+        if self.kept.retired_names.contains(&name) {
+            return Plan::Tell(CoreTell::Agreed(self.kept.view.rev));
+        }
+        if !self.knows(&name) {
+            return Plan::Tell(self.no_name(now));
+        }
+        let heard = |b: &&Bothy| now < b.heard + self.shape.repair_ms.max(4 * CHECK_IN_MS);
+        let stay = |b: &&Bothy| b.name != name && !self.retires(b.me.id);
+        // one that came back with an empty disk is one machine, not two
+        let left = self.bothies.values().filter(heard).filter(stay).map(|b| b.me.addr.as_str());
+        let left = left.collect::<std::collections::BTreeSet<_>>().len();
+        if left >= self.shape.store_copies {
+            return Plan::Propose(to_bytes(&CoreCmd::RetireNamed(name)));
+        }
+        if !self.hears_all(now) {
+            return Plan::Tell(CoreTell::Busy);
+        }
+        let why = format!("{left} live machines would be left for {} copies", self.shape.store_copies);
+        Plan::Tell(CoreTell::Refused { code: "too_few".into(), why })
+    }
+
+    fn no_name(&self, now: u64) -> CoreTell {
+        if !self.hears_all(now) {
+            return CoreTell::Busy;
+        }
+        CoreTell::Unknown("no store machine of that name has been heard of".into())
+    }
+
+    /// Out of every group, and every group whole without it, each of its members heard: what was
+    /// agreed stands on most of the members agreed since, so the next loss is borne.
+    fn is_retired(&self, now: u64, name: &str) -> bool {
+        let ids = |m: &[Member]| m.iter().map(|x| x.id).collect::<std::collections::BTreeSet<_>>();
+        let gone = |s: &StoreGroup| s.wanted.iter().chain(&s.actual).all(|m| !self.is_named(m.id, name));
+        let live = |m: &Member| self.bothies.get(&m.id).is_some_and(|b| now < b.heard + 2 * CHECK_IN_MS);
+        let whole = |s: &StoreGroup| {
+            s.actual.len() >= self.shape.store_copies && ids(&s.wanted) == ids(&s.actual) && s.actual.iter().all(live)
+        };
+        self.kept.retired_names.iter().any(|n| n == name) && self.kept.view.stores.values().all(|s| gone(s) && whole(s))
+    }
+
     /// The next change to a store group's wanted members, if one is due.
     fn next_stores(&self, now: u64) -> Option<(u32, StoreGroup)> {
         let v = &self.kept.view;
@@ -740,7 +817,7 @@
         };
         let free = |b: &&Bothy| {
             now < b.heard + 2 * CHECK_IN_MS
-                && !self.kept.retired.contains(&b.me.id)
+                && !self.retires(b.me.id)
                 && v.stores.values().all(|s| s.wanted.iter().chain(&s.actual).all(|m| m.id != b.me.id))
         };
         let Some((g, s)) = v.stores.iter().next() else {
@@ -754,6 +831,8 @@
             // a new leader has heard nobody yet
             s.wanted.iter().find(|m| !live(m.id) && now > self.ledger.rose + repair)
         });
+        // one that is to retire goes as a dead one does: not before another votes in its place
+        let dead = dead.or_else(|| s.wanted.iter().find(|m| settled && self.retires(m.id)));
         let cell = |m: &Member| self.bothies.get(&m.id).map(|b| b.cell.as_str());
         let kept: Vec<&Member> = s.wanted.iter().filter(|m| dead.is_none_or(|d| d.id != m.id)).collect();
         let there = |c: &str| kept.iter().filter(|m| cell(m) == Some(c)).count();
@@ -788,7 +867,7 @@
             d.founder = s.founder == id && s.actual.is_empty();
             d.wanted = s.wanted.clone();
         }
-        self.bothies.insert(id, Bothy { me: c.me, cell: c.cell, heard: st.now });
+        self.bothies.insert(id, Bothy { me: c.me, cell: c.cell, name: c.name, heard: st.now });
         // an answer to another term's question says nothing of this one
         if let (Some((g, _)), Some(o)) = (c.leads, c.open.filter(|o| o.term == st.term)) {
             self.ledger.tell(st.now, &self.kept.view, g, o);
@@ -849,6 +928,12 @@
                 }
                 jzon::object! { node: id_text(*node), done: !still }
             }
+            CoreAsk::RetirementNamed(name) => {
+                if !self.knows(name) {
+                    return None;
+                }
+                jzon::object! { name: name.as_str(), done: self.is_retired(st.now, name) }
+            }
             CoreAsk::Members => members_json(&self.members),
             CoreAsk::Places => {
                 let mut o = jzon::object! {};
@@ -1005,6 +1090,7 @@
                 }
                 CoreCmd::Retire(n)
             }
+            CoreAsk::RetireNamed(n) => return self.retire_named(st.now, n),
             CoreAsk::Directory { term, servers } => return self.directory(st, term, &servers),
             CoreAsk::Thought { term, decision, sample } => return self.thought(st, term, &decision, &sample),
             _ => return Plan::Read,
@@ -1027,6 +1113,7 @@
                 Some((rev, text, _)) => CoreTell::Config { rev: *rev, text: text.clone() },
                 None => CoreTell::Unknown("no config of that revision is kept".into()),
             },
+            CoreAsk::RetirementNamed(n) if !self.knows(&n) => self.no_name(st.now),
             a => match self.json(st, &a) {
                 Some(j) => CoreTell::Json(j.dump()),
                 None => CoreTell::Unknown("nothing of that name".into()),
@@ -1063,6 +1150,21 @@
             }
             CoreCmd::Evacuate { cell, out } => self.evacuate(index, cell, out),
             CoreCmd::Retire(n) => self.retire(index, n),
+            CoreCmd::Named { name, node } => {
+                if !self.kept.names.iter().any(|(n, id)| *id == node && *n == name) {
+                    self.kept.names.push((name, node));
+                    if self.kept.names.len() > NAMES_KEPT {
+                        self.kept.names.remove(0);
+                    }
+                }
+                CoreTell::Agreed(index)
+            }
+            CoreCmd::RetireNamed(name) => {
+                if !self.kept.retired_names.contains(&name) {
+                    self.kept.retired_names.push(name);
+                }
+                CoreTell::Agreed(index)
+            }
             CoreCmd::Dismiss(n) => {
                 let known = self.kept.view.cores.iter().any(|m| m.id == n);
                 if !known && !self.kept.retired.contains(&n) {
--- a/hutbook/src/coordination/raft.rs
+++ b/hutbook/src/coordination/raft.rs
@@ -195,6 +195,11 @@
         &self.member_log.last().expect("the base is always there").1
     }
 
+    /// The members as agreed: a change under way is not among them yet.
+    pub fn agreed_members(&self) -> Members {
+        self.members_at(self.commit)
+    }
+
     pub fn last(&self) -> u64 {
         self.log.back().map_or(self.base, |e| e.index)
     }
--- a/huts/src/bin/bothy.rs
+++ b/huts/src/bin/bothy.rs
@@ -116,8 +116,7 @@
         }
         let mut asked: Option<Duty> = None;
         loop {
-            let leads =
-                self.slot.get().and_then(|(g, h)| h.look(|r| r.leads().then(|| (*g, r.raft.members().clone()))));
+            let leads = self.slot.get().and_then(|(g, h)| h.look(|r| r.leads().then(|| (*g, r.raft.agreed_members()))));
             let mut open = None;
             if let (Some(d), Some((g, _))) = (asked.take(), &leads) {
                 open = open_jobs(&reach.way, &self.me.addr, *g, &d).await;
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -461,7 +461,7 @@
 fn check_in(n: &Node, name: &str) -> Option<CheckIn> {
     let Part::Store { group, replica, .. } = &n.part else { return None };
     let leads = match (group, replica) {
-        (Some(g), Some(r)) if r.leads() => Some((*g, r.raft.members().clone())),
+        (Some(g), Some(r)) if r.leads() => Some((*g, r.raft.agreed_members())),
         _ => None,
     };
     Some(CheckIn {
--- a/scramble/tests/membership.rs
+++ b/scramble/tests/membership.rs
@@ -1,7 +1,9 @@
 //! Given-when-then stories of who is a member: founding by several, repair, and spread over cells.
 
-use hutbook::coordination::core::{CoreTell, Shape};
+use hutbook::constants::*;
+use hutbook::coordination::core::{CoreAsk, CoreTell, Shape};
 use rstest::rstest;
+use scramble::check::check;
 use scramble::fleet::World;
 use std::collections::BTreeSet;
 
@@ -118,6 +120,55 @@
     println!("both, seed {seed}: {} ms", w.now() - from);
 }
 
+#[rstest]
+fn power_goes_everywhere_and_one_disk_of_each_is_gone(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    // given a fleet with a config
+    let w = founded(seed);
+    assert!(matches!(w.put(0, "first", CONFIG), Some(CoreTell::Agreed(_))));
+    let cluster = w.view(&w.leader("refuge")).cluster;
+    // when every machine loses power, and a core and a store machine their disks with it
+    let (c, s) = (format!("refuge{}", seed % 3 + 1), format!("bothy{}", (seed + 1) % 3 + 1));
+    let all = w.ours();
+    all.iter().for_each(|n| w.kill(n));
+    w.empty(&c);
+    w.empty(&s);
+    w.run(1_000);
+    all.iter().for_each(|n| w.start(n));
+    // then both groups are whole in time, and what was agreed is there
+    let from = w.now();
+    let ok = w.until(REPAIR_IN_MS, |w| whole(w, "refuge", 3) && whole(w, "bothy", 3));
+    assert!(ok, "not whole after {REPAIR_IN_MS} ms");
+    println!("after total loss, seed {seed}: {} ms", w.now() - from);
+    let v = w.view(&w.leader("refuge"));
+    assert_eq!((v.cluster, v.config_text.as_str()), (cluster, CONFIG));
+}
+
+#[rstest]
+fn two_of_five_are_wiped_at_once(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    // given a core and a store of five, three core machines of them founders
+    let w = World::new(seed);
+    w.shape(Shape { core_voters: 5, store_copies: 5, repair_ms: 2_000 });
+    w.founders(3);
+    (4..=5).for_each(|i| w.refuge(i, false));
+    (1..=5).for_each(|i| w.bothy(i));
+    assert!(w.until(15_000, |w| whole(w, "refuge", 5) && whole(w, "bothy", 5)), "it did not come up");
+    // when two of each lose their disks at once, the leaders among them, and then two others
+    for _ in 0..2 {
+        for kind in ["refuge", "bothy"] {
+            let l = w.leader(kind);
+            let other = w.names(kind).into_iter().find(|n| *n != l).unwrap();
+            [&l, &other].into_iter().for_each(|n| w.empty(n));
+        }
+        w.run(1_000);
+        w.names("refuge").iter().chain(&w.names("bothy")).filter(|n| !w.is_up(n)).for_each(|n| w.start(n));
+        // then each is whole in time
+        let from = w.now();
+        let ok = w.until(REPAIR_IN_MS, |w| whole(w, "refuge", 5) && whole(w, "bothy", 5));
+        assert!(ok, "not whole after {REPAIR_IN_MS} ms");
+        println!("two of five, seed {seed}: {} ms", w.now() - from);
+    }
+}
+
 #[rstest]
 fn one_that_only_slept_is_let_in_again(#[values(1, 2, 3)] seed: u64) {
     // given a core of three and a store of three, each with a spare
@@ -187,6 +238,118 @@
     assert!(whole(&w, "refuge", 5) && whole(&w, "bothy", 5), "it did not come to rest");
 }
 
+fn retire(w: &World, name: &str) -> Option<CoreTell> {
+    w.operate(CoreAsk::RetireNamed(name.into()))
+}
+
+fn retired(w: &World, name: &str) -> Option<bool> {
+    match w.operate(CoreAsk::RetirementNamed(name.into())) {
+        Some(CoreTell::Json(j)) => jzon::parse(&j).ok()?["done"].as_bool(),
+        _ => None,
+    }
+}
+
+/// ms until it is reported done.
+fn emptied(w: &World, name: &str) -> u64 {
+    let from = w.now();
+    while w.now() < from + 10_000 {
+        if retired(w, name) == Some(true) {
+            return w.now() - from;
+        }
+        w.run(50);
+    }
+    panic!("{name} was not retired within 10 s");
+}
+
+#[rstest]
+fn a_machine_retired_by_name_is_missed_by_nobody(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(true, false)] leader: bool,
+) {
+    // given a fleet at work, with a spare store machine
+    let w = World::new(seed);
+    w.shape(SHAPE);
+    w.raise();
+    w.bothy(4);
+    w.furnish(CONFIG, 12, 8, "tiles");
+    w.traffic(12_000, 100);
+    w.run(3_000);
+    let l = w.leader("bothy");
+    let member = |n: &String| *n != l && *n != "bothy4";
+    let n = if leader { l.clone() } else { w.names("bothy").into_iter().find(member).unwrap() };
+    assert_eq!(retired(&w, &n), Some(false));
+    // when a member is retired by its name, the order sent again, and the machine taken away with its disk once it is done
+    assert!(matches!(retire(&w, &n), Some(CoreTell::Agreed(_))));
+    assert!(matches!(retire(&w, &n), Some(CoreTell::Agreed(_))));
+    let ms = emptied(&w, &n);
+    println!("retired, seed {seed}: {ms} ms");
+    w.empty(&n);
+    // then the next loss, right after and with its disk, is borne: nothing that was agreed is gone
+    let l = w.leader("bothy");
+    w.empty(&l);
+    w.run(800);
+    w.start(&l);
+    let from = w.now();
+    let wanted: Vec<String> = w.names("bothy").into_iter().filter(|x| *x != n).collect();
+    let all = |w: &World| {
+        let Some(l) = w.leaders("bothy").into_iter().next() else { return false };
+        let m = w.store(&l, |r| r.raft.agreed_members()).unwrap();
+        m.voters.len() == 3 && wanted.iter().all(|x| m.voters.iter().any(|v| v.id == w.id(x)))
+    };
+    assert!(w.until(REPAIR_IN_MS, all), "not whole after {REPAIR_IN_MS} ms");
+    println!("made good, seed {seed}: {} ms", w.now() - from);
+    let saw = w.evening(60_000);
+    assert_eq!(check(&saw), vec![]);
+}
+
+#[rstest]
+fn a_retired_machine_never_comes_back_by_itself(#[values(1, 2, 3)] seed: u64, #[values(true, false)] wiped: bool) {
+    // given a machine that was retired
+    let w = founded(seed);
+    w.bothy(4);
+    w.run(1_500);
+    assert!(matches!(retire(&w, "bothy2"), Some(CoreTell::Agreed(_))));
+    emptied(&w, "bothy2");
+    // when it stays, or starts again with an empty disk, and another machine dies for good
+    if wiped {
+        w.empty("bothy2");
+        w.start("bothy2");
+    }
+    w.run(1_000);
+    w.empty("bothy3");
+    w.run(10_000);
+    // then it is not taken for a spare, and its retirement stands; also for the next leader
+    let l = w.leader("refuge");
+    w.kill(&l);
+    w.run(4_000);
+    let s = w.view(&w.leader("refuge")).stores[&1].clone();
+    assert!(s.wanted.iter().chain(&s.actual).all(|m| m.id != w.id("bothy2")), "{s:?}");
+    assert!(matches!(retire(&w, "bothy2"), Some(CoreTell::Agreed(_))));
+    // and it is not done while the group is short of a copy
+    assert_eq!(retired(&w, "bothy2"), Some(false));
+}
+
+#[rstest]
+fn who_may_not_be_retired_is_refused(#[values(1, 2, 3)] seed: u64) {
+    // given three store machines for three copies
+    let w = founded(seed);
+    // when one is retired, then too few would be left
+    let t = retire(&w, "bothy1");
+    assert!(matches!(t, Some(CoreTell::Refused { ref code, .. }) if code == "too_few"), "{t:?}");
+    // and one that nobody has heard of is unknown
+    assert!(matches!(retire(&w, "bothy9"), Some(CoreTell::Unknown(_))));
+    assert!(matches!(w.operate(CoreAsk::RetirementNamed("bothy9".into())), Some(CoreTell::Unknown(_))));
+    // and a leader that has just risen doesn't take a machine for unheard of, nor the others for dead
+    w.bothy(4);
+    w.run(1_500);
+    w.kill(&w.leader("refuge"));
+    assert!(matches!(retire(&w, "bothy4"), Some(CoreTell::Agreed(_))));
+    // and with four again, a second one is refused
+    w.run(2 * CHECK_IN_MS);
+    let t = retire(&w, "bothy1");
+    assert!(matches!(t, Some(CoreTell::Refused { ref code, .. }) if code == "too_few"), "{t:?}");
+}
+
 #[test]
 fn a_fleet_that_says_nothing_has_the_shape_it_had() {
     let s = Shape::default();
