--- a/scramble/tests/directory.rs
+++ b/scramble/tests/directory.rs
@@ -405,3 +405,61 @@
     w.run(6_000);
     assert!(sent.borrow().is_empty());
 }
+
+#[rstest]
+fn a_numbered_config_is_built_on_the_one_in_force(#[values(1, 2, 3)] seed: u64) {
+    // given a numbered config in force
+    let w = World::new(seed);
+    w.founders(3);
+    let c = configured(0.0);
+    let first = put(&w, 0, "first", 5, &c);
+    assert!(matches!(first, Some(CoreTell::Agreed(_))), "{first:?}");
+    // when two are sent on its number, then one wins and the other learns which
+    let a = put(&w, 5, "a", 9, &c);
+    let b = put(&w, 5, "b", 7, &c);
+    assert!(matches!(a, Some(CoreTell::Agreed(_))), "{a:?}");
+    assert_eq!(b, Some(CoreTell::Raced(9)));
+    // and each gets its first verdict again, also after more has been agreed, and from another leader
+    assert!(matches!(put(&w, 9, "c", 10, &c), Some(CoreTell::Agreed(_))));
+    w.kill(&w.leader("refuge"));
+    assert_eq!((put(&w, 5, "a", 9, &c), put(&w, 5, "b", 7, &c)), (a, b));
+    // and a number that doesn't rise is refused, whatever it builds on
+    assert_eq!(put(&w, 10, "d", 10, &c), Some(CoreTell::Raced(10)));
+    assert_eq!(put(&w, 10, "e", 4, &c), Some(CoreTell::Raced(10)));
+    assert_eq!(view(&w).config_number, 10);
+    assert!(matches!(put(&w, 10, "f", 12, &c), Some(CoreTell::Agreed(_))));
+}
+
+#[rstest]
+fn of_two_numbered_configs_at_once_one_wins(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    // given a numbered config, and two operators at different members
+    let w = World::new(seed);
+    w.founders(3);
+    let c = configured(0.0);
+    assert!(matches!(put(&w, 0, "first", 1, &c), Some(CoreTell::Agreed(_))));
+    for base in 1..6 {
+        let out: Rc<RefCell<Vec<CoreTell>>> = Rc::default();
+        // when both build on it at once
+        for x in ["x", "y"] {
+            let change = format!("{x}{base}");
+            let ask = CoreAsk::PutConfig {
+                base,
+                text: change.clone(),
+                change,
+                config: Box::new(c.clone()),
+                number: base + 1,
+            };
+            let (w2, o) = (w.clone(), out.clone());
+            w.spawn("outside", async move {
+                let r = Reach::new(w2.way("outside"));
+                let t = r.core(&w2.names("refuge"), ask, OPERATOR_MS, CALL_MS).await;
+                o.borrow_mut().push(t.expect("an answer"));
+            });
+        }
+        assert!(w.until(5_000, |_| out.borrow().len() == 2));
+        // then exactly one is in force
+        let won = out.borrow().iter().filter(|t| matches!(t, CoreTell::Agreed(_))).count();
+        let lost = out.borrow().iter().filter(|t| **t == CoreTell::Raced(base + 1)).count();
+        assert_eq!((won, lost), (1, 1), "{:?}", out.borrow());
+    }
+}
