--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -44,6 +44,11 @@
 pub const LICENCE_MS: u64 = 1_500;
 /// ms. Taken off the term at the edge and added at the core: clocks drift far less than this.
 pub const DRIFT_MS: u64 = 50;
+/// ms. What an edge may send to a cold server counts this long beyond its licence: the rate that
+/// such a server bears is one for every second, and its last second may have begun just before.
+pub const COLD_AFTER_MS: u64 = 1_000;
+/// jobs. A second, for each edge that sends to a cold server where there are too many to give each one.
+pub const COLD_EACH: u32 = 2;
 /// ms. How often the slots of all servers are divided anew: many renewals share one division.
 pub const TARGETS_MS: u64 = 100;
 /// edges × servers. For each so many, the slots are divided one interval later.
@@ -201,6 +206,8 @@
 pub const CONFIGS_KEPT: usize = 64;
 /// decisions. The scaler's last ones kept readable.
 pub const DECISIONS_KEPT: usize = 64;
+/// machines. Whose names are kept, with the id of each of their lives: far more than a fleet has.
+pub const NAMES_KEPT: usize = 1_024;
 /// change ids. Remembered so that a repeated change gets its first verdict.
 pub const CHANGES_KEPT: usize = 256;
 /// events. Kept for edges that are a little behind; older ones get a whole capture.
