--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -175,6 +175,11 @@
 pub const LOOKUPS: u32 = 3;
 /// ms. Between tries at a data folder that takes no write.
 pub const DISK_AGAIN_MS: u64 = 200;
+/// ms. Between words on such a folder: it may stay full for minutes.
+pub const DISK_SAY_MS: u64 = 5_000;
+/// bytes. What redb keeps of its file in memory: a log is written and hardly read, and the smallest
+/// machines have 48 MB for everything. redb's own default is a gigabyte.
+pub const DISK_CACHE_BYTES: usize = 4 * 1024 * 1024;
 /// inputs. A replica takes at one go before it looks at the clock again.
 pub const BATCH: usize = 256;
 /// calls. Answers one process waits for at once.
--- a/hutbook/src/state/unsteady.rs
+++ b/hutbook/src/state/unsteady.rs
@@ -30,6 +30,8 @@
     fails: u64,
     /// bytes. Space there is.
     room: u64,
+    /// Nothing can be written or synced, not even in place.
+    jammed: bool,
     rng: ChaCha8Rng,
 }
 
@@ -86,6 +88,7 @@
             dead: false,
             fails: 0,
             room: u64::MAX,
+            jammed: false,
             rng: ChaCha8Rng::seed_from_u64(seed),
         })))
     }
@@ -111,6 +114,11 @@
         self.with(|i| i.room = if yes { i.seen.len() as u64 } else { u64::MAX });
     }
 
+    /// Takes no write at all for as long as this lasts, as full disks do that copy on write.
+    pub fn jam(&self, yes: bool) {
+        self.with(|i| i.jammed = yes);
+    }
+
     /// What is found when power is back: what was synced, and some of what was not.
     pub fn left(&self) -> Vec<u8> {
         self.with(|i| {
@@ -140,14 +148,16 @@
     fn read(&self, at: u64, out: &mut [u8]) -> Result<(), Error> {
         self.alive(|i| {
             let end = at as usize + out.len();
-            out.copy_from_slice(i.seen.get(at as usize..end).ok_or_else(|| no("past the end"))?);
+            // as a file says it: not the disk's fault, the file is too short
+            let past = || Error::new(std::io::ErrorKind::UnexpectedEof, "past the end");
+            out.copy_from_slice(i.seen.get(at as usize..end).ok_or_else(past)?);
             Ok(())
         })
     }
 
     fn set_len(&self, n: u64) -> Result<(), Error> {
         self.alive(|i| {
-            if n > i.room {
+            if i.jammed || n > i.room {
                 return Err(no("no space left"));
             }
             apply(&mut i.seen, &Op::Len(n));
@@ -164,8 +174,8 @@
                 i.dead = true;
                 return Err(no("no power"));
             }
-            if i.fails > 0 {
-                i.fails -= 1;
+            if i.jammed || i.fails > 0 {
+                i.fails = i.fails.saturating_sub(1);
                 i.spill();
                 // the system may have dropped what it could not write: that is what is there now
                 i.seen = i.synced.clone();
@@ -180,7 +190,7 @@
 
     fn write(&self, at: u64, b: &[u8]) -> Result<(), Error> {
         self.alive(|i| {
-            if at + b.len() as u64 > i.room {
+            if i.jammed || at + b.len() as u64 > i.room {
                 return Err(no("no space left"));
             }
             let op = Op::Write(at, b.to_vec());
--- a/hutbook/src/transport/daemon.rs
+++ b/hutbook/src/transport/daemon.rs
@@ -1,13 +1,15 @@
 //! What all daemons share: how they start, stop, and say that they are ready.
 
 use super::http::{Asked, Said};
-use super::logs;
+use super::logs::{self, Seldom};
 use crate::constants::*;
 use crate::protocol::settings::{self, Settings, Start, Who};
+use crate::state::disk::DiskError;
 use actix_rt::signal::unix::{signal, SignalKind};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Exit code for settings or flags that are wrong.
 pub const BAD_SETTINGS: u8 = 2;
@@ -58,6 +60,23 @@
     }
 }
 
+/// Does it as soon as the disk lets it: a full or failing one gives the folder back by itself, and
+/// emptying it would only lose what it holds. What is damaged is refused at once.
+pub async fn with_room<T>(mut f: impl FnMut() -> Result<T, DiskError>) -> Result<T, String> {
+    let mut said = Seldom::default();
+    loop {
+        match f() {
+            Err(DiskError::Failed(why)) => {
+                if said.again() {
+                    log::error!("the disk gives no room or fails; trying again until it does: {why}");
+                }
+                actix_rt::time::sleep(Duration::from_millis(DISK_AGAIN_MS)).await;
+            }
+            r => return r.map_err(|e| e.to_string()),
+        }
+    }
+}
+
 /// Waits for SIGTERM or SIGINT and marks the process as closing.
 pub async fn told_to_stop(c: &Closing) -> std::io::Result<()> {
     let (mut t, mut i) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
--- a/hutbook/src/transport/hut.rs
+++ b/hutbook/src/transport/hut.rs
@@ -1,11 +1,12 @@
 //! A replica on its own thread, with a disk thread beside it.
 
+use super::logs::Seldom;
 use super::post::Post;
 use crate::constants::*;
 use crate::coordination::raft::RaftMsg;
 use crate::coordination::replica::{Feed, Fruit, Fruits, Machine, Replica};
 use crate::protocol::wire::Body;
-use crate::state::disk::{Disk, DiskOp};
+use crate::state::disk::{Boot, Disk, DiskOp};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, sync_channel, Receiver, RecvTimeoutError, Sender, SyncSender, TrySendError};
@@ -53,16 +54,18 @@
     M::Tell: Send + 'static,
     M::Think: Send + 'static,
 {
+    /// `boot` is what `disk` holds.
+    #[allow(clippy::too_many_arguments)]
     pub fn start(
         group: u32,
         disk: Disk,
+        boot: Boot,
         machine: M,
         seed: u64,
         clock: Clock,
         post: Arc<Post>,
         thinker: Thinker<M>,
-    ) -> Result<Arc<Hut<M>>, crate::state::disk::DiskError> {
-        let boot = disk.boot()?;
+    ) -> std::io::Result<Arc<Hut<M>>> {
         let (tx, rx) = sync_channel(INBOX);
         let (disk_tx, disk_rx) = channel();
         let (replica, first) = Replica::new(disk.id, boot, machine, seed, clock.now());
@@ -76,11 +79,10 @@
         let back = tx.clone();
         let spawn =
             |name: &str, f: Box<dyn FnOnce() + Send>| std::thread::Builder::new().name(name.into()).spawn(f).map(drop);
-        let io = |e: std::io::Error| crate::state::disk::DiskError::Failed(e.to_string());
-        spawn("disk", Box::new(move || h.write(disk, disk_rx, back))).map_err(io)?;
+        spawn("disk", Box::new(move || h.write(disk, disk_rx, back)))?;
         let h = hut.clone();
         let run = Runner { group, clock, post, disk: disk_tx, tickets: HashMap::new(), next: 0, thinker, back: tx };
-        spawn("replica", Box::new(move || run.run(&h.replica, rx, first))).map_err(io)?;
+        spawn("replica", Box::new(move || run.run(&h.replica, rx, first)))?;
         Ok(hut)
     }
 
@@ -115,9 +117,12 @@
                 ops.extend(o);
             }
             let t = Instant::now();
+            let mut said = Seldom::default();
             while let Err(e) = disk.write(&ops) {
                 self.sync_failed.fetch_add(1, Ordering::Relaxed);
-                log::error!("the data folder takes no write; trying again: {e}");
+                if said.again() {
+                    log::error!("the data folder takes no write; trying again: {e}");
+                }
                 std::thread::sleep(Duration::from_millis(DISK_AGAIN_MS));
             }
             self.sync_ms.store(t.elapsed().as_millis() as u64, Ordering::Relaxed);
--- a/hutbook/src/transport/logs.rs
+++ b/hutbook/src/transport/logs.rs
@@ -1,7 +1,8 @@
 //! Logs as JSON lines on stderr.
 
+use crate::constants::DISK_SAY_MS;
 use std::io::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 pub fn start(program: &'static str, level: &str) {
     let mut b = env_logger::Builder::new();
@@ -19,3 +20,18 @@
     // a second start in one process keeps the first one's settings
     let _ = b.try_init();
 }
+
+/// When something that goes on was last said.
+#[derive(Default)]
+pub struct Seldom(Option<Instant>);
+
+impl Seldom {
+    /// Is it time to say it again?
+    pub fn again(&mut self) -> bool {
+        let due = self.0.is_none_or(|t| t.elapsed().as_millis() as u64 >= DISK_SAY_MS);
+        if due {
+            self.0 = Some(Instant::now());
+        }
+        due
+    }
+}
--- a/huts/src/bin/refuge.rs
+++ b/huts/src/bin/refuge.rs
@@ -25,19 +25,24 @@
 }
 
 fn run(s: Settings) -> Result<(), String> {
-    let clock = Clock::start();
+    actix_rt::System::new().block_on(live(s, Clock::start()))
+}
+
+async fn live(s: Settings, clock: Clock) -> Result<(), String> {
+    let closing = Closing::default();
+    daemon::bear_limits();
     let dir = s.data.clone().expect("checked with the settings");
-    let mut disk = Disk::open(&dir, KIND, draw).map_err(|e| e.to_string())?;
+    let mut disk = daemon::with_room(|| Disk::open(&dir, KIND, draw)).await?;
     let me = Member { id: disk.id, addr: s.at().to_string() };
     if s.found && disk.cluster == 0 {
         let cluster = draw();
         // the log first: a folder that names a cluster always holds its beginning
-        disk.found(&me.addr, Some(Core::founding(cluster))).map_err(|e| e.to_string())?;
-        disk.set_cluster(cluster).map_err(|e| e.to_string())?;
+        daemon::with_room(|| disk.found(&me.addr, Some(Core::founding(cluster)))).await?;
+        daemon::with_room(|| disk.set_cluster(cluster)).await?;
         log::info!("formed cluster {}", id_text(cluster));
     }
-    let hut: Arc<OnceLock<Arc<Hut<Core>>>> = Arc::default();
-    let h = hut.clone();
+    let slot: Arc<OnceLock<Arc<Hut<Core>>>> = Arc::default();
+    let h = slot.clone();
     let handler: Handler = Arc::new(move |l, reply| match (l.body, h.get()) {
         (Body::Raft { group: CORE, msg, at }, Some(h)) => h.msg(l.from, at, msg),
         (Body::Core(ask), Some(h)) => h.ask(*ask, CoreTell::Busy, move |t| reply.send(Body::CoreSaid(Box::new(t)))),
@@ -47,25 +52,12 @@
     });
     let post =
         Post::start(disk.id, disk.cluster, Some(s.wire), s.at(), handler).map_err(|e| format!("{}: {e}", s.wire))?;
-    actix_rt::System::new().block_on(live(s, clock, disk, me, post, hut))
-}
-
-async fn live(
-    s: Settings,
-    clock: Clock,
-    mut disk: Disk,
-    me: Member,
-    post: Arc<Post>,
-    slot: Arc<OnceLock<Arc<Hut<Core>>>>,
-) -> Result<(), String> {
-    let closing = Closing::default();
-    daemon::bear_limits();
     let reach = Arc::new(Reach::new(Wired { post: post.clone(), clock }));
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
     // a newcomer asks to be let in until it has learnt which cluster this is
     while disk.cluster == 0 {
         match reach.core(&seeds, CoreAsk::Join(me.clone()), OPERATOR_MS, CALL_MS).await {
-            Some(CoreTell::Duty(d)) if d.cluster != 0 => disk.set_cluster(d.cluster).map_err(|e| e.to_string())?,
+            Some(CoreTell::Duty(d)) if d.cluster != 0 => daemon::with_room(|| disk.set_cluster(d.cluster)).await?,
             Some(CoreTell::Refused { why, .. }) => log::warn!("not let in yet: {why}"),
             _ => log::info!("no core has answered yet"),
         }
@@ -73,7 +65,9 @@
     }
     post.cluster.store(disk.cluster, Ordering::Relaxed);
     let think = Arc::new(|k| Some(ponder(&k)));
-    let hut = Hut::start(CORE, disk, Core::new(), draw(), clock, post.clone(), think).map_err(|e| e.to_string())?;
+    let boot = daemon::with_room(|| disk.boot()).await?;
+    let hut =
+        Hut::start(CORE, disk, boot, Core::new(), draw(), clock, post.clone(), think).map_err(|e| e.to_string())?;
     let _ = slot.set(hut.clone());
     log::info!("refuge {} stands at {}", id_text(me.id), me.addr);
 
