--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -24,13 +24,24 @@
 const KIND: u64 = 1;
 
 pub fn run(s: Settings, dialect: Box<dyn Dialect>, list: Option<Box<dyn Directory>>) -> Result<(), String> {
-    let clock = Clock::start();
+    let dialect: Arc<dyn Dialect> = Arc::from(dialect);
+    actix_rt::System::new().block_on(live(s, Clock::start(), dialect, list))
+}
+
+async fn live(
+    s: Settings,
+    clock: Clock,
+    dialect: Arc<dyn Dialect>,
+    list: Option<Box<dyn Directory>>,
+) -> Result<(), String> {
+    let closing = Closing::default();
+    daemon::bear_limits();
     let dir = s.data.clone().expect("checked with the settings");
     // a founder's id is known to the others before it has said a word
     let founders: Vec<String> = s.founders.iter().map(|a| a.to_string()).collect();
     let at = s.at().to_string();
     let id = || if founders.contains(&at) { founder_id(&at) } else { draw() };
-    let mut disk = Disk::open(&dir, KIND, id).map_err(|e| e.to_string())?;
+    let mut disk = daemon::with_room(|| Disk::open(&dir, KIND, id)).await?;
     let me = Member { id: disk.id, addr: s.at().to_string() };
     let founders: Vec<Member> = match s.found {
         true => vec![me.clone()],
@@ -40,12 +51,12 @@
         let addrs: Vec<String> = founders.iter().map(|m| m.addr.clone()).collect();
         let cluster = if s.found { draw() } else { founding_cluster(&addrs) };
         // the log first: a folder that names a cluster always holds its beginning
-        disk.found_with(&founders, Some(Core::founding(cluster))).map_err(|e| e.to_string())?;
-        disk.set_cluster(cluster).map_err(|e| e.to_string())?;
+        daemon::with_room(|| disk.found_with(&founders, Some(Core::founding(cluster)))).await?;
+        daemon::with_room(|| disk.set_cluster(cluster)).await?;
         log::info!("formed cluster {}", id_text(cluster));
     }
-    let hut: Arc<OnceLock<Arc<Hut<Core>>>> = Arc::default();
-    let h = hut.clone();
+    let slot: Arc<OnceLock<Arc<Hut<Core>>>> = Arc::default();
+    let h = slot.clone();
     let handler: Handler = Arc::new(move |l, reply| match (l.body, h.get()) {
         (Body::Raft { group: CORE, msg, at }, Some(h)) => h.msg(l.from, at, msg),
         (Body::Core(ask), Some(h)) => h.ask(*ask, CoreTell::Busy, move |t| reply.send(Body::CoreSaid(Box::new(t)))),
@@ -55,28 +66,12 @@
     });
     let post =
         Post::start(disk.id, disk.cluster, Some(s.wire), s.at(), handler).map_err(|e| format!("{}: {e}", s.wire))?;
-    actix_rt::System::new().block_on(live(s, clock, disk, me, post, hut, Arc::from(dialect), list))
-}
-
-#[allow(clippy::too_many_arguments)]
-async fn live(
-    s: Settings,
-    clock: Clock,
-    mut disk: Disk,
-    me: Member,
-    post: Arc<Post>,
-    slot: Arc<OnceLock<Arc<Hut<Core>>>>,
-    dialect: Arc<dyn Dialect>,
-    list: Option<Box<dyn Directory>>,
-) -> Result<(), String> {
-    let closing = Closing::default();
-    daemon::bear_limits();
     let reach = Arc::new(Reach::new(Wired { post: post.clone(), clock }));
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
     // a newcomer asks to be let in until it has learnt which cluster this is
     while disk.cluster == 0 {
         match reach.core(&seeds, CoreAsk::Join(me.clone(), s.cell.clone()), OPERATOR_MS, CALL_MS).await {
-            Some(CoreTell::Duty(d)) if d.cluster != 0 => disk.set_cluster(d.cluster).map_err(|e| e.to_string())?,
+            Some(CoreTell::Duty(d)) if d.cluster != 0 => daemon::with_room(|| disk.set_cluster(d.cluster)).await?,
             Some(CoreTell::Refused { why, .. }) => log::warn!("not let in yet: {why}"),
             _ => log::info!("no core has answered yet"),
         }
@@ -84,8 +79,9 @@
     }
     post.cluster.store(disk.cluster, Ordering::Relaxed);
     let think = Arc::new(|k| Some(ponder(&k)));
-    let hut =
-        Hut::start(CORE, disk, Core::with(s.shape), draw(), clock, post.clone(), think).map_err(|e| e.to_string())?;
+    let boot = daemon::with_room(|| disk.boot()).await?;
+    let hut = Hut::start(CORE, disk, boot, Core::with(s.shape), draw(), clock, post.clone(), think)
+        .map_err(|e| e.to_string())?;
     let _ = slot.set(hut.clone());
     log::info!("refuge {} stands at {}", id_text(me.id), me.addr);
 
--- a/scramble/tests/directory.rs
+++ b/scramble/tests/directory.rs
@@ -448,6 +448,7 @@
                 change,
                 config: Box::new(c.clone()),
                 number: base + 1,
+                words: 0,
             };
             let (w2, o) = (w.clone(), out.clone());
             w.spawn("outside", async move {
