--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -47,6 +47,8 @@
 pub const COLD_AFTER_MS: u64 = 1_000;
 /// jobs. A second, for each edge that sends to a cold server where there are too many to give each one.
 pub const COLD_EACH: u32 = 2;
+/// ms. A directory's list shows its servers as they were this long before, at the most.
+pub const LIST_LAG_MS: u64 = 1_000;
 /// ms. How often the slots of all servers are divided anew: many renewals share one division.
 pub const TARGETS_MS: u64 = 100;
 /// edges × servers. For each so many, the slots are divided one interval later.
--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -240,8 +240,19 @@
     addrs.iter().map(|a| Member { id: founder_id(a), addr: a.clone() }).collect()
 }
 
+/// A cold server as the directory's polls have shown it to this leader.
+struct Sight {
+    /// Revision at which its cold time began, and when a poll first found it so.
+    since: u64,
+    at: u64,
+    /// The directory itself has said that it is cold; else that is only taken for granted.
+    said: bool,
+}
+
 pub struct Core {
     shape: Shape,
+    /// ms. How old a directory's list may be.
+    list_lag_ms: u64,
     kept: Kept,
     journal: Journal<Event>,
     /// Leader's memory; gone with the leadership.
@@ -256,8 +267,9 @@
     members: Members,
     /// Cells of the core's machines, as they told this leader.
     cells: BTreeMap<u64, String>,
-    /// Servers that were cold when the directory's last list came, and since which revision.
-    sighted: BTreeMap<String, u64>,
+    /// Cold servers of the directory; and when its last list came.
+    sights: BTreeMap<String, Sight>,
+    listed_at: u64,
     /// Voters heard from lately.
     alive: std::collections::BTreeSet<u64>,
     /// Removed groups for which nothing waits, since when.
@@ -275,6 +287,7 @@
     pub fn with(shape: Shape) -> Core {
         Core {
             shape,
+            list_lag_ms: LIST_LAG_MS,
             kept: Kept::default(),
             journal: Journal::new(FEED_EVENTS, 0),
             ledger: Ledger::default(),
@@ -286,13 +299,19 @@
             last_own: 0,
             members: Members::default(),
             cells: BTreeMap::new(),
-            sighted: BTreeMap::new(),
+            sights: BTreeMap::new(),
+            listed_at: 0,
             alive: Default::default(),
             births: BTreeMap::new(),
             idle: BTreeMap::new(),
         }
     }
 
+    /// The same core, whose directory's list is this old at the most.
+    pub fn list_lag(self, ms: u64) -> Core {
+        Core { list_lag_ms: ms, ..self }
+    }
+
     /// The first entry of a new cluster's log.
     pub fn founding(cluster: u64) -> Vec<u8> {
         to_bytes(&CoreCmd::Found(cluster))
@@ -412,8 +431,11 @@
         let mut put = vec![];
         for l in servers {
             let old = v.servers.get(&l.name);
-            // the list before this one came when it was cold already, so this one began after that
-            let since = old.filter(|s| self.sighted.get(&l.name) == Some(&s.since)).map_or(0, |s| s.since);
+            // this list was begun after the one before had come; what it shows is older by its lag.
+            // Where the directory has called it cold itself, its word that it no longer is will do
+            let sure = |x: &&Sight| x.said || self.listed_at >= x.at + self.list_lag_ms;
+            let sight = self.sights.get(&l.name).filter(|x| old.is_some_and(|s| s.since == x.since));
+            let since = sight.filter(sure).map_or(0, |x| x.since);
             if old != Some(&relisted(old, l.clone(), since, v.rev)) {
                 put.push(Relisted { listing: l.clone(), since });
             }
@@ -421,7 +443,16 @@
         let ours = v.servers.values().filter(|s| s.listed_by_directory);
         let gone: Vec<String> =
             ours.clone().filter(|s| !listed.contains(s.name.as_str())).map(|s| s.name.clone()).collect();
-        self.sighted = ours.filter(|s| s.cold).map(|s| (s.name.clone(), s.since)).collect();
+        let cold: BTreeMap<&str, bool> = servers.iter().map(|l| (l.name.as_str(), l.cold)).collect();
+        let mut sights = BTreeMap::new();
+        for s in ours.filter(|s| s.cold) {
+            let before = self.sights.remove(&s.name).filter(|x| x.since == s.since);
+            let (at, said) = before.map_or((st.now, false), |x| (x.at, x.said));
+            let said = said || cold.get(s.name.as_str()) == Some(&true);
+            sights.insert(s.name.clone(), Sight { since: s.since, at, said });
+        }
+        self.sights = sights;
+        self.listed_at = st.now;
         if put.is_empty() && gone.is_empty() {
             return Plan::Tell(CoreTell::Agreed(v.rev));
         }
@@ -1240,7 +1271,7 @@
         self.births.clear();
         self.idle.clear();
         self.cells.clear();
-        self.sighted.clear();
+        self.sights.clear();
         self.check_at = st.now + CHECK_MS;
     }
 
