--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -104,7 +104,7 @@
     F: Fn(Asked) -> R + Send + Clone + 'static,
     R: Future<Output = Said> + 'static,
 {
-    serve_requests(addr, workers, KEEP_ALIVE_MS, move |req| {
+    serve_requests(addr, workers, KEEP_ALIVE_MS, None, move |req| {
         let (f, closing) = (f.clone(), closing.clone());
         async move {
             let s = match read(req).await {
@@ -116,8 +116,17 @@
     })
 }
 
+/// Set once sessions that wait for their next request are to be closed, others after their answer.
+pub type Drain = tokio::sync::watch::Receiver<bool>;
+
 /// The same with requests and answers as the library has them.
-pub fn serve_requests<F, R>(addr: SocketAddr, workers: usize, keep_ms: u64, f: F) -> std::io::Result<(Server, Active)>
+pub fn serve_requests<F, R>(
+    addr: SocketAddr,
+    workers: usize,
+    keep_ms: u64,
+    drain: Option<Drain>,
+    f: F,
+) -> std::io::Result<(Server, Active)>
 where
     F: Fn(Request) -> R + Send + Clone + 'static,
     R: Future<Output = Response<BoxBody>> + 'static,
@@ -131,7 +140,22 @@
         .bind("http", addr, move || {
             let f = f.clone();
             let act = act.clone();
+            let drain = drain.clone();
+            let told = move || {
+                let d = drain.clone();
+                async move {
+                    let told = match d {
+                        Some(mut d) => d.wait_for(|x| *x).await.is_ok(),
+                        None => false,
+                    };
+                    // whoever could tell has gone: nobody will
+                    if !told {
+                        std::future::pending::<()>().await;
+                    }
+                }
+            };
             HttpService::build()
+                .graceful_shutdown_signal(told)
                 .keep_alive(Duration::from_millis(keep_ms))
                 .client_request_timeout(Duration::from_millis(HEAD_MS))
                 .client_disconnect_timeout(Duration::from_millis(WRITE_MS))
--- a/huts/src/trailhead.rs
+++ b/huts/src/trailhead.rs
@@ -58,13 +58,14 @@
     let passing = match s.front {
         Some(at) => {
             let (f, c) = (field.clone(), closing.clone());
-            let (server, active) = http::serve_requests(at, workers, PASS_FRONT_IDLE_MS, move |r| {
+            let (drain, drained) = tokio::sync::watch::channel(false);
+            let (server, active) = http::serve_requests(at, workers, PASS_FRONT_IDLE_MS, Some(drained), move |r| {
                 front::answer(f.clone(), lex, r, daemon::is_closing(&c))
             })
             .map_err(|e| format!("{at}: {e}"))?;
             let h = server.handle();
             actix_rt::spawn(server);
-            Some((h, active))
+            Some((h, active, drain))
         }
         None => None,
     };
@@ -89,8 +90,10 @@
 
     daemon::told_to_stop(&closing).await.map_err(|e| e.to_string())?;
     // whoever chooses among edges sees first that this one is not ready, and sends its sessions elsewhere
-    if let Some((h, active)) = passing {
+    if let Some((h, active, drain)) = passing {
         actix_rt::time::sleep(Duration::from_millis(s.linger_ms)).await;
+        // sessions that wait for a request are closed now: one that came later would find nobody
+        let _ = drain.send(true);
         let bound = s.stop_ms.unwrap_or(STOP_MS).saturating_sub(s.linger_ms);
         http::wind_down(h, &active, bound).await;
     }
