--- a/hutbook/src/coordination/raft.rs
+++ b/hutbook/src/coordination/raft.rs
@@ -199,6 +199,11 @@
         self.log.back().map_or(self.base, |e| e.index)
     }
 
+    /// Term of the log's last entry: with its index, how new the log is.
+    pub fn last_term(&self) -> u64 {
+        self.log.back().map_or(self.base_term, |e| e.term)
+    }
+
     pub fn applied(&self) -> u64 {
         self.applied
     }
--- a/scramble/src/bin/nemesis.rs
+++ b/scramble/src/bin/nemesis.rs
@@ -79,6 +79,57 @@
     bad
 }
 
+/// Random days; true when one of them broke a line. A day that did is said at once: the rest may take hours.
+fn days(from: u64, seeds: u64, blows: u64, threads: u64, deeds: bool) -> bool {
+    let bad = AtomicU64::new(0);
+    let sums = Mutex::new(([0u64; 4], 0, (0, 0)));
+    spread(from, seeds, threads, |seed| match std::panic::catch_unwind(|| day(seed, blows)) {
+        Ok(d) => {
+            let mut t = sums.lock().unwrap();
+            t.0[0] += d.saw.jobs.len() as u64;
+            t.0[1] += d.saw.jobs.iter().filter(|j| j.verdicts.iter().any(|v| v.1 == "done")).count() as u64;
+            t.0[2] += d.saw.runs.len() as u64;
+            t.1 = t.1.max(d.saw.still.iter().map(|x| x.1 - x.0).max().unwrap_or(0));
+            if d.kept {
+                t.0[3] += 1;
+                t.2 = t.2.max((d.gap, seed));
+            }
+            if d.breaches.is_empty() {
+                return;
+            }
+            bad.fetch_add(1, Ordering::Relaxed);
+            println!("seed {seed}: {} breaches", d.breaches.len());
+            for (line, _) in &LINES {
+                let of = d.breaches.iter().filter(|b| b.line == *line);
+                of.take(3).for_each(|b| println!("  {line}: {}", b.what));
+            }
+            if deeds {
+                d.deeds.iter().for_each(|x| println!("    {x}"));
+                d.saw.short.iter().for_each(|x| println!("    {} to {} ms: {} could have no majority", x.0, x.1, x.2));
+            }
+        }
+        Err(_) => {
+            bad.fetch_add(1, Ordering::Relaxed);
+            println!("seed {seed}: the day itself failed");
+        }
+    });
+    let bad = bad.into_inner();
+    let (t, still, (gap, at)) = sums.into_inner().unwrap();
+    println!(
+        "days {seeds} (seeds from {from}), blows {}, jobs {}, done {}, runs {}, days with a breach {bad}",
+        seeds * blows,
+        t[0],
+        t[1],
+        t[2]
+    );
+    println!(
+        "days that kept a majority of both groups {}, longest time without service on them {gap} ms (seed {at})",
+        t[3]
+    );
+    println!("longest that a group stood still although a majority could be had {still} ms");
+    bad > 0
+}
+
 /// Runs a job for each seed, several at once.
 fn spread(from: u64, seeds: u64, threads: u64, f: impl Fn(u64) + Sync) {
     let next = AtomicU64::new(from);
@@ -129,39 +180,5 @@
     if m.opt_present("catalogue") {
         std::process::exit(i32::from(catalogue(from, seeds, n("threads", 4))));
     }
-    let bad = Mutex::new(vec![]);
-    let sums = Mutex::new([0u64; 3]);
-    spread(from, seeds, n("threads", 4), |seed| match std::panic::catch_unwind(|| day(seed, blows)) {
-        Ok(d) => {
-            let mut t = sums.lock().unwrap();
-            t[0] += d.saw.jobs.len() as u64;
-            t[1] += d.saw.jobs.iter().filter(|j| j.verdicts.iter().any(|v| v.1 == "done")).count() as u64;
-            t[2] += d.saw.runs.len() as u64;
-            if !d.breaches.is_empty() {
-                bad.lock().unwrap().push((seed, d.breaches, d.deeds));
-            }
-        }
-        Err(_) => {
-            println!("seed {seed}: the day itself failed");
-            bad.lock().unwrap().push((seed, vec![], vec![]));
-        }
-    });
-    let bad = bad.into_inner().unwrap();
-    let t = sums.into_inner().unwrap();
-    println!(
-        "days {seeds}, blows {}, jobs {}, done {}, runs {}, days with a breach {}",
-        seeds * blows,
-        t[0],
-        t[1],
-        t[2],
-        bad.len()
-    );
-    for (seed, b, deeds) in &bad {
-        println!("seed {seed}: {} breaches", b.len());
-        b.iter().take(5).for_each(|x| println!("  {}: {}", x.line, x.what));
-        if m.opt_present("deeds") {
-            deeds.iter().for_each(|d| println!("    {d}"));
-        }
-    }
-    std::process::exit(i32::from(!bad.is_empty()));
+    std::process::exit(i32::from(days(from, seeds, blows, n("threads", 4), m.opt_present("deeds"))));
 }
--- a/scramble/src/check.rs
+++ b/scramble/src/check.rs
@@ -32,7 +32,7 @@
 
 /// The never-list, in the brief's order; then what all of it rests on: a last word
 /// is the last, and everything was looked at.
-pub const LINES: [(&str, Checker); 14] = [
+pub const LINES: [(&str, Checker); 15] = [
     ("once-only run twice", once_twice),
     ("refused work ran", refused_ran),
     ("allowance passed", allowance),
@@ -47,6 +47,7 @@
     ("not back after total loss", back),
     ("a last word changed", changed),
     ("not looked at", silent),
+    ("a group stood still", still),
 ];
 
 /// How many of `LINES` are points of the brief.
@@ -57,6 +58,9 @@
 const EVACUATED_MS: u64 = 5_000;
 const CONFIG_MS: u64 = 2_000;
 const BACK_MS: u64 = 12_000;
+/// ms. A group whose majority can be had leads again, and licences go out again, well within this:
+/// an election is over in a second, and where letters are lost a few may be needed.
+const STILL_MS: u64 = 5_000;
 /// ms. What a failure did to a job may show this long after it is over.
 const HURT_MS: u64 = 3_000;
 
@@ -254,7 +258,9 @@
             let own = j.edges.iter().any(|e| e == n) || ran.iter().any(|r| r.server == n);
             own || n == NETWORK || n.starts_with("bothy")
         };
-        let mut hurts = s.hurts.iter().filter(|(a, b, _)| *a <= until && from <= b.saturating_add(HURT_MS));
+        // a group that can have no majority is hurt, also by a lost disk whose machine is up again
+        let mut hurts =
+            s.hurts.iter().chain(&s.short).filter(|(a, b, _)| *a <= until && from <= b.saturating_add(HURT_MS));
         if hurts.clone().any(|h| touched(&h.2)) {
             continue;
         }
@@ -336,6 +342,14 @@
     out
 }
 
+/// A group must lead and license whenever a majority of it can be had. What it did to callers
+/// while none could be had is no fault of its own; this is its counterpart, and excuses nothing.
+fn still(s: &Saw) -> Judged {
+    let long = s.still.iter().filter(|x| x.1 - x.0 > STILL_MS);
+    let found = long.map(|x| format!("{} from {} to {}, although a majority could be had", x.2, x.0, x.1)).collect();
+    Judged { exposed: s.still.iter().map(|x| (x.0, x.1)).collect(), found }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -437,6 +451,7 @@
     #[case("server flooded", |s: &mut Saw| s.runs[1].busy = 3)]
     #[case("not back after total loss", |s: &mut Saw| s.losses[0].1 = Some(12_200))]
     #[case("not back after total loss", |s: &mut Saw| s.losses[0].1 = None)]
+    #[case("a group stood still", |s: &mut Saw| s.still.push((100, 5_200, "refuge".into())))]
     #[case("a last word changed", |s: &mut Saw| s.jobs[1].verdicts.push((9, "refused".into(), String::new())))]
     #[case("a last word changed", |s: &mut Saw| s.jobs[1].verdicts.push((9, "unknown".into(), String::new())))]
     fn a_fault_put_in_is_found(#[case] line: &str, #[case] put: fn(&mut Saw)) {
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -235,7 +235,7 @@
 
     /// kill -9, or power lost: what was not synced may be lost.
     pub fn kill(&self, name: &str) {
-        self.0.borrow_mut().hurt(name);
+        self.0.borrow_mut().hurt(name, Ail::Power);
         self.end(name);
     }
 
@@ -351,7 +351,7 @@
         {
             let mut w = self.0.borrow_mut();
             let now = w.now;
-            w.well(name);
+            w.well(name, Ail::Power);
             let n = w.nodes.get_mut(name).expect("known node");
             (n.up, n.closing, n.gone) = (true, false, false);
             if let Part::Back(b) = &mut n.part {
@@ -377,13 +377,13 @@
 
     pub fn freeze(&self, name: &str) {
         let mut w = self.0.borrow_mut();
-        w.hurt(name);
+        w.hurt(name, Ail::Sleep);
         w.nodes.get_mut(name).expect("known node").frozen = true;
     }
 
     pub fn wake(&self, name: &str) {
         let mut w = self.0.borrow_mut();
-        w.well(name);
+        w.well(name, Ail::Sleep);
         let n = w.nodes.get_mut(name).expect("known node");
         n.frozen = false;
         let held = std::mem::take(&mut n.held);
@@ -404,8 +404,8 @@
     /// Nothing from `a` reaches `b` any more; both ways when `both`.
     pub fn cut(&self, a: &str, b: &str, both: bool) {
         let mut w = self.0.borrow_mut();
-        w.hurt(a);
-        w.hurt(b);
+        w.hurt(a, Ail::Cut);
+        w.hurt(b, Ail::Cut);
         w.cuts.insert((a.into(), b.into()));
         if both {
             w.cuts.insert((b.into(), a.into()));
@@ -424,8 +424,8 @@
         let mut w = self.0.borrow_mut();
         let cuts = std::mem::take(&mut w.cuts);
         cuts.iter().for_each(|(a, b)| {
-            w.well(a);
-            w.well(b);
+            w.well(a, Ail::Cut);
+            w.well(b, Ail::Cut);
         });
     }
 
@@ -434,9 +434,9 @@
         let mut w = self.0.borrow_mut();
         w.loss = n;
         if n > 0 {
-            w.hurt(crate::saw::NETWORK);
+            w.hurt(crate::saw::NETWORK, Ail::Loss);
         } else {
-            w.well(crate::saw::NETWORK);
+            w.well(crate::saw::NETWORK, Ail::Loss);
         }
     }
 
@@ -444,9 +444,9 @@
     pub fn disk(&self, name: &str, ms: Option<u64>) {
         let mut w = self.0.borrow_mut();
         if ms == Some(SYNC_MS) {
-            w.well(name);
+            w.well(name, Ail::Disk);
         } else {
-            w.hurt(name);
+            w.hurt(name, Ail::Disk);
         }
         w.nodes.get_mut(name).expect("known node").disk.sync_ms = ms;
         w.sync(name);
@@ -466,9 +466,9 @@
         f(b);
         // one that loses answers does so to jobs that nothing else has touched
         if b.lose_every > 0 {
-            w.hurt(name);
+            w.hurt(name, Ail::Answers);
         } else {
-            w.well(name);
+            w.well(name, Ail::Answers);
         }
     }
 
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod disk;
 mod exec;
 mod ground;
+mod majority;
 
 pub use callers::{Kind, CAP};
 pub use ground::{Way, World};
@@ -15,6 +16,7 @@
 use hutbook::constants::*;
 use hutbook::coordination::core::{ponder, CheckIn, Core, CoreAsk, CoreTell, Duty};
 use hutbook::coordination::edge::Edge;
+use hutbook::coordination::raft::Role;
 use hutbook::coordination::replica::{Feed, Fruit, Fruits, Machine, Replica};
 use hutbook::coordination::store::{Store, StoreTell};
 use hutbook::protocol::wire::{Body, CORE};
@@ -99,6 +101,19 @@
     next_ask: u64,
 }
 
+/// What ails a node: several may at once.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Ail {
+    Power,
+    Sleep,
+    Cut,
+    Disk,
+    /// A back end that loses answers.
+    Answers,
+    /// Letters lost everywhere.
+    Loss,
+}
+
 /// What can happen to a node.
 #[allow(clippy::large_enum_variant)]
 enum News {
@@ -162,6 +177,8 @@
     jobs: BTreeMap<String, std::rc::Rc<()>>,
     /// Letters sent between our processes, by kind.
     pub letters: BTreeMap<&'static str, u64>,
+    watch: majority::Watch,
+    ails: BTreeSet<(String, Ail)>,
 }
 
 impl Inner {
@@ -180,6 +197,8 @@
             cluster: 0,
             jobs: BTreeMap::new(),
             letters: BTreeMap::new(),
+            watch: majority::Watch::default(),
+            ails: BTreeSet::new(),
         }
     }
 
@@ -429,18 +448,25 @@
     }
 
     /// Notes a failure brought about to a node, once while it lasts.
-    fn hurt(&mut self, name: &str) {
-        if !self.saw.hurts.iter().any(|h| h.1 == u64::MAX && h.2 == name) {
+    fn hurt(&mut self, name: &str, ail: Ail) {
+        let first = !self.ails.iter().any(|a| a.0 == name);
+        self.ails.insert((name.into(), ail));
+        if first {
             self.saw.hurts.push((self.now, u64::MAX, name.into()));
         }
     }
 
-    fn well(&mut self, name: &str) {
-        let now = self.now;
-        self.saw.hurts.iter_mut().filter(|h| h.1 == u64::MAX && h.2 == name).for_each(|h| h.1 = now);
+    /// One failure of a node is over; it is well once none is left.
+    fn well(&mut self, name: &str, ail: Ail) {
+        let had = self.ails.remove(&(name.to_string(), ail));
+        if had && !self.ails.iter().any(|a| a.0 == name) {
+            let now = self.now;
+            self.saw.hurts.iter_mut().filter(|h| h.1 == u64::MAX && h.2 == name).for_each(|h| h.1 = now);
+        }
     }
 
     fn look(&mut self) {
+        self.watch();
         let now = self.now;
         for (name, n) in &self.nodes {
             if let (Part::Edge(e), true) = (&n.part, n.up && !n.frozen) {
--- a/scramble/src/nemesis.rs
+++ b/scramble/src/nemesis.rs
@@ -15,6 +15,10 @@
     pub breaches: Vec<Breach>,
     /// What was done, in order.
     pub deeds: Vec<String>,
+    /// A majority of both groups could be had until its closing fault.
+    pub kept: bool,
+    /// ms. The longest without any first answer while callers arrived and blows fell.
+    pub gap: u64,
 }
 
 struct Nemesis {
@@ -36,20 +40,25 @@
     w.bothy(4);
     w.refuge(4, false);
     w.furnish(CONFIG, MODELS as usize, 8, "tiles");
+    let from = w.now();
     w.traffic(blows * 2_500, 60);
     w.greedy("greedy", 8, 8);
     let mut n =
         Nemesis { w, deeds: vec![], down: vec![], asleep: vec![], ill: vec![], gone: vec![], out: None, changes: 0 };
+    let until = from + blows * 2_500;
     for _ in 0..blows {
         n.blow();
         let pause = 500 + n.draw(3_000);
         n.w.run(pause);
     }
+    let until = until.min(n.w.now());
     n.last();
     n.mend();
     let saw = n.w.evening(180_000);
     let breaches = check(&saw);
-    Day { saw, breaches, deeds: n.deeds }
+    let kept = saw.short.iter().all(|x| x.0 > until);
+    let gap = saw.gap(from, until);
+    Day { saw, breaches, deeds: n.deeds, kept, gap }
 }
 
 impl Nemesis {
--- a/scramble/src/saw.rs
+++ b/scramble/src/saw.rs
@@ -95,6 +95,11 @@
     pub planned: Vec<u64>,
     /// (from, until, node): failures brought about, and to whom.
     pub hurts: Vec<(u64, u64, String)>,
+    /// (from, until, which): no majority of a group could be had: too few of its voters were up, awake,
+    /// with a working disk and within reach of each other. Known to the ground, not to the fleet.
+    pub short: Vec<(u64, u64, String)>,
+    /// (from, until, which): a majority could be had, and yet nobody led the group or no edge had a licence.
+    pub still: Vec<(u64, u64, String)>,
     /// (from, until): what a table's column did, while it was on.
     pub struck: Vec<(u64, u64)>,
 }
