--- a/hutbook/src/transport/serve.rs
+++ b/hutbook/src/transport/serve.rs
@@ -191,6 +191,14 @@
         }
     }
 
+    /// Ends when the caller has gone without a verdict.
+    async fn left(&self) {
+        match self.pieces() {
+            Some(to) => to.closed().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// The way for pieces, while no verdict has been told.
     fn pieces(&self) -> Option<mpsc::Sender<Heard>> {
         self.0.borrow().clone()
@@ -261,7 +269,15 @@
 ) -> Result<Go, Told> {
     let mut avoid = avoid;
     loop {
-        let seat = match seat(g, e, j, r.ends, avoid.take()).await {
+        // a turn that waits for a caller who has gone would be run for nobody and told as failed to the
+        // same caller when it asks elsewhere: nothing is decided of it. Only turns: tool work goes on alone
+        let leaves = j.cap > 0 && r.attempt == 0;
+        let seat = tokio::select! {
+            biased;
+            _ = ear.left(), if leaves => return Err(Told::Unavailable("caller_gone")),
+            s = seat(g, e, j, r.ends, avoid.take()) => s,
+        };
+        let seat = match seat {
             Ok(s) => s,
             Err(_) if r.attempt > 0 => {
                 // the intent that stands is the attempt before
--- a/scramble/src/check.rs
+++ b/scramble/src/check.rs
@@ -274,6 +274,8 @@
                 ("done", _) | ("refused", "allowance_spent" | "program_ended") => continue,
                 ("failed", c) if c.starts_with("back_end") => continue,
                 ("refused", "overloaded" | "no_time_left" | "not_sent") if leaderless => continue,
+                // its caller gave up before it had a place, and it never ran: it was only ever waiting
+                ("unknown", _) if leaderless && ran.is_empty() => continue,
                 (_, c) => c,
             },
         };
--- a/scramble/tests/stories.rs
+++ b/scramble/tests/stories.rs
@@ -1053,3 +1053,36 @@
     // then nothing is broken
     assert_eq!(c.breaches, vec![]);
 }
+
+#[rstest]
+fn a_core_that_can_have_no_majority_is_told_from_one_that_stands_still(#[values(1, 2, 3)] seed: u64) {
+    // given a fleet at work
+    let w = fleet(seed, 40_000);
+    w.run(3_000);
+    // when one refuge is cut off and another freezes, and the cut heals
+    w.isolate(&["refuge1"]);
+    w.freeze("refuge2");
+    w.run(4_000);
+    w.heal();
+    w.run(4_000);
+    // then the one that sleeps is hurt still, and the core leads again by the other two
+    let hurt = |w: &World, n: &str| w.0.borrow().saw.hurts.iter().any(|h| h.2 == n && h.1 == u64::MAX);
+    assert!(hurt(&w, "refuge2") && !hurt(&w, "refuge1"));
+    assert!(w.0.borrow().saw.short.iter().any(|s| s.2 == "refuge" && s.1 - s.0 > 3_000));
+    let base = w.config_rev();
+    assert!(matches!(w.put(base, "awake", CONFIG), Some(CoreTell::Agreed(_))));
+    // when another loses its disk and comes back empty, then one sleeper of four seats is left out, or two of three
+    w.empty("refuge3");
+    w.run(4_000);
+    w.start("refuge3");
+    let from = w.now();
+    w.run(6_000);
+    assert!(w.config_rev() == 0, "one refuge of three voters agreed on something");
+    w.wake("refuge2");
+    w.run(1_500);
+    // and once the sleeper is awake it leads again, with all that was agreed
+    assert!(w.config_rev() > base);
+    let short = |w: &World| w.0.borrow().saw.short.iter().any(|s| s.2 == "refuge" && s.0 < from && s.1 > from + 5_000);
+    assert!(short(&w));
+    no_breach(&w, 60_000);
+}
