--- a/hutbook/src/coordination/store.rs
+++ b/hutbook/src/coordination/store.rs
@@ -154,8 +154,15 @@
 }
 
 impl Store {
-    fn clock(&self, now: u64) -> u64 {
-        self.base.map_or(self.kept.clock, |(c, t)| c + now.saturating_sub(t)).max(self.kept.clock)
+    fn clock(&mut self, now: u64) -> u64 {
+        let c = self.base.map_or(self.kept.clock, |(c, t)| c + now.saturating_sub(t));
+        if c >= self.kept.clock {
+            return c;
+        }
+        // a leader rises before it has applied all that was agreed: after a loss of power its clock would
+        // begin at the last capture's, and stand still until it had counted the same time once more
+        self.base = self.base.map(|_| (self.kept.clock, now));
+        self.kept.clock
     }
 
     pub fn counts(&self) -> (usize, usize, u64) {
--- a/scramble/tests/stories.rs
+++ b/scramble/tests/stories.rs
@@ -1086,3 +1086,23 @@
     assert!(short(&w));
     no_breach(&w, 60_000);
 }
+
+#[rstest]
+fn a_store_that_lost_power_counts_its_time_on(#[values(1, 2, 3)] seed: u64) {
+    // given a fleet that has stood for a while, and a job whose edge dies while it runs
+    let w = fleet(seed, 5_000);
+    w.run(60_000);
+    w.make("p", 60, 600_000, 3_600_000);
+    w.names("tool").iter().for_each(|s| w.set_back(s, |b| b.lose_every = 1));
+    w.call("trailhead2", "p", "bundle", "k", 0);
+    assert!(w.until(2_000, |w| w.runs_of("k") == 1));
+    w.kill("trailhead2");
+    // when every store machine loses power and is back at once
+    let all = w.names("bothy");
+    all.iter().for_each(|n| w.kill(n));
+    w.run(300);
+    all.iter().for_each(|n| w.start(n));
+    // then the job may run for as long as its route lets it, and not for as long as the store has stood
+    w.run(30_000 + 6_000);
+    assert_eq!(w.called("trailhead3", "p", "bundle", "k", 0), "in_doubt");
+}
