--- a/hutbook/src/coordination/store.rs
+++ b/hutbook/src/coordination/store.rs
@@ -13,6 +13,8 @@
         #[n(0)] pub said: String,
         #[n(1)] pub answer: String,
         #[n(2)] pub key: String,
+        /// When it was first begun, as an entry of the store's log: turns stand in this order.
+        #[n(3)] #[cbor(default)] pub began: u64,
     }
     pub struct Program {
         #[n(0)] pub id: String,
@@ -49,7 +51,7 @@
     }
     pub enum JobState {
         /// An intent: `until` is when, on the store's clock, it can no longer be under way.
-        #[n(0)] Open { #[n(0)] edge: u64, #[n(1)] attempt: u32, #[n(2)] server: String, #[n(3)] until: u64, #[n(4)] cap: u64, #[n(5)] nonce: u64, #[n(6)] at: String },
+        #[n(0)] Open { #[n(0)] edge: u64, #[n(1)] attempt: u32, #[n(2)] server: String, #[n(3)] until: u64, #[n(4)] cap: u64, #[n(5)] nonce: u64, #[n(6)] at: String, #[n(7)] #[cbor(default)] began: u64 },
         #[n(1)] Ended(#[n(0)] Ended),
     }
     pub struct Job {
@@ -238,16 +240,19 @@
         StoreTell::Ended(ended)
     }
 
-    fn begin(&mut self, i: Intent) -> StoreTell {
+    fn begin(&mut self, index: u64, i: Intent) -> StoreTell {
         let id = job_id(&i.program, &i.key);
         let c = self.kept.clock;
+        // a further attempt keeps the place of the first
+        let mut since = index;
         let again = match self.kept.jobs.get(&id) {
             None => false,
             Some(j) => match &j.state {
                 // the next attempt of a job that may be repeated, or wasn't sent, by the request that holds the intent
-                JobState::Open { edge, attempt, nonce, .. }
+                JobState::Open { edge, attempt, nonce, began, .. }
                     if (!j.once_only || i.unsent) && (*edge, *nonce) == (i.edge, i.nonce) && i.attempt > *attempt =>
                 {
+                    since = *began;
                     true
                 }
                 // its answer was lost and the same request asks again
@@ -288,6 +293,7 @@
             cap: i.cap,
             nonce: i.nonce,
             at: i.at,
+            began: since,
         };
         let j = Job {
             digest: i.digest,
@@ -306,15 +312,18 @@
     fn settle(&mut self, program: &str, key: &str, by: u64, att: u32, ended: Ended, turn: Option<Turn>) -> StoreTell {
         let id = job_id(program, key);
         let Some(j) = self.kept.jobs.get(&id) else { return StoreTell::NoProgram };
-        let cap = match &j.state {
-            JobState::Open { edge, attempt, cap, .. } if *edge == by && *attempt == att => *cap,
+        let (cap, began) = match &j.state {
+            JobState::Open { edge, attempt, cap, began, .. } if *edge == by && *attempt == att => (*cap, *began),
             JobState::Open { .. } => return StoreTell::Running,
             JobState::Ended(e) => return StoreTell::Ended(e.clone()),
         };
         self.release(program, cap, ended.tokens);
         let c = self.kept.clock;
         if let (Some(t), Some(p)) = (turn, self.kept.programs.get_mut(program)) {
-            p.history.push(t);
+            // an end may be recorded long after it was streamed, when the caller has said more meanwhile:
+            // the order is that of the beginnings, and one asked for after another's end began after it
+            let at = p.history.partition_point(|h| h.began <= began);
+            p.history.insert(at, Turn { began, ..t });
             p.forget = p.forget.max(c + p.retention_ms);
             let f = p.forget;
             self.note_time(f, program);
@@ -440,7 +449,7 @@
             Some(StoreAsk::Put { id, allowance, time_left_ms, retention_ms }) => {
                 self.put(index, &id, allowance, time_left_ms, retention_ms)
             }
-            Some(StoreAsk::Begin(i)) => self.begin(i),
+            Some(StoreAsk::Begin(i)) => self.begin(index, i),
             Some(StoreAsk::Settle { program, key, edge, attempt, ended, turn }) => {
                 self.settle(&program, &key, edge, attempt, ended, turn)
             }
--- a/hutbook/src/transport/serve.rs
+++ b/hutbook/src/transport/serve.rs
@@ -423,7 +423,7 @@
         if !f.code.is_empty() {
             return settle(g, e, j, &r, ended(Verdict::Failed, f.code, String::new(), f.tokens), None, ear).await;
         }
-        let turn = Turn { said, answer: f.text.clone(), key: j.key.clone() };
+        let turn = Turn { said, answer: f.text.clone(), key: j.key.clone(), began: 0 };
         return settle(g, e, j, &r, ended(Verdict::Done, "done", f.text, f.tokens), Some(turn), ear).await;
     }
 }
--- a/scramble/src/fleet/callers.rs
+++ b/scramble/src/fleet/callers.rs
@@ -398,19 +398,37 @@
 
     /// One tool call at an edge, as a caller that keeps its own book; None while no verdict has come.
     pub fn call(&self, edge: &str, id: &str, route: &str, key: &str, since: u64) -> Rc<RefCell<Option<Told>>> {
+        self.begin(edge, id, route, key, since, 0)
+    }
+
+    /// One turn, in the same way.
+    pub fn say(&self, edge: &str, id: &str, route: &str, key: &str) -> Rc<RefCell<Option<Told>>> {
+        self.begin(edge, id, route, key, 0, CAP)
+    }
+
+    fn begin(&self, edge: &str, id: &str, route: &str, key: &str, since: u64, cap: u64) -> Rc<RefCell<Option<Told>>> {
         let m = self.meadow(edge);
         let r = m.edge.view().config.as_ref().expect("a config").routes[route].clone();
         let digest = hash(key) | 1;
         let (body, prefix) = (String::new(), String::new());
+        let said = format!("{key}?");
         let (program, key, name) = (id.to_string(), key.to_string(), route.to_string());
-        let job = Job { program, key, digest, name, route: r, body, prefix, cap: 0, since };
-        let (tx, mut rx) = mpsc::channel(1);
-        self.spawn(edge, async move { tool(&m, &m.edge.clone(), job, Ear::new(tx)).await });
+        let job = Job { program, key, digest, name, route: r, body, prefix, cap, since };
+        let (tx, mut rx) = mpsc::channel(PIECES);
+        self.spawn(edge, async move {
+            if cap > 0 {
+                turn(&m, &m.edge.clone(), job, said, Ear::new(tx)).await;
+            } else {
+                tool(&m, &m.edge.clone(), job, Ear::new(tx)).await;
+            }
+        });
         let out: Rc<RefCell<Option<Told>>> = Rc::default();
         let o = out.clone();
         self.spawn("outside", async move {
-            if let Some(Heard::Told(t)) = rx.recv().await {
-                *o.borrow_mut() = Some(t);
+            while let Some(h) = rx.recv().await {
+                if let Heard::Told(t) = h {
+                    *o.borrow_mut() = Some(t);
+                }
             }
         });
         out
--- a/scramble/tests/stories.rs
+++ b/scramble/tests/stories.rs
@@ -1106,3 +1106,28 @@
     w.run(30_000 + 6_000);
     assert_eq!(w.called("trailhead3", "p", "bundle", "k", 0), "in_doubt");
 }
+
+#[rstest]
+fn a_turn_recorded_late_stands_where_it_was_begun(#[values(1, 2, 3, 4)] seed: u64) {
+    // given a turn that is being streamed when its edge loses sight of the store
+    let w = fleet(seed, 5_000);
+    w.run(8_000);
+    w.make("p", 60, 600_000, 3_600_000);
+    w.say("trailhead2", "p", "review", "a");
+    assert!(w.until(2_000, |w| w.runs_of("a") == 1));
+    w.names("bothy").iter().for_each(|b| w.cut("trailhead2", b, true));
+    // when it has been streamed to its end, its edge sleeps, and its caller goes on elsewhere
+    w.run(1_000);
+    w.freeze("trailhead2");
+    w.heal();
+    for key in ["b", "c"] {
+        let told = w.say("trailhead3", "p", "review", key);
+        assert!(w.until(5_000, |_| told.borrow().is_some()));
+    }
+    w.wake("trailhead2");
+    // then all three are remembered in the order in which they were said
+    let saw = w.evening(10_000);
+    let h: Vec<&str> = saw.programs["p"].history.as_ref().unwrap().iter().map(|t| t.key.as_str()).collect();
+    assert_eq!(h, ["a", "b", "c"]);
+    assert_eq!(check(&saw), vec![]);
+}
