--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -2,7 +2,7 @@
 //! waiting lines and its measurements. Each under its own lock.
 
 use super::core::{Grant, Renewal, Update, Window};
-use super::line::{Left, Line, Look, Placed, Refusal, Wait};
+use super::line::{Left, Line, Look, Placed, Refusal, Srv, Wait};
 use super::shares::Held;
 use super::view::View;
 use crate::constants::*;
@@ -132,18 +132,20 @@
 
     pub fn renewal(&self, now: u64) -> Renewal {
         let have = self.view().rev;
-        let (seen, term) = {
+        // shares go with the licence: one that slept must not claim what may be another's by now
+        let (seen, term, licensed) = {
             let l = grip(&self.licence);
-            (l.no, l.term)
+            (l.no, l.term, now < l.until)
         };
+        let share = |s: &Srv| if licensed { s.share } else { 0 };
         let (mut demand, mut held) = (vec![], vec![]);
         for l in self.all_lanes() {
             let l = grip(&l);
             demand.push((l.group.clone(), l.demand()));
             // what is neither held nor used needs no word
-            held.extend(l.servers.iter().filter(|(_, s)| s.share + s.busy > 0).map(|(n, s)| Held {
+            held.extend(l.servers.iter().filter(|(_, s)| share(s) + s.busy > 0).map(|(n, s)| Held {
                 server: n.clone(),
-                share: s.share,
+                share: share(s),
                 busy: s.busy,
                 done: s.done,
                 since: s.since,
@@ -170,8 +172,13 @@
     }
 
     /// Takes the core's answer to the renewal that was sent at `sent`.
-    pub fn granted(&self, sent: u64, g: Grant) {
+    pub fn granted(&self, now: u64, sent: u64, mut g: Grant) {
         let mut l = grip(&self.licence);
+        // a new leader repeats what the renewal claimed; if the licence it was claimed under has lapsed
+        // since, the leader before may have given it to another
+        if l.no > 0 && now >= l.until && g.term != l.term {
+            g.shares.clear();
+        }
         let old = self.view();
         let new = match g.update {
             // never back to an older belief
@@ -351,3 +358,47 @@
         self.all_lanes().iter().flat_map(of).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::config::{Group, Kind};
+
+    fn grant(no: u64, term: u64) -> Grant {
+        let shares = BTreeMap::from([("s1".to_string(), 3)]);
+        Grant { no, term, rev: 0, update: Update::Events(vec![]), shares }
+    }
+
+    fn claims(e: &Edge, now: u64) -> u32 {
+        e.renewal(now).held.iter().map(|h| h.share).sum()
+    }
+
+    #[test]
+    fn an_edge_whose_licence_lapsed_claims_no_share_and_takes_none_that_was_repeated() {
+        // given an edge that holds three slots of a server
+        let e = Edge::new(1, "a", "e1");
+        let set = Group {
+            kind: Kind::Model,
+            slo_ms: 500,
+            least: 1,
+            most: 4,
+            in_flight: 8,
+            warm_jobs: 1,
+            pressure_most: 4.0,
+            cache_most: 0.9,
+        };
+        let mut l = Line::new("lang", "a", set, BTreeMap::new());
+        l.servers.entry("s1".into()).or_default().usable = true;
+        e.lanes.write().unwrap().insert("lang".into(), Arc::new(Mutex::new(l)));
+        e.granted(10, 0, grant(1, 1));
+        assert_eq!(claims(&e, 100), 3);
+        // when it sleeps until its licence has lapsed, then it claims nothing on waking
+        assert_eq!(claims(&e, LICENCE_MS), 0);
+        // and what a new leader repeats of a claim made before it slept is not taken
+        e.granted(LICENCE_MS + 10, 1_400, grant(1, 2));
+        assert_eq!(claims(&e, LICENCE_MS + 20), 0);
+        // while what that leader gives from then on is
+        e.granted(LICENCE_MS + 40, LICENCE_MS + 20, grant(2, 2));
+        assert_eq!(claims(&e, LICENCE_MS + 50), 3);
+    }
+}
--- a/hutbook/src/coordination/shares.rs
+++ b/hutbook/src/coordination/shares.rs
@@ -312,9 +312,10 @@
         for (s, _) in &self.open {
             let bound = self.bounds.get(s).copied().unwrap_or(0);
             let share = if !accounted {
-                // what it held, if that was a share of the same warm-up
-                let same = e.held.get(s).is_some_and(|h| v.servers.get(s).is_some_and(|x| x.since == h.since));
-                e.sure.get(s).copied().filter(|_| same).unwrap_or(0)
+                // what it holds, if that was a share of the same warm-up; what it no longer claims has lapsed
+                let same = |h: &&Held| v.servers.get(s).is_some_and(|x| x.since == h.since);
+                let claims = e.held.get(s).filter(same).map_or(0, |h| h.share);
+                e.sure.get(s).copied().unwrap_or(0).min(claims)
             } else {
                 let others = self.sums.get(s).unwrap_or(&0) - e.counted.get(s).unwrap_or(&0);
                 let aim = self.targets.get(s).and_then(|t| t.get(&node)).copied().unwrap_or(0);
@@ -390,6 +391,56 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_new_leader_repeats_only_what_is_claimed_still() {
+        use super::super::view::{Server, Spot};
+        use crate::state::config::{Config, Group, Limits, Tuning};
+        // given a server of eight slots, and a leader that has just risen
+        let g = Group {
+            kind: Kind::Model,
+            slo_ms: 500,
+            least: 1,
+            most: 4,
+            in_flight: 8,
+            warm_jobs: 1,
+            pressure_most: 4.0,
+            cache_most: 0.9,
+        };
+        let config = Config {
+            groups: BTreeMap::from([("lang".to_string(), g)]),
+            routes: BTreeMap::new(),
+            work: BTreeMap::new(),
+            scaler: Tuning::default(),
+            limits: Limits::default(),
+        };
+        let s = Server {
+            name: "s1".into(),
+            group: "lang".into(),
+            addr: "s1".into(),
+            cell: "a".into(),
+            leaving: false,
+            since: 1,
+            born: 0,
+        };
+        let spot = Spot { since: 1, draining: false };
+        let v = View {
+            rev: 1,
+            config: Some(config),
+            servers: BTreeMap::from([("s1".to_string(), s)]),
+            places: BTreeMap::from([("lang".to_string(), BTreeMap::from([("s1".to_string(), spot)]))]),
+            ..View::default()
+        };
+        let held = |share| vec![Held { server: "s1".into(), share, done: 20, since: 1, ..Held::default() }];
+        let mut l = Ledger::new(0);
+        // when an edge claims three slots, then it may keep them
+        l.hear(10, 7, 0, 1, "a", "e7", vec![], held(3));
+        let (no, got) = l.grant(10, &v, 7);
+        assert_eq!(got.get("s1"), Some(&3));
+        // and when it claims them no more, as its licence had lapsed meanwhile, then they are not given again
+        l.hear(20, 7, no, 1, "a", "e7", vec![], held(0));
+        assert_eq!(l.grant(20, &v, 7).1.get("s1"), None);
+    }
+
     #[test]
     fn shares_add_up_to_the_bound_and_follow_demand() {
         // given edges of different demand, when a bound is divided
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -175,7 +175,7 @@
         addrs.extend(seeds.iter().cloned());
         let ask = CoreAsk::Renew(edge.renewal(sent));
         if let Some(CoreTell::Grant(g)) = reach.core(&addrs, ask, LICENCE_MS, RENEW_TRY_MS).await {
-            edge.granted(sent, *g);
+            edge.granted(w.now(), sent, *g);
         }
         edge.pump_all(w.now());
         let has = edge.licensed(w.now());
