--- a/scramble/src/fleet/majority.rs
+++ b/scramble/src/fleet/majority.rs
@@ -3,7 +3,6 @@
 
 use super::*;
 use hutbook::coordination::raft::Raft;
-use hutbook::state::entry::Members;
 
 /// ms. A sync that takes longer is too near to the bound on a stalled disk to be counted on.
 const SLOW_MS: u64 = DISK_BOUND_MS / 3;
@@ -14,8 +13,6 @@
 /// What was seen so far, from look to look.
 #[derive(Default)]
 pub struct Watch {
-    /// The newest members any log has held, and how new that log was.
-    members: BTreeMap<&'static str, ((u64, u64), Members)>,
     short: BTreeMap<&'static str, u64>,
     still: BTreeMap<&'static str, u64>,
 }
@@ -56,18 +53,25 @@
         !cut(a, b) && !cut(b, a)
     }
 
-    /// Some majority of these voters is whole and hears each other both ways, and this edge too.
-    fn could(&self, kind: &str, m: &Members, edge: Option<&str>) -> bool {
-        let by_id = |id: u64| self.nodes.iter().find(|(n, x)| n.starts_with(kind) && x.id == id).map(|x| x.0.as_str());
-        let well: Vec<&str> = m.voters.iter().filter_map(|v| by_id(v.id)).collect();
-        let near = |n: &&&str| self.whole(n) && edge.is_none_or(|e| self.linked(e, n));
-        let well: Vec<&str> = well.iter().filter(near).copied().collect();
-        let most = m.voters.len() / 2 + 1;
-        // groups are small: every choice of them is tried
-        (0..1u32 << well.len()).any(|pick| {
-            let some: Vec<&str> =
-                well.iter().enumerate().filter(|(i, _)| pick >> i & 1 == 1).map(|(_, n)| *n).collect();
-            some.len() >= most && some.iter().all(|a| some.iter().all(|b| a == b || self.linked(a, b)))
+    /// Could somebody lead this group: a voter, by its own log, within reach of a majority whose logs are
+    /// no newer than its own? An `edge`, where one is named, must be within its reach too.
+    fn could(&self, kind: &str, edge: Option<&str>) -> bool {
+        let whole = |n: &&String| n.starts_with(kind) && self.whole(n);
+        let all: Vec<(&str, u64, &Raft)> = self
+            .nodes
+            .keys()
+            .filter(whole)
+            .filter_map(|n| Some((n.as_str(), self.nodes[n].id, self.raft(n)?)))
+            .collect();
+        all.iter().any(|(c, id, r)| {
+            let log = (r.last_term(), r.last());
+            let voters = &r.members().voters;
+            let votes = all.iter().filter(|(n, v, x)| {
+                let near = n == c || self.linked(c, n);
+                near && voters.iter().any(|m| m.id == *v) && (x.last_term(), x.last()) <= log
+            });
+            let stands = voters.iter().any(|m| m.id == *id) && edge.is_none_or(|e| self.linked(c, e));
+            stands && votes.count() > voters.len() / 2
         })
     }
 
@@ -78,15 +82,7 @@
         let mut core = false;
         for kind in ["refuge", "bothy"] {
             let names: Vec<String> = self.nodes.keys().filter(|n| n.starts_with(kind)).cloned().collect();
-            for r in names.iter().filter_map(|n| self.raft(n)).filter(|r| !r.members().voters.is_empty()) {
-                let new = (r.last_term(), r.last());
-                let known = w.members.entry(kind).or_default();
-                if new >= known.0 {
-                    *known = (new, r.members().clone());
-                }
-            }
-            let Some((_, m)) = w.members.get(kind) else { continue };
-            let could = self.could(kind, m, None);
+            let could = self.could(kind, None);
             let leads = names.iter().any(|n| self.awake(n) && self.raft(n).is_some_and(|r| r.role == Role::Leader));
             self.saw.short.extend(mark(&mut w.short, kind, !could, now));
             self.saw.still.extend(mark(&mut w.still, kind, could && !leads, now));
@@ -102,7 +98,7 @@
         self.saw.still.extend(mark(&mut w.still, "licences", without, now));
         // somebody could be served: by an edge in reach of both majorities and of a model server
         let up = |e: &str| self.nodes.iter().any(|(n, x)| n.starts_with("model") && x.up && self.linked(e, n));
-        let both = |e: &str| w.members.iter().all(|(k, (_, m))| self.could(k, m, Some(e)));
+        let both = |e: &str| ["refuge", "bothy"].iter().all(|k| self.could(k, Some(e)));
         let edges = self.nodes.iter().filter(|(n, x)| matches!(x.part, Part::Edge(_)) && self.awake(n));
         let serves = edges.into_iter().any(|(e, _)| both(e) && up(e));
         self.saw.short.extend(mark(&mut w.short, SERVICE, !serves, now));
--- a/scramble/src/nemesis.rs
+++ b/scramble/src/nemesis.rs
@@ -57,7 +57,7 @@
     let saw = n.w.evening(180_000);
     n.w.close();
     let breaches = check(&saw);
-    let kept = saw.short.iter().all(|x| x.0 > until);
+    let kept = saw.short.iter().all(|x| x.0 > until || x.1 < from);
     let gap = saw.gap(from, until);
     Day { saw, breaches, deeds: n.deeds, kept, gap }
 }
--- a/scramble/src/saw.rs
+++ b/scramble/src/saw.rs
@@ -97,8 +97,8 @@
     pub planned: Vec<u64>,
     /// (from, until, node): failures brought about, and to whom.
     pub hurts: Vec<(u64, u64, String)>,
-    /// (from, until, which): no majority of a group could be had: too few of its voters were up, awake,
-    /// with a working disk and within reach of each other. Known to the ground, not to the fleet.
+    /// (from, until, which): no majority of a group could be had: no voter had enough others up,
+    /// awake, with a working disk, within reach and with no newer a log. Known to the ground, not to the fleet.
     /// `service`: no edge had both majorities and a model server within reach.
     pub short: Vec<(u64, u64, String)>,
     /// (from, until, which): a majority could be had, and yet nobody led the group or no edge had a licence.
