--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -65,6 +65,15 @@
         w.nodes.insert(name.into(), n);
     }
 
+    /// The day is over: what still waits holds this world, and would keep it in memory for ever.
+    pub fn close(&self) {
+        let (exec, events, calls) = {
+            let mut w = self.0.borrow_mut();
+            (std::mem::take(&mut w.exec), std::mem::take(&mut w.events), std::mem::take(&mut w.calls))
+        };
+        drop((exec, events, calls));
+    }
+
     /// Runs until `t`, or until `over` says so.
     fn run_to(&self, t: u64, over: impl Fn() -> bool) {
         loop {
@@ -269,7 +278,7 @@
 
     /// kill -9, or power lost: what was not synced may be lost.
     pub fn kill(&self, name: &str) {
-        self.0.borrow_mut().hurt(name);
+        self.0.borrow_mut().hurt(name, Ail::Power);
         self.end(name);
     }
 
@@ -385,7 +394,7 @@
         {
             let mut w = self.0.borrow_mut();
             let now = w.now;
-            w.well(name);
+            w.well(name, Ail::Power);
             let n = w.nodes.get_mut(name).expect("known node");
             (n.up, n.closing, n.gone) = (true, false, false);
             if let Part::Back(b) = &mut n.part {
@@ -411,13 +420,13 @@
 
     pub fn freeze(&self, name: &str) {
         let mut w = self.0.borrow_mut();
-        w.hurt(name);
+        w.hurt(name, Ail::Sleep);
         w.nodes.get_mut(name).expect("known node").frozen = true;
     }
 
     pub fn wake(&self, name: &str) {
         let mut w = self.0.borrow_mut();
-        w.well(name);
+        w.well(name, Ail::Sleep);
         let n = w.nodes.get_mut(name).expect("known node");
         n.frozen = false;
         let held = std::mem::take(&mut n.held);
@@ -438,8 +447,8 @@
     /// Nothing from `a` reaches `b` any more; both ways when `both`.
     pub fn cut(&self, a: &str, b: &str, both: bool) {
         let mut w = self.0.borrow_mut();
-        w.hurt(a);
-        w.hurt(b);
+        w.hurt(a, Ail::Cut);
+        w.hurt(b, Ail::Cut);
         w.cuts.insert((a.into(), b.into()));
         if both {
             w.cuts.insert((b.into(), a.into()));
@@ -458,8 +467,8 @@
         let mut w = self.0.borrow_mut();
         let cuts = std::mem::take(&mut w.cuts);
         cuts.iter().for_each(|(a, b)| {
-            w.well(a);
-            w.well(b);
+            w.well(a, Ail::Cut);
+            w.well(b, Ail::Cut);
         });
     }
 
@@ -468,9 +477,9 @@
         let mut w = self.0.borrow_mut();
         w.loss = n;
         if n > 0 {
-            w.hurt(crate::saw::NETWORK);
+            w.hurt(crate::saw::NETWORK, Ail::Loss);
         } else {
-            w.well(crate::saw::NETWORK);
+            w.well(crate::saw::NETWORK, Ail::Loss);
         }
     }
 
@@ -478,9 +487,9 @@
     pub fn disk(&self, name: &str, ms: Option<u64>) {
         let mut w = self.0.borrow_mut();
         if ms == Some(SYNC_MS) {
-            w.well(name);
+            w.well(name, Ail::Disk);
         } else {
-            w.hurt(name);
+            w.hurt(name, Ail::Disk);
         }
         w.nodes.get_mut(name).expect("known node").disk.sync_ms = ms;
         w.sync(name);
@@ -500,9 +509,9 @@
         f(b);
         // one that loses answers does so to jobs that nothing else has touched
         if b.lose_every > 0 {
-            w.hurt(name);
+            w.hurt(name, Ail::Answers);
         } else {
-            w.well(name);
+            w.well(name, Ail::Answers);
         }
     }
 
