--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -2,8 +2,8 @@
 
 /// Version of what the processes say to each other; a node speaks its own and the one before.
 pub const WIRE_VERSION: u16 = 1;
-/// Version of what stands on disk.
-pub const DISK_VERSION: u64 = 1;
+/// Version of what stands on disk. 2: a capture lies in pieces. Folders of older ones are read.
+pub const DISK_VERSION: u64 = 2;
 
 /// ms. Leader's heartbeat: four fit into the shortest election wait, so one lost packet unseats nobody.
 pub const HEARTBEAT_MS: u64 = 75;
@@ -31,8 +31,13 @@
 pub const PROMOTE_LAG: u64 = 64;
 /// addresses. Of partners, as they told them; far more than a group has members.
 pub const ADDRS_KEPT: usize = 64;
-/// entries. A capture is taken each time this many were applied.
+/// entries. A capture is taken each time this many were applied, if they weigh as much as the last
+/// one: then captures write no more than the log itself.
 pub const CAPTURE_EVERY: u64 = 4_096;
+/// entries. Applied at the most before one is taken all the same: a start applies them again.
+pub const CAPTURE_MOST: u64 = 16 * CAPTURE_EVERY;
+/// bytes. Of entries, likewise: they stand in memory until then.
+pub const CAPTURE_BYTES: usize = 16 * 1024 * 1024;
 
 /// ms. How often a trailhead renews its licence.
 pub const RENEW_MS: u64 = 300;
@@ -180,6 +185,9 @@
 /// bytes. What redb keeps of its file in memory: a log is written and hardly read, and the smallest
 /// machines have 48 MB for everything. redb's own default is a gigabyte.
 pub const DISK_CACHE_BYTES: usize = 4 * 1024 * 1024;
+/// bytes. Of a capture in one value on disk: redb gives each value a page of the next power of two,
+/// and holds what it writes in memory until the page is full.
+pub const DISK_PIECE_BYTES: usize = 250 * 1024;
 /// inputs. A replica takes at one go before it looks at the clock again.
 pub const BATCH: usize = 256;
 /// calls. Answers one process waits for at once.
--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -84,6 +84,9 @@
     /// Addresses as members told them, when they are newer than the log's.
     pub addrs: BTreeMap<u64, String>,
     captured: u64,
+    /// bytes. Of the entries applied since, and of the capture itself.
+    since: usize,
+    captured_bytes: usize,
 }
 
 /// Tickets of the replica's own proposals: nobody waits for them.
@@ -99,6 +102,8 @@
             asks: BTreeMap::new(),
             addrs: BTreeMap::new(),
             captured: 0,
+            since: 0,
+            captured_bytes: 0,
         };
         let f = r.step(now, Feed::Tick);
         (r, f)
@@ -181,12 +186,17 @@
     }
 
     fn capture(&mut self, now: u64, fruit: &mut Fruits<M>) {
+        let entries = self.raft.applied() - self.captured;
+        // a large one among few small entries would be most of what the disk writes
+        let worth = entries >= CAPTURE_EVERY && self.since >= self.captured_bytes;
+        let due = worth || entries >= CAPTURE_MOST || self.since >= CAPTURE_BYTES;
         // a disk behind its bound is not given more to write
-        if self.raft.applied() < self.captured + CAPTURE_EVERY || self.raft.disk_late(now) {
+        if !due || self.raft.disk_late(now) {
             return;
         }
         self.captured = self.raft.applied();
         let data = self.machine.capture();
+        (self.since, self.captured_bytes) = (0, data.len());
         let o = self.raft.keep_capture(now, self.captured, data);
         self.take(now, o, fruit);
     }
@@ -210,6 +220,7 @@
                 Out::Restore(c) => {
                     self.machine.restore(&c.data);
                     self.captured = c.index;
+                    (self.since, self.captured_bytes) = (0, c.data.len());
                     self.lose(fruit);
                 }
                 Out::Accepted { ticket, index } => {
@@ -244,6 +255,7 @@
     }
 
     fn apply(&mut self, e: Entry, fruit: &mut Fruits<M>) {
+        self.since += e.size();
         let tell = match &e.what {
             What::Command(b) => Some(self.machine.apply(e.index, e.term, b)),
             What::Members(m) => Some(self.machine.members_agreed(e.index, m)),
@@ -255,3 +267,75 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    /// Keeps as many bytes as it is told to, whatever is agreed.
+    struct Keeps(usize);
+
+    impl Machine for Keeps {
+        type Ask = usize;
+        type Tell = ();
+        type Think = ();
+
+        fn plan(&mut self, _st: Stand, ask: &usize) -> Plan<()> {
+            Plan::Propose(vec![1; *ask])
+        }
+        fn answer(&mut self, _st: Stand, _ask: usize) {}
+        fn apply(&mut self, _index: u64, _term: u64, _bytes: &[u8]) {}
+        fn members_agreed(&mut self, _index: u64, _m: &Members) {}
+        fn capture(&self) -> Vec<u8> {
+            vec![0; self.0]
+        }
+        fn restore(&mut self, _data: &[u8]) {}
+        fn rose(&mut self, _st: Stand) {}
+        fn fell(&mut self) {}
+        fn tick(&mut self, _st: Stand, _raft: &Raft) -> Vec<Todo<()>> {
+            vec![]
+        }
+        fn denied(&self, _why: Denial, _leader: Option<Member>) {}
+    }
+
+    #[rstest]
+    // small states: by count
+    #[case(1_000, 8, 3 * CAPTURE_EVERY, 3)]
+    // a state of 1 MB and entries of 100 bytes: only when they weigh as much, the first one at once
+    #[case(1_000_000, 76, 4 * CAPTURE_EVERY, 2)]
+    // a state that entries hardly ever outweigh: not for ever
+    #[case(4_000_000, 8, CAPTURE_MOST + CAPTURE_EVERY, 2)]
+    // heavy entries: by weight
+    #[case(1_000, 100_000, 420, 2)]
+    fn captures_cost_no_more_than_the_log(
+        #[case] state: usize,
+        #[case] entry: usize,
+        #[case] entries: u64,
+        #[case] most: usize,
+    ) {
+        // given a group of one
+        let mut now = 1;
+        let (mut r, mut fruit) = Replica::new(1, Boot::founding(1, "a", None), Keeps(state), 1, now);
+        let (mut taken, mut asked) = (0, 0);
+        while asked < entries + 64 {
+            // when so many entries are agreed
+            let synced = fruit.iter().filter_map(|f| match f {
+                Fruit::Persist { mark, ops } => Some((*mark, ops)),
+                _ => None,
+            });
+            taken += synced.clone().flat_map(|x| x.1).filter(|o| matches!(o, DiskOp::Capture { .. })).count();
+            let mark = synced.map(|x| x.0).max();
+            fruit = mark.map_or(vec![], |m| r.step(now, Feed::Synced(m)));
+            if r.leads() {
+                asked += 1;
+                fruit.extend(r.step(now, Feed::Ask { ticket: asked, ask: entry }));
+            }
+            now += TICK_MS;
+            fruit.extend(r.step(now, Feed::Tick));
+        }
+        // then captures were taken as often as they are worth it
+        assert_eq!(taken, most);
+        assert!(r.raft.log_len() as u64 <= CAPTURE_MOST);
+    }
+}
--- a/hutbook/src/state/disk.rs
+++ b/hutbook/src/state/disk.rs
@@ -4,7 +4,7 @@
 //! when `write` returns, not before.
 
 use super::entry::{to_bytes, Capture, Entry, Member, Members, What};
-use crate::constants::{DISK_CACHE_BYTES, DISK_VERSION};
+use crate::constants::{DISK_CACHE_BYTES, DISK_PIECE_BYTES, DISK_VERSION};
 use redb::{Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, TableDefinition};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
@@ -112,6 +112,8 @@
 const FACTS: TableDefinition<&str, u64> = TableDefinition::new("facts");
 const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
 const BLOBS: TableDefinition<&str, &[u8]> = TableDefinition::new("blobs");
+/// A capture's data, in order. One value for it all took memory and space many times its size.
+const PIECES: TableDefinition<u64, &[u8]> = TableDefinition::new("pieces");
 
 /// How the folder's one file is opened or made; tests put a faulty disk beneath.
 type Opener = Box<dyn Fn(&Path) -> Result<Database, DatabaseError> + Send>;
@@ -197,7 +199,7 @@
     fn check(&mut self, kind: u64) -> Result<(), DiskError> {
         let p = self.path.display().to_string();
         let (v, k, id) = (self.fact("version")?, self.fact("kind")?, self.fact("id")?);
-        if v != Some(DISK_VERSION) {
+        if !v.is_some_and(|v| (1..=DISK_VERSION).contains(&v)) {
             let s = format!("{p}: stored format {v:?}, this program reads {DISK_VERSION}; run the matching version");
             return Err(DiskError::Refused(s));
         }
@@ -273,7 +275,19 @@
         let mut b = Boot { term: self.fact("term")?.unwrap_or(0), ..Boot::default() };
         b.voted = self.fact("voted")?.filter(|v| *v != 0);
         if let Some(c) = self.note("capture")? {
-            b.capture = Some(minicbor::decode(&c).map_err(|_| bad("the capture"))?);
+            let mut c: Capture = minicbor::decode(&c).map_err(|_| bad("the capture"))?;
+            self.with(|db| {
+                let t = match db.begin_read()?.open_table(PIECES) {
+                    // a folder of version 1 has its capture whole
+                    Err(redb::TableError::TableDoesNotExist(_)) => return Ok(()),
+                    t => t?,
+                };
+                for kv in t.iter()? {
+                    c.data.extend_from_slice(kv?.1.value());
+                }
+                Ok(())
+            })?;
+            b.capture = Some(c);
         }
         let entries = self.with(|db| {
             let l = db.begin_read()?.open_table(LOG)?;
@@ -314,7 +328,16 @@
                         let mut l = t.open_table(LOG)?;
                         let upto = if *clear { u64::MAX } else { capture.index };
                         l.retain_in(..=upto, |_, _| false)?;
-                        t.open_table(BLOBS)?.insert("capture", to_bytes(&**capture).as_slice())?;
+                        let c = &**capture;
+                        let head = Capture { members: c.members.clone(), data: vec![], ..*c };
+                        t.open_table(BLOBS)?.insert("capture", to_bytes(&head).as_slice())?;
+                        let mut p = t.open_table(PIECES)?;
+                        p.retain(|_, _| false)?;
+                        for (n, x) in (0..).zip(c.data.chunks(DISK_PIECE_BYTES)) {
+                            p.insert(n, x)?;
+                        }
+                        // an older program would take it for an empty one
+                        t.open_table(FACTS)?.insert("version", DISK_VERSION)?;
                     }
                 }
             }
@@ -377,7 +400,8 @@
             ops.push(DiskOp::Append { entries: entries.collect() });
             if i % 11 == 0 {
                 cut = last - 1;
-                let data = vec![i as u8; 9_000];
+                // of one piece, or of some
+                let data = (0..9_000 + i % 2 * 2 * DISK_PIECE_BYTES as u64).map(|b| (b / 7 + i) as u8).collect();
                 let capture = Capture { index: cut, term: i, members: Members::default(), data };
                 ops.push(DiskOp::Capture { capture: Arc::new(capture), clear: i % 22 == 0 });
                 if i % 22 == 0 {
@@ -567,6 +591,34 @@
         std::fs::remove_dir_all(&d).unwrap();
     }
 
+    #[test]
+    fn a_folder_of_the_version_before_is_read_and_not_by_it_any_more() {
+        // given a folder whose capture lies whole, as version 1 wrote it
+        let u = Unsteady::new(1, made());
+        let mut d = over(&u, false).unwrap();
+        let data = (0..3 * DISK_PIECE_BYTES).map(|b| b as u8).collect();
+        let c = Arc::new(Capture { index: 2, term: 1, members: Members::default(), data });
+        d.transact(|t| {
+            t.delete_table(PIECES)?;
+            t.open_table(FACTS)?.insert("version", 1)?;
+            t.open_table(BLOBS)?.insert("capture", to_bytes(&*c).as_slice())?;
+            Ok(())
+        })
+        .unwrap();
+        drop(d);
+        // when it is opened, then its capture is there, and a new one takes its place
+        let mut d = over(&u, false).unwrap();
+        assert!(d.boot().unwrap().capture.as_ref() == Some(&*c));
+        let c = Arc::new(Capture { index: 5, ..(*c).clone() });
+        d.write(&[DiskOp::Capture { capture: c.clone(), clear: false }]).unwrap();
+        assert!(d.boot().unwrap().capture.as_ref() == Some(&*c));
+        assert_eq!(d.fact("version").unwrap(), Some(DISK_VERSION));
+        // and a smaller one leaves nothing of it behind
+        let c = Arc::new(Capture { index: 6, data: vec![7; 10], ..(*c).clone() });
+        d.write(&[DiskOp::Capture { capture: c.clone(), clear: false }]).unwrap();
+        assert!(d.boot().unwrap().capture.as_ref() == Some(&*c));
+    }
+
     #[test]
     fn a_foreign_or_damaged_folder_is_refused() {
         // given a folder with something else in it, and one with a broken file
