--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -114,6 +114,11 @@
         now < grip(&self.licence).until
     }
 
+    /// Term of the leader that gave the newest grant.
+    pub fn term(&self) -> u64 {
+        grip(&self.licence).term
+    }
+
     /// The last look before anything goes out: may this server get work now?
     pub fn may(&self, now: u64, server: &str, since: u64) -> bool {
         // the licence is held while the view is read, so a grant can't slip between
--- a/hutbook/src/transport/post.rs
+++ b/hutbook/src/transport/post.rs
@@ -34,6 +34,38 @@
     }
 }
 
+/// Letters and bytes that went over this process's sessions, both ways.
+#[derive(Default)]
+pub struct Traffic {
+    pub sent: AtomicU64,
+    pub sent_bytes: AtomicU64,
+    pub got: AtomicU64,
+    pub got_bytes: AtomicU64,
+}
+
+impl Traffic {
+    fn out(&self, bytes: usize) {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    fn came(&self, bytes: usize) {
+        self.got.fetch_add(1, Ordering::Relaxed);
+        self.got_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// (name of the metric, value).
+    pub fn told(&self) -> [(&'static str, u64); 4] {
+        let n = |a: &AtomicU64| a.load(Ordering::Relaxed);
+        [
+            ("letters_sent_total", n(&self.sent)),
+            ("letters_sent_bytes_total", n(&self.sent_bytes)),
+            ("letters_received_total", n(&self.got)),
+            ("letters_received_bytes_total", n(&self.got_bytes)),
+        ]
+    }
+}
+
 pub type Handler = Arc<dyn Fn(Letter, Reply) + Send + Sync>;
 type Open = Arc<Mutex<HashMap<u64, (String, oneshot::Sender<Body>)>>>;
 
@@ -44,30 +76,44 @@
     pub cluster: Arc<AtomicU64>,
     /// Frames refused: malformed, oversized, foreign or of another version.
     pub refused: Arc<AtomicU64>,
+    pub traffic: Arc<Traffic>,
     next: AtomicU64,
     open: Open,
     out: mpsc::Sender<(String, Vec<u8>)>,
 }
 
 impl Post {
-    /// Starts the thread; answers once the listener stands or couldn't be had.
-    pub fn start(
-        me: u64,
-        cluster: u64,
-        listen: Option<SocketAddr>,
-        at: SocketAddr,
-        handler: Handler,
-    ) -> std::io::Result<Arc<Post>> {
+    fn new(me: u64, cluster: u64, at: SocketAddr) -> (Arc<Post>, mpsc::Receiver<(String, Vec<u8>)>) {
         let (out, rx) = mpsc::channel(OUTBOX * 4);
         let post = Arc::new(Post {
             me,
             at: at.to_string(),
             cluster: Arc::new(AtomicU64::new(cluster)),
             refused: Arc::default(),
+            traffic: Arc::default(),
             next: AtomicU64::new(1),
             open: Open::default(),
             out,
         });
+        (post, rx)
+    }
+
+    /// Without a thread or a listener of its own: carried by the caller's runtime, for many in one process.
+    pub fn lodge(me: u64, at: SocketAddr) -> Arc<Post> {
+        let (post, rx) = Post::new(me, 0, at);
+        actix_rt::spawn(carry(post.clone(), rx));
+        post
+    }
+
+    /// Starts the thread; answers once the listener stands or couldn't be had.
+    pub fn start(
+        me: u64,
+        cluster: u64,
+        listen: Option<SocketAddr>,
+        at: SocketAddr,
+        handler: Handler,
+    ) -> std::io::Result<Arc<Post>> {
+        let (post, rx) = Post::new(me, cluster, at);
         let (up, is_up) = std::sync::mpsc::channel();
         let p = post.clone();
         std::thread::Builder::new().name("post".into()).spawn(move || {
@@ -167,15 +213,16 @@
         }
     });
     tokio::select! {
-        _ = write(w, &mut frames) => {}
+        _ = write(w, &mut frames, &p.traffic) => {}
         _ = reader => {}
     }
     frames.close();
     p.broke(&addr);
 }
 
-async fn write(mut w: OwnedWriteHalf, frames: &mut mpsc::Receiver<Vec<u8>>) {
+async fn write(mut w: OwnedWriteHalf, frames: &mut mpsc::Receiver<Vec<u8>>, t: &Traffic) {
     while let Some(f) = frames.recv().await {
+        t.out(f.len());
         let done = actix_rt::time::timeout(Duration::from_millis(WRITE_MS), w.write_all(&f)).await;
         if !matches!(done, Ok(Ok(()))) {
             return;
@@ -191,6 +238,7 @@
         Ok(n) => {
             let mut buf = vec![0; n];
             r.read_exact(&mut buf).await.ok()?;
+            p.traffic.came(head.len() + n);
             match unpack(&buf, p.cluster.load(Ordering::Relaxed)) {
                 Ok(l) => return Some(l),
                 Err(e) => e,
@@ -214,7 +262,8 @@
             let _ = s.set_nodelay(true);
             let (mut r, w) = s.into_split();
             let (tx, mut frames) = mpsc::channel(OUTBOX);
-            actix_rt::spawn(async move { write(w, &mut frames).await });
+            let q = p.clone();
+            actix_rt::spawn(async move { write(w, &mut frames, &q.traffic).await });
             let who = from.to_string();
             while let Some(l) = next(&mut r, &p, &who).await {
                 let reply = Reply { id: l.id, cluster: p.cluster.clone(), me: p.me, tx: tx.clone() };
--- a/huts/src/bin/bothy.rs
+++ b/huts/src/bin/bothy.rs
@@ -197,6 +197,7 @@
 fn metrics(slot: &Slot, post: &Post) -> String {
     let mut o = String::new();
     metric(&mut o, "frames_refused_total", &[], post.refused.load(Ordering::Relaxed));
+    post.traffic.told().iter().for_each(|(n, v)| metric(&mut o, n, &[], v));
     if let Some((_, h)) = slot.get() {
         metric(&mut o, "sync_ms", &[], h.sync_ms.load(Ordering::Relaxed));
         metric(&mut o, "sync_failed_total", &[], h.sync_failed.load(Ordering::Relaxed));
--- a/huts/src/bin/refuge.rs
+++ b/huts/src/bin/refuge.rs
@@ -161,5 +161,6 @@
     metric(&mut o, "sync_ms", &[], hut.sync_ms.load(Ordering::Relaxed));
     metric(&mut o, "sync_failed_total", &[], hut.sync_failed.load(Ordering::Relaxed));
     metric(&mut o, "frames_refused_total", &[], post.refused.load(Ordering::Relaxed));
+    post.traffic.told().iter().for_each(|(n, v)| metric(&mut o, n, &[], v));
     o
 }
--- a/huts/src/bin/trailhead.rs
+++ b/huts/src/bin/trailhead.rs
@@ -125,10 +125,12 @@
         metric(&mut o, "verdicts_total", &[("verdict", v)], n.load(Ordering::Relaxed));
     }
     metric(&mut o, "under_way", &[], t.under_way.load(Ordering::Relaxed));
+    metric(&mut o, "term", &[], f.edge.term());
     metric(&mut o, "licensed", &[], u8::from(f.edge.licensed(now)));
     metric(&mut o, "revision", &[], f.edge.view().rev);
     metric(&mut o, "config_revision", &[], f.edge.view().config_rev);
     metric(&mut o, "frames_refused_total", &[], post.refused.load(Ordering::Relaxed));
+    post.traffic.told().iter().for_each(|(n, v)| metric(&mut o, n, &[], v));
     for (g, queued, busy, limit, worst) in f.edge.lanes_now(now) {
         let l = [("group", g.as_str())];
         metric(&mut o, "queued", &l, queued);
