--- a/scramble/src/camp.rs
+++ b/scramble/src/camp.rs
@@ -254,6 +254,36 @@
 
     /// 3 cells, 3 refuges, 3 bothies, 6 trailheads, 12 model servers and the tool servers.
     pub fn raise(&mut self, b: BackEnds) {
+        self.daemons(EDGES);
+        let tools = if self.deployment == Deployment::Glenmorven { 8 } else { 3 };
+        for i in 0..MODELS {
+            self.back_end(&format!("model{:02}", i + 1), "model", CELLS[i % 3], b);
+        }
+        for i in 0..tools {
+            self.back_end(&format!("tool{}", i + 1), "tool", CELLS[i % 3], b);
+        }
+    }
+
+    /// A process of hollow nodes beside the real ones; its servers listen from the port it is given.
+    pub fn hollow(&mut self, name: &str, edges: usize, servers: usize, server_port: u16) {
+        let http = self.address();
+        let mut a = vec!["--http".to_string(), http.clone()];
+        for (k, n) in [("edges", edges), ("servers", servers), ("server-port", server_port.into())] {
+            a.extend([format!("--{k}"), n.to_string()]);
+        }
+        let seeds = self.names("refuge").iter().map(|n| self.wire(n)).collect::<Vec<_>>();
+        seeds.into_iter().for_each(|s| a.extend(["--seed".into(), s]));
+        self.https("trailhead").into_iter().for_each(|h| a.extend(["--trailhead".into(), h]));
+        self.add(name, "hollow", http, CELLS[0], a, None);
+    }
+
+    /// The process's number, while it runs.
+    pub fn pid(&self, name: &str) -> Option<u32> {
+        self.procs.get(name)?.child.as_ref().map(Child::id)
+    }
+
+    /// The daemons alone: 3 cells, 3 refuges, 3 bothies and some trailheads.
+    pub fn daemons(&mut self, edges: usize) {
         // everybody's seeds are the three refuges, the founder's too
         let at: Vec<(String, String)> = (0..CORES)
             .map(|_| {
@@ -276,17 +306,10 @@
             let (wire, http) = (self.address(), self.address());
             self.node(&format!("bothy{}", i + 1), "bothy", wire, http, CELLS[i % 3], &seeds, false);
         }
-        for i in 0..EDGES {
+        for i in 0..edges {
             let (wire, http) = (self.address(), self.address());
             self.node(&format!("trailhead{}", i + 1), "trailhead", wire, http, CELLS[i % 3], &seeds, false);
         }
-        let tools = if self.deployment == Deployment::Glenmorven { 8 } else { 3 };
-        for i in 0..MODELS {
-            self.back_end(&format!("model{:02}", i + 1), "model", CELLS[i % 3], b);
-        }
-        for i in 0..tools {
-            self.back_end(&format!("tool{}", i + 1), "tool", CELLS[i % 3], b);
-        }
     }
 
     #[allow(clippy::too_many_arguments)]
--- /dev/null
+++ b/scramble/src/fit.rs
@@ -0,0 +1,76 @@
+//! Least squares, for slopes measured at several sizes.
+
+/// What a figure was taken to depend on, and how well that holds.
+#[derive(Clone, Debug)]
+pub struct Fit {
+    /// One for each term, in the order of the rows.
+    pub by: Vec<f64>,
+    /// Root of the mean squared residual, in the figure's own unit.
+    pub residual: f64,
+    /// Share of the figure's spread that the terms explain; 1 is all.
+    pub explained: f64,
+}
+
+/// Fits y = Σ by·x. None where the terms can't be told apart.
+pub fn fit(rows: &[Vec<f64>], y: &[f64]) -> Option<Fit> {
+    let n = rows.first()?.len();
+    if rows.len() < n || rows.len() != y.len() {
+        return None;
+    }
+    // terms of very different size are brought to one scale, or rounding decides
+    let scale: Vec<f64> = (0..n).map(|i| rows.iter().map(|r| r[i].abs()).fold(0.0, f64::max).max(1e-300)).collect();
+    let mut m: Vec<Vec<f64>> = vec![vec![0.0; n + 1]; n];
+    for (r, y) in rows.iter().zip(y) {
+        for i in 0..n {
+            for j in 0..n {
+                m[i][j] += r[i] / scale[i] * r[j] / scale[j];
+            }
+            m[i][n] += r[i] / scale[i] * y;
+        }
+    }
+    let x = solve(m)?;
+    let by: Vec<f64> = x.iter().zip(&scale).map(|(x, s)| x / s).collect();
+    let mean = y.iter().sum::<f64>() / y.len() as f64;
+    let off = |r: &Vec<f64>, y: &f64| (r.iter().zip(&by).map(|(x, b)| x * b).sum::<f64>() - y).powi(2);
+    let left: f64 = rows.iter().zip(y).map(|(r, y)| off(r, y)).sum();
+    let spread: f64 = y.iter().map(|y| (y - mean).powi(2)).sum();
+    let explained = if spread > 0.0 { 1.0 - left / spread } else { 1.0 };
+    Some(Fit { by, residual: (left / y.len() as f64).sqrt(), explained })
+}
+
+impl Fit {
+    pub fn at(&self, x: &[f64]) -> f64 {
+        self.by.iter().zip(x).map(|(b, x)| b * x).sum()
+    }
+}
+
+/// Gaussian elimination with the largest pivot; the last column is the right side.
+fn solve(mut m: Vec<Vec<f64>>) -> Option<Vec<f64>> {
+    let n = m.len();
+    for i in 0..n {
+        let p = (i..n).max_by(|a, b| m[*a][i].abs().total_cmp(&m[*b][i].abs()))?;
+        if m[p][i].abs() < 1e-12 {
+            return None;
+        }
+        m.swap(i, p);
+        let pivot = m[i].clone();
+        for row in m.iter_mut().skip(i + 1) {
+            let f = row[i] / pivot[i];
+            row.iter_mut().zip(&pivot).for_each(|(a, b)| *a -= f * b);
+        }
+    }
+    let mut x = vec![0.0; n];
+    for i in (0..n).rev() {
+        let rest: f64 = (i + 1..n).map(|j| m[i][j] * x[j]).sum();
+        x[i] = (m[i][n] - rest) / m[i][i];
+    }
+    Some(x)
+}
+
+/// The power of `x` with which `y` grows: the slope of their logarithms. 1 is linear.
+pub fn power(x: &[f64], y: &[f64]) -> Option<f64> {
+    let ok: Vec<(f64, f64)> = x.iter().zip(y).filter(|(x, y)| **x > 0.0 && **y > 0.0).map(|(x, y)| (*x, *y)).collect();
+    let rows: Vec<Vec<f64>> = ok.iter().map(|(x, _)| vec![1.0, x.ln()]).collect();
+    let logs: Vec<f64> = ok.iter().map(|(_, y)| y.ln()).collect();
+    fit(&rows, &logs).map(|f| f.by[1])
+}
--- /dev/null
+++ b/scramble/src/plot.rs
@@ -0,0 +1,98 @@
+//! Plots of figures against the fleet's size, as SVG.
+
+/// One line of points; a point without a positive value is left out.
+pub struct Line {
+    pub name: String,
+    pub points: Vec<(f64, f64)>,
+}
+
+pub struct Panel {
+    pub title: String,
+    pub lines: Vec<Line>,
+}
+
+/// px. One panel, and the room around its axes.
+const WIDE: f64 = 420.0;
+const HIGH: f64 = 300.0;
+const ROOM: (f64, f64) = (58.0, 40.0);
+const COLOURS: [&str; 6] = ["#1b6ca8", "#c0392b", "#2e8b57", "#8e44ad", "#b9770e", "#444444"];
+
+/// Panels side by side, two in a row; both axes grow by powers of ten.
+pub fn svg(panels: &[Panel]) -> String {
+    let rows = panels.len().div_ceil(2);
+    let (w, h) = (WIDE * 2.0, HIGH * rows as f64);
+    let mut o = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{w}\" height=\"{h}\" font-family=\"sans-serif\" font-size=\"11\">\n\
+         <rect width=\"{w}\" height=\"{h}\" fill=\"white\"/>\n"
+    );
+    for (i, p) in panels.iter().enumerate() {
+        let (x, y) = ((i % 2) as f64 * WIDE, (i / 2) as f64 * HIGH);
+        o.push_str(&format!("<g transform=\"translate({x},{y})\">\n{}</g>\n", panel(p)));
+    }
+    o.push_str("</svg>\n");
+    o
+}
+
+/// Powers of ten that hold all of these.
+fn decades(v: impl Iterator<Item = f64>) -> (f64, f64) {
+    let (a, b) = v.filter(|x| *x > 0.0).fold((f64::MAX, f64::MIN), |(a, b), x| (a.min(x), b.max(x)));
+    if a > b {
+        return (0.0, 1.0);
+    }
+    let (a, b) = (a.log10().floor(), b.log10().ceil());
+    (a, if b > a { b } else { a + 1.0 })
+}
+
+fn panel(p: &Panel) -> String {
+    let all = || p.lines.iter().flat_map(|l| &l.points).filter(|q| q.0 > 0.0 && q.1 > 0.0);
+    let (x0, x1) = decades(all().map(|q| q.0));
+    let (y0, y1) = decades(all().map(|q| q.1));
+    let (wide, high) = (WIDE - ROOM.0 - 12.0, HIGH - 2.0 * ROOM.1);
+    let px = |x: f64| ROOM.0 + (x.log10() - x0) / (x1 - x0) * wide;
+    let py = |y: f64| ROOM.1 + high - (y.log10() - y0) / (y1 - y0) * high;
+    let mut o = format!("<text x=\"{}\" y=\"16\" font-weight=\"bold\">{}</text>\n", ROOM.0, plain(&p.title));
+    let line = |x: f64, y: f64, x2: f64, y2: f64, c: &str| {
+        format!("<line x1=\"{x:.1}\" y1=\"{y:.1}\" x2=\"{x2:.1}\" y2=\"{y2:.1}\" stroke=\"{c}\"/>\n")
+    };
+    for d in x0 as i32..=x1 as i32 {
+        let x = px(10f64.powi(d));
+        o.push_str(&line(x, ROOM.1, x, ROOM.1 + high, "#dddddd"));
+        let y = ROOM.1 + high + 14.0;
+        o.push_str(&format!("<text x=\"{x:.1}\" y=\"{y:.1}\" text-anchor=\"middle\">{}</text>\n", label(d)));
+    }
+    for d in y0 as i32..=y1 as i32 {
+        let y = py(10f64.powi(d));
+        o.push_str(&line(ROOM.0, y, ROOM.0 + wide, y, "#dddddd"));
+        let x = ROOM.0 - 5.0;
+        o.push_str(&format!("<text x=\"{x:.1}\" y=\"{:.1}\" text-anchor=\"end\">{}</text>\n", y + 4.0, label(d)));
+    }
+    let x = ROOM.0 + wide / 2.0;
+    o.push_str(&format!("<text x=\"{x:.1}\" y=\"{:.1}\" text-anchor=\"middle\">edges</text>\n", HIGH - 8.0));
+    for (i, l) in p.lines.iter().enumerate() {
+        let c = COLOURS[i % COLOURS.len()];
+        let at: Vec<(f64, f64)> =
+            l.points.iter().filter(|q| q.0 > 0.0 && q.1 > 0.0).map(|q| (px(q.0), py(q.1))).collect();
+        let path: Vec<String> = at.iter().map(|(x, y)| format!("{x:.1},{y:.1}")).collect();
+        o.push_str(&format!(
+            "<polyline points=\"{}\" fill=\"none\" stroke=\"{c}\" stroke-width=\"1.5\"/>\n",
+            path.join(" ")
+        ));
+        at.iter()
+            .for_each(|(x, y)| o.push_str(&format!("<circle cx=\"{x:.1}\" cy=\"{y:.1}\" r=\"3\" fill=\"{c}\"/>\n")));
+        let y = ROOM.1 + 12.0 + 13.0 * i as f64;
+        o.push_str(&format!("<text x=\"{:.1}\" y=\"{y:.1}\" fill=\"{c}\">{}</text>\n", ROOM.0 + 6.0, plain(&l.name)));
+    }
+    o
+}
+
+fn label(d: i32) -> String {
+    match d {
+        0..=5 => format!("{}", 10u64.pow(d as u32)),
+        -3..=-1 => format!("{:.*}", -d as usize, 10f64.powi(d)),
+        _ => format!("1e{d}"),
+    }
+}
+
+fn plain(s: &str) -> String {
+    s.replace('&', "&amp;").replace('<', "&lt;")
+}
--- a/scramble/src/scale.rs
+++ b/scramble/src/scale.rs
@@ -1,6 +1,10 @@
 //! How work and messages grow with the fleet, in memory.
 
 use crate::fleet::World;
+use hutbook::coordination::shares::{Held, Ledger};
+use hutbook::coordination::view::{Event, Server, Spot, View};
+use hutbook::state::entry::to_bytes;
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 const CONFIG: &str = include_str!("../../examples/glenmorven.json");
@@ -31,3 +35,85 @@
     let work = t.elapsed().as_secs_f64() * 1_000.0 * 1_000.0 / COUNT_MS as f64;
     Size { edges, servers, letters: (count(&w) - before) * 1_000 / COUNT_MS, work }
 }
+
+/// What single parts of the core's leader cost, without a fleet around them.
+pub struct Parts {
+    /// ms. Dividing every server's slots among all edges.
+    pub divide_ms: f64,
+    /// µs. One edge's renewal heard and granted, no division due.
+    pub grant_us: f64,
+    /// ms. Settling all places after one server was marked as leaving.
+    pub settle_ms: f64,
+    /// bytes. The whole view, as a new edge gets it; and the places that one change sends to every edge.
+    pub view_bytes: usize,
+    pub places_bytes: usize,
+    /// ms. An edge's copy of its view, made for every update.
+    pub copy_ms: f64,
+}
+
+/// Every server stands in one of two groups, is warm, and all edges have alike to do.
+pub fn parts(edges: usize, servers: usize) -> Parts {
+    let text = crate::sweep::config(CONFIG, servers, 0);
+    let config = hutbook::protocol::config::read(&text).expect("the example config is tested");
+    let mut v = View::default();
+    v.fold(1, &Event::Config { text, config });
+    let group = |i: usize| if i.is_multiple_of(2) { "lang" } else { "tiles" };
+    let mut spots = BTreeMap::from([("lang", BTreeMap::new()), ("tiles", BTreeMap::new())]);
+    for i in 0..servers {
+        let (name, addr) = (format!("server{i:05}"), format!("10.0.{}.{}:9000", i / 250, i % 250));
+        let cell = crate::camp::CELLS[i % 3].to_string();
+        spots.get_mut(group(i)).expect("both are there").insert(name.clone(), Spot { since: 2, draining: false });
+        v.fold(
+            2,
+            &Event::Server(Server { name, group: group(i).into(), addr, cell, leaving: false, since: 2, born: 1 }),
+        );
+    }
+    for (g, spots) in spots {
+        v.fold(2, &Event::Places { group: g.into(), spots });
+    }
+    let ms = |t: Instant| t.elapsed().as_secs_f64() * 1_000.0;
+    let mut l = Ledger::new(0);
+    // late enough that no licence of an earlier leader can be out
+    let mut now = 10_000;
+    let mut held: Vec<Vec<Held>> = vec![vec![]; edges];
+    let (mut divide_ms, mut grant_us) = (f64::MAX, f64::MAX);
+    for round in 0..3 {
+        let mut spent = 0.0;
+        for (i, h) in held.iter_mut().enumerate() {
+            let (n, addr) = (i as u64 + 1, format!("10.1.0.{i}"));
+            let demand = vec![("lang".to_string(), 3), ("tiles".to_string(), 3)];
+            let t = Instant::now();
+            l.hear(now, n, round, v.rev, "ben", &addr, demand, std::mem::take(h));
+            let (_, shares) = l.grant(now, &v, n);
+            // the first grant of a round divides all slots anew
+            match i {
+                0 => divide_ms = if round == 0 { divide_ms } else { divide_ms.min(ms(t)) },
+                _ => spent += ms(t) * 1_000.0,
+            }
+            let of = |(s, n): (String, u32)| Held { server: s, share: n, done: 100, since: 2, ..Held::default() };
+            *h = shares.into_iter().map(of).collect();
+        }
+        grant_us = grant_us.min(spent / (edges - 1).max(1) as f64);
+        // a new revision makes the next grant divide anew
+        now += 300;
+        v.rev += 1;
+    }
+    let mut gone = v.clone();
+    let s = gone.servers.values_mut().next().expect("there are servers");
+    s.leaving = true;
+    let t = Instant::now();
+    let places = gone.settle(3);
+    let settle_ms = ms(t);
+    let event = places.into_iter().map(|(group, spots)| Event::Places { group, spots }).next();
+    let t = Instant::now();
+    let copy = v.clone();
+    let copy_ms = ms(t);
+    Parts {
+        divide_ms,
+        grant_us,
+        settle_ms,
+        view_bytes: to_bytes(&copy).len(),
+        places_bytes: event.map_or(0, |e| to_bytes(&e).len()),
+        copy_ms,
+    }
+}
--- /dev/null
+++ b/scramble/src/sweep.rs
@@ -0,0 +1,625 @@
+//! A scale sweep: real daemons beside hollow nodes at several sizes, and what each
+//! role spends there. Slopes are fitted over the sizes.
+
+use crate::camp::{Camp, CORES, STORES};
+use crate::fit::{fit, power};
+use crate::plot::{svg, Line, Panel};
+use crate::scale::parts;
+use crate::walk::Deployment;
+use futures_util::StreamExt;
+use hutbook::transport::http::{call, gauge};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// KB. A daemon before any fleet; well above what an idle one was seen to use.
+const DAEMON_KB: u64 = 64 * 1024;
+/// KB. A hollow edge before any server, and what it keeps for each server listed; above what was seen.
+const EDGE_KB: f64 = 128.0;
+const SERVER_KB: f64 = 1.5;
+/// processes. More than a few hundred are not started on one machine.
+const PROCESSES: usize = 200;
+/// share. Of the machine's memory that a run may take.
+const MEMORY: u64 = 2;
+/// files. A process keeps open besides its sessions.
+const FILES: u64 = 200;
+/// ports. Those from here on belong to the system's own outgoing sessions.
+const LAST_PORT: usize = 32_768;
+/// ms. Between looks at what has come about, and how long that is waited for.
+const LOOK_MS: u64 = 10;
+const WAIT_MS: u64 = 60_000;
+/// ms. Nothing has changed for this long: the fleet stands.
+const STEADY_MS: u64 = 3_000;
+/// lists. Asked for at once while servers are listed.
+const LISTS: usize = 8;
+/// The size to come: edges, servers.
+pub const TARGET: (usize, usize) = (1_200, 10_000);
+
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// (edges, servers), of the edges all but `trailheads` hollow.
+    pub sizes: Vec<(usize, usize)>,
+    pub trailheads: usize,
+    pub seconds: u64,
+    /// Jobs a second, each for that long.
+    pub rates: Vec<u64>,
+    pub changes: u64,
+    pub kills: u64,
+    /// Routes added to the config, to make its document larger.
+    pub routes: usize,
+    pub port: u16,
+}
+
+/// What one role spent: per second, change or job.
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub edges: usize,
+    pub servers: usize,
+    pub phase: String,
+    pub per: &'static str,
+    pub role: &'static str,
+    pub letters_in: f64,
+    pub letters_out: f64,
+    pub bytes_in: f64,
+    pub bytes_out: f64,
+    pub cpu_ms: f64,
+    pub disk_bytes: f64,
+    pub peak_kb: f64,
+}
+
+/// Something that was waited for.
+#[derive(Clone, Debug)]
+pub struct Wait {
+    pub edges: usize,
+    pub servers: usize,
+    pub what: &'static str,
+    pub ms: f64,
+    /// Licences that lapsed meanwhile.
+    pub lapses: f64,
+}
+
+#[derive(Default)]
+pub struct Report {
+    pub rows: Vec<Row>,
+    pub waits: Vec<Wait>,
+}
+
+/// Why a size isn't run, with the figure that forbids it.
+pub fn refuse(o: &Order, memory_kb: u64, files: u64) -> Option<String> {
+    let procs = CORES + STORES + o.trailheads + 1;
+    if procs > PROCESSES {
+        return Some(format!("{procs} processes are more than {PROCESSES}"));
+    }
+    for (e, s) in &o.sizes {
+        let size = format!("{e} edges before {s} servers");
+        if *e <= o.trailheads || *s < 2 {
+            return Some(format!(
+                "{size}: there must be more edges than the {} real ones, and two servers",
+                o.trailheads
+            ));
+        }
+        let hollow = *e as f64 * (EDGE_KB + SERVER_KB * *s as f64);
+        let need = procs as u64 * (DAEMON_KB + (SERVER_KB * *s as f64) as u64) + hollow as u64;
+        if need > memory_kb / MEMORY {
+            let (need, half) = (need / 1_024, memory_kb / MEMORY / 1_024);
+            return Some(format!(
+                "{size} would take about {need} MB, more than half of the machine's memory ({half} MB)"
+            ));
+        }
+        // a hollow edge may speak to every core member, a server is looked at by every real edge
+        let open = FILES + (e * CORES + s * (1 + o.trailheads)) as u64;
+        if open > files {
+            return Some(format!("{size} would take {open} open files in one process; {files} are allowed"));
+        }
+        let last = first_server(o) as usize + s;
+        if last > LAST_PORT {
+            return Some(format!("{size} would take ports up to {last}, past {LAST_PORT}"));
+        }
+    }
+    None
+}
+
+/// Port of the first hollow server: above the daemons' own.
+fn first_server(o: &Order) -> u16 {
+    o.port.saturating_add(2 * PROCESSES as u16)
+}
+
+/// KB of memory that this machine has.
+pub fn memory_kb() -> u64 {
+    let t = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    field(&t, "MemTotal:") as u64
+}
+
+fn field(text: &str, name: &str) -> f64 {
+    let l = text.lines().find_map(|l| l.strip_prefix(name));
+    l.and_then(|l| l.split_whitespace().next()).and_then(|n| n.parse().ok()).unwrap_or(0.0)
+}
+
+/// What a process has spent up to now.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spent {
+    letters_in: f64,
+    letters_out: f64,
+    bytes_in: f64,
+    bytes_out: f64,
+    cpu_ms: f64,
+    disk: f64,
+    peak_kb: f64,
+}
+
+impl Spent {
+    fn each(&self, f: impl Fn(f64) -> f64) -> Spent {
+        Spent {
+            letters_in: f(self.letters_in),
+            letters_out: f(self.letters_out),
+            bytes_in: f(self.bytes_in),
+            bytes_out: f(self.bytes_out),
+            cpu_ms: f(self.cpu_ms),
+            disk: f(self.disk),
+            peak_kb: self.peak_kb,
+        }
+    }
+
+    /// The sum; of peaks the highest.
+    fn with(&self, o: &Spent, sign: f64) -> Spent {
+        Spent {
+            letters_in: self.letters_in + sign * o.letters_in,
+            letters_out: self.letters_out + sign * o.letters_out,
+            bytes_in: self.bytes_in + sign * o.bytes_in,
+            bytes_out: self.bytes_out + sign * o.bytes_out,
+            cpu_ms: self.cpu_ms + sign * o.cpu_ms,
+            disk: self.disk + sign * o.disk,
+            peak_kb: self.peak_kb.max(o.peak_kb),
+        }
+    }
+}
+
+/// utime and stime of /proc/PID/stat, in ms; the program's name may hold spaces.
+pub fn cpu_ms(stat: &str) -> f64 {
+    let tick = 1_000.0 / rustix::param::clock_ticks_per_second() as f64;
+    let f: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let n = |i: usize| f.get(i).and_then(|x| x.parse::<f64>().ok()).unwrap_or(0.0);
+    (n(11) + n(12)) * tick
+}
+
+struct Fleet<'a> {
+    camp: Camp,
+    o: &'a Order,
+    edges: usize,
+    servers: usize,
+    text: String,
+}
+
+type Figure = fn(&Row) -> f64;
+type Marks = (Instant, BTreeMap<String, Spent>);
+
+impl Fleet<'_> {
+    async fn metrics(&self, name: &str) -> Option<String> {
+        let url = format!("http://{}/metrics", self.camp.procs[name].http);
+        call("GET", &url, &[], String::new(), 2_000).await.ok().map(|x| x.1)
+    }
+
+    async fn spent(&self, name: &str) -> Option<Spent> {
+        let pid = self.camp.pid(name)?;
+        let read = |f: &str| std::fs::read_to_string(format!("/proc/{pid}/{f}")).unwrap_or_default();
+        let (stat, status, io) = (read("stat"), read("status"), read("io"));
+        let t = self.metrics(name).await?;
+        let g = |n: &str| gauge(&t, &format!("corkdrum_letters_{n}_total")).unwrap_or(0.0);
+        Some(Spent {
+            letters_in: g("received"),
+            letters_out: g("sent"),
+            bytes_in: g("received_bytes"),
+            bytes_out: g("sent_bytes"),
+            cpu_ms: cpu_ms(&stat),
+            disk: field(&io, "write_bytes:"),
+            peak_kb: field(&status, "VmHWM:"),
+        })
+    }
+
+    async fn mark(&self) -> Marks {
+        let mut m = BTreeMap::new();
+        for n in self.camp.procs.keys() {
+            if let Some(s) = self.spent(n).await {
+                m.insert(n.clone(), s);
+            }
+        }
+        (Instant::now(), m)
+    }
+
+    /// Each role's spending since the mark, per unit; what it spends when quiet is taken off.
+    async fn since(
+        &self,
+        m: &Marks,
+        by: f64,
+        quiet: Option<&BTreeMap<&'static str, Spent>>,
+    ) -> BTreeMap<&'static str, Spent> {
+        let (at, now) = self.mark().await;
+        let s = (at - m.0).as_secs_f64();
+        let by = if by > 0.0 { by } else { s };
+        let (core, store) = (self.camp.leader("refuge").await, self.camp.leader("bothy").await);
+        let mut sums: BTreeMap<&'static str, (Spent, f64)> = BTreeMap::new();
+        for (n, b) in &now {
+            let Some(a) = m.1.get(n) else { continue };
+            let (role, of) = match n {
+                n if Some(n) == core.as_ref() => ("core leader", 1.0),
+                n if Some(n) == store.as_ref() => ("store leader", 1.0),
+                n if n.starts_with("refuge") => ("core follower", 1.0),
+                n if n.starts_with("bothy") => ("store follower", 1.0),
+                n if n.starts_with("trailhead") => ("edge", 1.0),
+                _ => ("hollow edge", (self.edges - self.o.trailheads) as f64),
+            };
+            let e = sums.entry(role).or_default();
+            e.0 = e.0.with(&b.with(a, -1.0), 1.0);
+            e.0.peak_kb = e.0.peak_kb.max(b.peak_kb);
+            e.1 += of;
+        }
+        let mut out = BTreeMap::new();
+        for (role, (x, n)) in sums {
+            let mut x = x.each(|v| v / n);
+            if let Some(q) = quiet.and_then(|q| q.get(role)) {
+                x = x.with(&q.each(|v| v * s), -1.0);
+            }
+            let mut x = x.each(|v| v / by);
+            if role == "hollow edge" {
+                x.peak_kb /= n;
+            }
+            out.insert(role, x);
+        }
+        out
+    }
+
+    fn rows(&self, phase: &str, per: &'static str, by: &BTreeMap<&'static str, Spent>) -> Vec<Row> {
+        let row = |(role, x): (&&'static str, &Spent)| Row {
+            edges: self.edges,
+            servers: self.servers,
+            phase: phase.into(),
+            per,
+            role,
+            letters_in: x.letters_in,
+            letters_out: x.letters_out,
+            bytes_in: x.bytes_in,
+            bytes_out: x.bytes_out,
+            cpu_ms: x.cpu_ms,
+            disk_bytes: x.disk,
+            peak_kb: x.peak_kb,
+        };
+        by.iter().map(row).collect()
+    }
+
+    /// Waits until every edge, hollow or real, shows at least this; how long that took.
+    async fn all_show(
+        &self,
+        hollow: &str,
+        real: &str,
+        least: f64,
+        licensed: bool,
+        from: Instant,
+    ) -> Result<f64, String> {
+        let end = from + Duration::from_millis(WAIT_MS);
+        let all = (self.edges - self.o.trailheads) as f64;
+        let edges = self.camp.names("trailhead");
+        while Instant::now() < end {
+            let g = |t: &Option<String>, n: &str| {
+                t.as_ref().and_then(|t| gauge(t, &format!("corkdrum_{n}"))).unwrap_or(0.0)
+            };
+            let t = self.metrics("hollow").await;
+            let mut ok = g(&t, hollow) >= least && g(&t, "edges") >= all;
+            ok &= !licensed || g(&t, "edges_licensed") >= all;
+            for e in edges.iter().filter(|_| ok).collect::<Vec<_>>() {
+                let t = self.metrics(e).await;
+                ok &= g(&t, real) >= least && (!licensed || g(&t, "licensed") >= 1.0);
+            }
+            if ok {
+                return Ok(from.elapsed().as_secs_f64() * 1_000.0);
+            }
+            nap(LOOK_MS).await;
+        }
+        let t = self.metrics("hollow").await.unwrap_or_default();
+        Err(format!("not every edge came to {hollow} {least} within {WAIT_MS} ms:\n{t}"))
+    }
+
+    async fn revision(&self) -> f64 {
+        match self.camp.leader("refuge").await {
+            Some(l) => self.camp.gauge(&l, "corkdrum_revision").await.unwrap_or(0.0),
+            None => 0.0,
+        }
+    }
+
+    /// Nothing is agreed on any more, and all edges have what was.
+    async fn steady(&self) -> Result<(), String> {
+        let from = Instant::now();
+        let mut last = (self.revision().await, Instant::now());
+        while last.1.elapsed() < Duration::from_millis(STEADY_MS) {
+            if from.elapsed() > Duration::from_millis(WAIT_MS) {
+                return Err("the fleet's revision never stood still".into());
+            }
+            nap(100).await;
+            let r = self.revision().await;
+            if r != last.0 {
+                last = (r, Instant::now());
+            }
+        }
+        self.all_show("least_revision", "revision", last.0, true, Instant::now()).await.map(drop)
+    }
+
+    async fn list(&self, i: usize, port: u16) -> bool {
+        let group = if i.is_multiple_of(2) { "lang" } else { "tiles" };
+        let cell = crate::camp::CELLS[i % 3];
+        let b = jzon::object! { group: group, address: format!("127.0.0.1:{}", port + i as u16), cell: cell };
+        let r = self.camp.operate("PUT", &format!("/v1/servers/server{i:05}"), &[], &b.dump()).await;
+        matches!(r, Some((200, _, _)))
+    }
+
+    async fn config(&self, change: &str) -> Result<f64, String> {
+        let base = self.camp.operate("GET", "/v1/config", &[], "").await.and_then(|x| x.2).unwrap_or(0);
+        match self.camp.put_config(base, change, &self.text).await {
+            Some((200, Some(rev))) => Ok(rev as f64),
+            other => Err(format!("a config was not taken: {other:?}")),
+        }
+    }
+
+    async fn lapses(&self) -> f64 {
+        self.metrics("hollow").await.and_then(|t| gauge(&t, "corkdrum_lapses_total")).unwrap_or(0.0)
+    }
+}
+
+async fn nap(ms: u64) {
+    actix_rt::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Every server holds a place, so every one of them is shared out.
+pub fn config(base: &str, servers: usize, routes: usize) -> String {
+    let half = servers / 2;
+    let all = format!("\"least\": {half}, \"most\": {half}");
+    let mut t = base.replace("\"least\": 2, \"most\": 12", &all).replace("\"least\": 2, \"most\": 8", &all);
+    let more: String = (0..routes)
+        .map(|i| format!("\"more-{i:04}\": {{\"group\": \"tiles\", \"work\": \"fetch\", \"retention_s\": 3600, \"run_ms\": 10000, \"path\": \"/more/{i:04}\"}},\n    "))
+        .collect();
+    t = t.replace("\"routes\": {\n    ", &format!("\"routes\": {{\n    {more}"));
+    t
+}
+
+/// One size, from an empty folder to the last kill.
+pub async fn run(o: &Order, size: (usize, usize), dir: &Path, r: &mut Report) -> Result<(), String> {
+    let (edges, servers) = size;
+    let mut camp = Camp::new(dir, o.port, Deployment::Glenmorven).map_err(|e| e.to_string())?;
+    camp.daemons(o.trailheads);
+    let port = first_server(o);
+    camp.hollow("hollow", edges - o.trailheads, servers, port);
+    if !camp.grown(30_000).await {
+        return Err("the core or the store never had all its members".into());
+    }
+    let text = config(camp.config(), servers, o.routes);
+    let mut f = Fleet { camp, o, edges, servers, text };
+    f.config("first").await?;
+    let listed = futures_util::stream::iter(0..servers).map(|i| f.list(i, port)).buffer_unordered(LISTS);
+    if !listed.all(|ok| async move { ok }).await {
+        return Err("a server was not listed".into());
+    }
+    let url = format!("http://{}/v1/edges", f.camp.procs["hollow"].http);
+    call("POST", &url, &[], String::new(), 2_000).await.map_err(|_| "the hollow edges were not asked in")?;
+    f.steady().await?;
+
+    let m = f.mark().await;
+    nap(o.seconds * 1_000).await;
+    let quiet = f.since(&m, 0.0, None).await;
+    r.rows.extend(f.rows("quiet", "second", &quiet));
+
+    let m = f.mark().await;
+    for i in 0..o.changes {
+        let t = Instant::now();
+        let rev = f.config(&format!("change-{i}")).await?;
+        let agreed = t.elapsed().as_secs_f64() * 1_000.0;
+        let ms = f.all_show("least_config_revision", "config_revision", rev, false, t).await?;
+        r.waits.push(Wait { edges, servers, what: "a config is agreed", ms: agreed, lapses: 0.0 });
+        r.waits.push(Wait { edges, servers, what: "a config is in force everywhere", ms, lapses: 0.0 });
+    }
+    if o.changes > 0 {
+        nap(1_000).await;
+        let x = f.since(&m, o.changes as f64, Some(&quiet)).await;
+        r.rows.extend(f.rows("config", "change", &x));
+        let m = f.mark().await;
+        for i in 0..o.changes as usize {
+            let name = format!("server{:05}", i % servers);
+            let t = Instant::now();
+            let out = f.camp.operate("POST", &format!("/v1/servers/{name}/leaving"), &[], "").await;
+            if !matches!(out, Some((200, _, _))) {
+                return Err(format!("{name} could not leave: {out:?}"));
+            }
+            let rev = f.revision().await;
+            let ms = f.all_show("least_revision", "revision", rev, false, t).await?;
+            r.waits.push(Wait { edges, servers, what: "a leaving server is known everywhere", ms, lapses: 0.0 });
+            if !f.list(i % servers, port).await {
+                return Err(format!("{name} was not listed again"));
+            }
+        }
+        f.steady().await?;
+        let x = f.since(&m, o.changes as f64, Some(&quiet)).await;
+        r.rows.extend(f.rows("server goes and comes", "change", &x));
+    }
+
+    let hollow = f.camp.procs["hollow"].http.clone();
+    for rate in &o.rates {
+        let done = |t: Option<String>| t.and_then(|t| gauge(&t, "corkdrum_jobs_done_total")).unwrap_or(0.0);
+        let before = done(f.metrics("hollow").await);
+        let m = f.mark().await;
+        let url = format!("http://{hollow}/v1/callers?rate={rate}&ms={}", o.seconds * 1_000);
+        call("POST", &url, &[], String::new(), 2_000).await.map_err(|_| "the callers were not asked in")?;
+        nap(o.seconds * 1_000 + 1_000).await;
+        let jobs = done(f.metrics("hollow").await) - before;
+        let x = f.since(&m, jobs.max(1.0), Some(&quiet)).await;
+        r.rows.extend(f.rows(&format!("{rate} jobs a second"), "job", &x));
+        r.waits.push(Wait { edges, servers, what: "jobs done", ms: jobs, lapses: 0.0 });
+    }
+
+    for _ in 0..o.kills {
+        let lead = f.camp.leader("refuge").await.ok_or("no leader")?;
+        let term = f.camp.gauge(&lead, "corkdrum_term").await.ok_or("no term")?;
+        let before = f.lapses().await;
+        f.camp.found_args(&lead);
+        let t = Instant::now();
+        f.camp.kill(&lead);
+        let ms = f.all_show("least_term", "term", term + 1.0, true, t).await?;
+        let lapses = f.lapses().await - before;
+        r.waits.push(Wait { edges, servers, what: "licensed again after the leader's end", ms, lapses });
+        f.camp.start(&lead);
+        if !f.camp.ready(20_000).await {
+            return Err(format!("{lead} did not come back"));
+        }
+        nap(STEADY_MS).await;
+    }
+    Ok(())
+}
+
+impl Report {
+    pub fn csv(&self) -> String {
+        let mut t =
+            "edges,servers,phase,per,role,letters_in,letters_out,bytes_in,bytes_out,cpu_ms,disk_bytes,peak_kb\n"
+                .to_string();
+        for r in &self.rows {
+            t.push_str(&format!(
+                "{},{},{},{},{},{:.2},{:.2},{:.0},{:.0},{:.3},{:.0},{:.0}\n",
+                r.edges,
+                r.servers,
+                r.phase,
+                r.per,
+                r.role,
+                r.letters_in,
+                r.letters_out,
+                r.bytes_in,
+                r.bytes_out,
+                r.cpu_ms,
+                r.disk_bytes,
+                r.peak_kb
+            ));
+        }
+        t
+    }
+
+    pub fn waits_csv(&self) -> String {
+        let mut t = "edges,servers,what,figure,lapses\n".to_string();
+        self.waits
+            .iter()
+            .for_each(|w| t.push_str(&format!("{},{},{},{:.0},{:.0}\n", w.edges, w.servers, w.what, w.ms, w.lapses)));
+        t
+    }
+
+    fn of(&self, phase: &str, role: &str) -> Vec<&Row> {
+        self.rows.iter().filter(|r| r.phase == phase && r.role == role).collect()
+    }
+
+    /// Every figure against edges and servers, in markdown.
+    pub fn slopes(&self) -> String {
+        let figures: [(&str, Figure); 5] = [
+            ("letters", |r| r.letters_in + r.letters_out),
+            ("bytes in", |r| r.bytes_in),
+            ("bytes out", |r| r.bytes_out),
+            ("cpu ms", |r| r.cpu_ms),
+            ("peak KB", |r| r.peak_kb),
+        ];
+        let mut t = format!(
+            "| phase, per | role | figure | constant | each edge | each server | each edge × server | residual | explained | power | at {} × {} |\n|---|---|---|---|---|---|---|---|---|---|---|\n",
+            TARGET.0, TARGET.1
+        );
+        let mut keys: Vec<(&str, &str, &str)> = vec![];
+        for r in &self.rows {
+            let k = (r.phase.as_str(), r.per, r.role);
+            if !keys.contains(&k) {
+                keys.push(k);
+            }
+        }
+        for (phase, per, role) in keys {
+            let rows = self.of(phase, role);
+            for (name, f) in &figures {
+                let y: Vec<f64> = rows.iter().map(|r| f(r)).collect();
+                if y.iter().all(|y| *y == 0.0) {
+                    continue;
+                }
+                let x = |e: f64, s: f64| vec![1.0, e, s, e * s];
+                let xs: Vec<Vec<f64>> = rows.iter().map(|r| x(r.edges as f64, r.servers as f64)).collect();
+                // twice as many servers as edges: one size to speak of
+                let line: Vec<&&Row> = rows.iter().filter(|r| r.servers == 2 * r.edges).collect();
+                let (a, b): (Vec<f64>, Vec<f64>) = line.iter().map(|r| (r.edges as f64, f(r))).unzip();
+                let p = power(&a, &b).map_or("-".into(), |p| format!("{p:.2}"));
+                match fit(&xs, &y) {
+                    Some(w) => t.push_str(&format!(
+                        "| {phase}, {per} | {role} | {name} | {:.3} | {:.4} | {:.4} | {:.6} | {:.3} | {:.3} | {p} | {:.0} |\n",
+                        w.by[0], w.by[1], w.by[2], w.by[3], w.residual, w.explained, w.at(&x(TARGET.0 as f64, TARGET.1 as f64))
+                    )),
+                    None => t.push_str(&format!("| {phase}, {per} | {role} | {name} | - | - | - | - | - | - | {p} | - |\n")),
+                }
+            }
+        }
+        t
+    }
+
+    /// Median and worst of everything that was waited for, in markdown.
+    pub fn waits(&self) -> String {
+        let mut by: BTreeMap<_, Vec<(f64, f64)>> = BTreeMap::new();
+        self.waits.iter().for_each(|w| by.entry((w.what, w.edges, w.servers)).or_default().push((w.ms, w.lapses)));
+        let mut t =
+            "| what | edges | servers | times | median | worst | lapses |\n|---|---|---|---|---|---|---|\n".to_string();
+        for ((what, e, s), mut v) in by {
+            v.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let lapses: f64 = v.iter().map(|x| x.1).sum();
+            t.push_str(&format!(
+                "| {what} | {e} | {s} | {} | {:.0} | {:.0} | {lapses:.0} |\n",
+                v.len(),
+                v[v.len() / 2].0,
+                v[v.len() - 1].0
+            ));
+        }
+        t
+    }
+
+    pub fn plot(&self) -> String {
+        let line = |phase: &str, role: &'static str, f: Figure| Line {
+            name: role.into(),
+            points: self
+                .of(phase, role)
+                .iter()
+                .filter(|r| r.servers == 2 * r.edges)
+                .map(|r| (r.edges as f64, f(r)))
+                .collect(),
+        };
+        let roles = ["core leader", "core follower", "store leader", "edge", "hollow edge"];
+        let panel = |title: &str, phase: &str, f: Figure| Panel {
+            title: title.into(),
+            lines: roles.iter().map(|r| line(phase, r, f)).collect(),
+        };
+        let wait = |what: &'static str| {
+            let mut p: Vec<(f64, f64)> = self
+                .waits
+                .iter()
+                .filter(|w| w.what == what && w.servers == 2 * w.edges)
+                .map(|w| (w.edges as f64, w.ms))
+                .collect();
+            p.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            Line { name: what.into(), points: p }
+        };
+        svg(&[
+            panel("idle: % of a core", "quiet", |r| r.cpu_ms / 10.0),
+            panel("idle: bytes a second, both ways", "quiet", |r| r.bytes_in + r.bytes_out),
+            panel("peak memory, MB", "quiet", |r| r.peak_kb / 1_024.0),
+            panel("one config: bytes, both ways", "config", |r| r.bytes_in + r.bytes_out),
+            panel("a server goes and comes: bytes, both ways", "server goes and comes", |r| r.bytes_in + r.bytes_out),
+            Panel {
+                title: "ms until all edges have it".into(),
+                lines: vec![wait("a config is in force everywhere"), wait("licensed again after the leader's end")],
+            },
+        ])
+    }
+}
+
+/// What single parts of the leader cost in memory, the size to come included; in markdown.
+pub fn in_memory(sizes: &[(usize, usize)]) -> String {
+    let mut t = "| edges | servers | dividing all shares, ms | one grant, µs | one server leaves: settling, ms | whole view, bytes | places of one change, bytes | copy of the view, ms |\n|---|---|---|---|---|---|---|---|\n".to_string();
+    for (e, s) in sizes {
+        let p = parts(*e, *s);
+        t.push_str(&format!(
+            "| {e} | {s} | {:.2} | {:.1} | {:.2} | {} | {} | {:.3} |\n",
+            p.divide_ms, p.grant_us, p.settle_ms, p.view_bytes, p.places_bytes, p.copy_ms
+        ));
+    }
+    t
+}
