--- a/scramble/src/sweep.rs
+++ b/scramble/src/sweep.rs
@@ -32,6 +32,9 @@
 const STEADY_MS: u64 = 3_000;
 /// lists. Asked for at once while servers are listed.
 const LISTS: usize = 8;
+/// power. Of edges, above which a figure grows worse than linearly, and below which it hardly grows.
+const LINEAR: f64 = 1.1;
+const FLAT: f64 = 0.1;
 /// The size to come: edges, servers.
 pub const TARGET: (usize, usize) = (1_200, 10_000);
 
@@ -358,6 +361,12 @@
         }
     }
 
+    /// Jobs done, jobs that came to anything else, and the ms that all of them took.
+    async fn jobs(&self) -> [f64; 3] {
+        let t = self.metrics("hollow").await.unwrap_or_default();
+        ["done", "other", "ms"].map(|n| gauge(&t, &format!("corkdrum_jobs_{n}_total")).unwrap_or(0.0))
+    }
+
     async fn lapses(&self) -> f64 {
         self.metrics("hollow").await.and_then(|t| gauge(&t, "corkdrum_lapses_total")).unwrap_or(0.0)
     }
@@ -440,16 +449,20 @@
 
     let hollow = f.camp.procs["hollow"].http.clone();
     for rate in &o.rates {
-        let done = |t: Option<String>| t.and_then(|t| gauge(&t, "corkdrum_jobs_done_total")).unwrap_or(0.0);
-        let before = done(f.metrics("hollow").await);
+        let before = f.jobs().await;
         let m = f.mark().await;
         let url = format!("http://{hollow}/v1/callers?rate={rate}&ms={}", o.seconds * 1_000);
         call("POST", &url, &[], String::new(), 2_000).await.map_err(|_| "the callers were not asked in")?;
         nap(o.seconds * 1_000 + 1_000).await;
-        let jobs = done(f.metrics("hollow").await) - before;
-        let x = f.since(&m, jobs.max(1.0), Some(&quiet)).await;
+        let after = f.jobs().await;
+        let [done, other, ms] = [0, 1, 2].map(|i| after[i] - before[i]);
+        let x = f.since(&m, done.max(1.0), Some(&quiet)).await;
         r.rows.extend(f.rows(&format!("{rate} jobs a second"), "job", &x));
-        r.waits.push(Wait { edges, servers, what: "jobs done", ms: jobs, lapses: 0.0 });
+        for (what, n) in
+            [("jobs done", done), ("jobs not done", other), ("a job's mean ms", ms / (done + other).max(1.0))]
+        {
+            r.waits.push(Wait { edges, servers, what, ms: n, lapses: 0.0 });
+        }
     }
 
     for _ in 0..o.kills {
@@ -508,17 +521,20 @@
         self.rows.iter().filter(|r| r.phase == phase && r.role == role).collect()
     }
 
-    /// Every figure against edges and servers, in markdown.
+    /// Every figure against what it should depend on, in markdown.
     pub fn slopes(&self) -> String {
-        let figures: [(&str, Figure); 5] = [
+        let figures: [(&str, Figure); 6] = [
             ("letters", |r| r.letters_in + r.letters_out),
             ("bytes in", |r| r.bytes_in),
             ("bytes out", |r| r.bytes_out),
             ("cpu ms", |r| r.cpu_ms),
+            ("disk bytes", |r| r.disk_bytes),
             ("peak KB", |r| r.peak_kb),
         ];
         let mut t = format!(
-            "| phase, per | role | figure | constant | each edge | each server | each edge × server | residual | explained | power | at {} × {} |\n|---|---|---|---|---|---|---|---|---|---|---|\n",
+            "Of an edge: a + b·servers + c·servers/edges; of the others: a + b·edges + c·servers + d·edges·servers.\n\n\
+             | phase, per | role | figure | a | b | c | d | residual | explained | power of edges | growth | at {} × {} |\n\
+             |---|---|---|---|---|---|---|---|---|---|---|---|\n",
             TARGET.0, TARGET.1
         );
         let mut keys: Vec<(&str, &str, &str)> = vec![];
@@ -530,23 +546,38 @@
         }
         for (phase, per, role) in keys {
             let rows = self.of(phase, role);
+            let x = |e: f64, s: f64| match role.contains("edge") {
+                // an edge's letters name the servers it has slots of: those fall to it by servers per edge
+                true => vec![1.0, s, s / e],
+                false => vec![1.0, e, s, e * s],
+            };
+            let xs: Vec<Vec<f64>> = rows.iter().map(|r| x(r.edges as f64, r.servers as f64)).collect();
             for (name, f) in &figures {
                 let y: Vec<f64> = rows.iter().map(|r| f(r)).collect();
-                if y.iter().all(|y| *y == 0.0) {
+                // a peak is the process's, not the phase's
+                if y.iter().all(|y| *y == 0.0) || *name == "peak KB" && phase != "quiet" {
                     continue;
                 }
-                let x = |e: f64, s: f64| vec![1.0, e, s, e * s];
-                let xs: Vec<Vec<f64>> = rows.iter().map(|r| x(r.edges as f64, r.servers as f64)).collect();
                 // twice as many servers as edges: one size to speak of
                 let line: Vec<&&Row> = rows.iter().filter(|r| r.servers == 2 * r.edges).collect();
                 let (a, b): (Vec<f64>, Vec<f64>) = line.iter().map(|r| (r.edges as f64, f(r))).unzip();
-                let p = power(&a, &b).map_or("-".into(), |p| format!("{p:.2}"));
+                let p = power(&a, &b).filter(|_| b.iter().all(|b| *b > 0.0));
+                let growth = match p {
+                    None => "in the noise",
+                    Some(p) if p > LINEAR => "worse than linear",
+                    Some(p) if p > FLAT => "linear or less",
+                    _ => "none",
+                };
+                let p = p.map_or("-".into(), |p| format!("{p:.2}"));
+                t.push_str(&format!("| {phase}, {per} | {role} | {name} |"));
                 match fit(&xs, &y) {
-                    Some(w) => t.push_str(&format!(
-                        "| {phase}, {per} | {role} | {name} | {:.3} | {:.4} | {:.4} | {:.6} | {:.3} | {:.3} | {p} | {:.0} |\n",
-                        w.by[0], w.by[1], w.by[2], w.by[3], w.residual, w.explained, w.at(&x(TARGET.0 as f64, TARGET.1 as f64))
-                    )),
-                    None => t.push_str(&format!("| {phase}, {per} | {role} | {name} | - | - | - | - | - | - | {p} | - |\n")),
+                    Some(w) => {
+                        let by = |i: usize| w.by.get(i).map_or("-".into(), |b| format!("{b:.4}"));
+                        let end = w.at(&x(TARGET.0 as f64, TARGET.1 as f64));
+                        t.push_str(&format!(" {} | {} | {} | {} |", by(0), by(1), by(2), by(3)));
+                        t.push_str(&format!(" {:.2} | {:.3} | {p} | {growth} | {end:.0} |\n", w.residual, w.explained));
+                    }
+                    None => t.push_str(&format!(" - | - | - | - | - | - | {p} | {growth} | - |\n")),
                 }
             }
         }
