--- a/hutbook/src/coordination/shares.rs
+++ b/hutbook/src/coordination/shares.rs
@@ -96,7 +96,8 @@
     gone_ms: u64,
     pub edges: BTreeMap<u64, EdgeBook>,
     ramp: BTreeMap<String, (u64, u32)>,
-    targets: BTreeMap<String, BTreeMap<u64, u32>>,
+    /// What each edge should have: (place of the server in `open`, slots).
+    aims: BTreeMap<u64, Vec<(u32, u32)>>,
     aim_at: u64,
     /// Revision that `open` and `bounds` were made for.
     rev: u64,
@@ -309,19 +310,25 @@
         }
         let mut out = BTreeMap::new();
         let e = &self.edges[&node];
-        for (s, _) in &self.open {
-            let bound = self.bounds.get(s).copied().unwrap_or(0);
-            let share = if !accounted {
+        // only what this edge is to have is looked at: all servers for all edges would grow with the square
+        if accounted {
+            for &(i, aim) in self.aims.get(&node).into_iter().flatten() {
+                let s = &self.open[i as usize].0;
+                let bound = self.bounds.get(s).copied().unwrap_or(0);
+                let others = self.sums.get(s).unwrap_or(&0) - e.counted.get(s).unwrap_or(&0);
+                let share = aim.min(bound.saturating_sub(others));
+                if share > 0 {
+                    out.insert(s.clone(), share);
+                }
+            }
+        } else {
+            for (s, held) in &e.sure {
                 // what it held, if that was a share of the same warm-up
                 let same = e.held.get(s).is_some_and(|h| v.servers.get(s).is_some_and(|x| x.since == h.since));
-                e.sure.get(s).copied().filter(|_| same).unwrap_or(0)
-            } else {
-                let others = self.sums.get(s).unwrap_or(&0) - e.counted.get(s).unwrap_or(&0);
-                let aim = self.targets.get(s).and_then(|t| t.get(&node)).copied().unwrap_or(0);
-                aim.min(bound.saturating_sub(others))
-            };
-            if share > 0 {
-                out.insert(s.clone(), share.min(bound));
+                let share = (*held).min(self.bounds.get(s).copied().unwrap_or(0));
+                if same && share > 0 {
+                    out.insert(s.clone(), share);
+                }
             }
         }
         let e = self.edges.get_mut(&node).expect("heard before it is granted");
@@ -348,41 +355,90 @@
         // a large fleet is divided less often, so that the work for it doesn't grow with the square
         let size = self.edges.len() * self.open.len();
         self.aim_at = now + TARGETS_MS * (1 + (size / TARGETS_SIZE) as u64);
-        self.targets.clear();
-        let mut weights: BTreeMap<&str, Vec<(u64, u32)>> = BTreeMap::new();
-        for (s, g) in &self.open {
-            let w = weights.entry(g).or_insert_with(|| {
+        self.aims.clear();
+        // servers of one group and one bound are divided alike, but for who wins a tie
+        let mut cuts: BTreeMap<(&str, u32), Cut> = BTreeMap::new();
+        let mut ties = vec![];
+        for (i, (s, g)) in self.open.iter().enumerate() {
+            let bound = self.bounds.get(s).copied().unwrap_or(0);
+            let cut = cuts.entry((g, bound)).or_insert_with(|| {
                 let live = self.edges.iter().filter(|(_, e)| e.until >= now || e.no == 0);
-                live.map(|(n, e)| (*n, e.demand.get(g).copied().unwrap_or(0) + 1)).collect()
+                let w: Vec<(u64, u32)> = live.map(|(n, e)| (*n, e.demand.get(g).copied().unwrap_or(0) + 1)).collect();
+                Cut::new(bound, &w)
             });
-            let bound = self.bounds.get(s).copied().unwrap_or(0);
-            self.targets.insert(s.clone(), divide(bound, w, hash(s)));
+            cut.deal(hash(s), &mut ties, |n, slots| self.aims.entry(n).or_default().push((i as u32, slots)));
         }
     }
 }
 
-/// Largest remainders; `salt` turns the order so that ties differ from server to server.
-pub fn divide(bound: u32, weights: &[(u64, u32)], salt: u64) -> BTreeMap<u64, u32> {
-    let sum: u64 = weights.iter().map(|(_, w)| u64::from(*w)).sum();
-    let mut out = BTreeMap::new();
-    if sum == 0 {
-        return out;
-    }
-    let mut rest = vec![];
-    let mut left = bound;
-    for (n, w) in weights {
-        let exact = u64::from(bound) * u64::from(*w);
-        let whole = (exact / sum) as u32;
-        left -= whole;
-        if whole > 0 {
-            out.insert(*n, whole);
+/// How a bound falls to edges by largest remainders. What is the same for every server
+/// with that bound is worked out once; only ties differ from server to server.
+pub struct Cut {
+    /// (edge, slots) that are sure, none of them zero and none of them tied.
+    sure: Vec<(u64, u32)>,
+    /// Edges with the same remainder at the cut, and their whole part.
+    tied: Vec<(u64, u32)>,
+    /// How many of those get one more.
+    left: usize,
+}
+
+impl Cut {
+    pub fn new(bound: u32, weights: &[(u64, u32)]) -> Cut {
+        let sum: u64 = weights.iter().map(|(_, w)| u64::from(*w)).sum();
+        let mut c = Cut { sure: vec![], tied: vec![], left: 0 };
+        if sum == 0 {
+            return c;
+        }
+        let mut left = bound;
+        // (remainder, edge, whole part)
+        let mut rest: Vec<(u64, u64, u32)> = vec![];
+        for (n, w) in weights {
+            let exact = u64::from(bound) * u64::from(*w);
+            let whole = (exact / sum) as u32;
+            left -= whole;
+            rest.push((exact % sum, *n, whole));
+        }
+        rest.sort_unstable_by(|a, b| b.cmp(a));
+        // fewer are left over than there are edges, so the cut falls on one of them
+        let at = rest[left as usize].0;
+        c.left = left as usize;
+        for (r, n, whole) in rest {
+            if r == at {
+                c.tied.push((n, whole));
+                continue;
+            }
+            let slots = whole + u32::from(r > at);
+            c.left -= usize::from(r > at);
+            if slots > 0 {
+                c.sure.push((n, slots));
+            }
         }
-        rest.push((exact % sum, n.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt, *n));
+        c
     }
-    rest.sort_unstable_by(|a, b| b.cmp(a));
-    for (_, _, n) in rest.into_iter().take(left as usize) {
-        *out.entry(n).or_default() += 1;
+
+    /// Tells each edge's slots, none of them zero; `salt` turns the order of ties. `ties` is room to work in.
+    pub fn deal(&self, salt: u64, ties: &mut Vec<(u64, u64, u32)>, mut tell: impl FnMut(u64, u32)) {
+        self.sure.iter().for_each(|(n, s)| tell(*n, *s));
+        ties.clear();
+        ties.extend(self.tied.iter().map(|(n, w)| (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt, *n, *w)));
+        if self.left > 0 && self.left < ties.len() {
+            ties.select_nth_unstable_by(self.left, |a, b| b.cmp(a));
+        }
+        for (i, (_, n, whole)) in ties.iter().enumerate() {
+            let slots = whole + u32::from(i < self.left);
+            if slots > 0 {
+                tell(*n, slots);
+            }
+        }
     }
+}
+
+/// Largest remainders; `salt` turns the order so that ties differ from server to server.
+pub fn divide(bound: u32, weights: &[(u64, u32)], salt: u64) -> BTreeMap<u64, u32> {
+    let mut out = BTreeMap::new();
+    Cut::new(bound, weights).deal(salt, &mut vec![], |n, s| {
+        out.insert(n, s);
+    });
     out
 }
 
--- /dev/null
+++ b/hutbook/tests/shares.rs
@@ -0,0 +1,49 @@
+//! Dividing a server's slots: as largest remainders say, whatever way it is worked out.
+
+use hutbook::coordination::shares::divide;
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+
+/// Largest remainders by their definition: every edge is looked at, all remainders are sorted.
+fn by_definition(bound: u32, weights: &[(u64, u32)], salt: u64) -> BTreeMap<u64, u32> {
+    let sum: u64 = weights.iter().map(|(_, w)| u64::from(*w)).sum();
+    let mut out = BTreeMap::new();
+    if sum == 0 {
+        return out;
+    }
+    let mut rest = vec![];
+    let mut left = bound;
+    for (n, w) in weights {
+        let exact = u64::from(bound) * u64::from(*w);
+        let whole = (exact / sum) as u32;
+        left -= whole;
+        if whole > 0 {
+            out.insert(*n, whole);
+        }
+        rest.push((exact % sum, n.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt, *n));
+    }
+    rest.sort_unstable_by(|a, b| b.cmp(a));
+    for (_, _, n) in rest.into_iter().take(left as usize) {
+        *out.entry(n).or_default() += 1;
+    }
+    out
+}
+
+#[test]
+fn slots_fall_as_by_the_definition() {
+    // given many fleets: few or many edges, alike or not, small and large bounds
+    let mut r = ChaCha8Rng::seed_from_u64(13);
+    for _ in 0..20_000 {
+        let edges = 1 + r.next_u64() % 40;
+        let spread = 1 + r.next_u64() % 12;
+        let w: Vec<(u64, u32)> =
+            (0..edges).map(|_| (r.next_u64(), (r.next_u64() % spread) as u32 + u32::from(spread > 1))).collect();
+        let (bound, salt) = ((r.next_u64() % 50) as u32, r.next_u64());
+        // when a bound is divided, then each has what the definition gives, and nothing is lost
+        let d = divide(bound, &w, salt);
+        assert_eq!(d, by_definition(bound, &w, salt), "{bound} over {w:?}");
+        let any = w.iter().any(|x| x.1 > 0);
+        assert_eq!(d.values().sum::<u32>(), if any { bound } else { 0 });
+    }
+}
