--- a/scramble/src/bin/traverse.rs
+++ b/scramble/src/bin/traverse.rs
@@ -46,7 +46,7 @@
         println!("{} edges before {} servers: {what}, {:.0} s", size.0, size.1, t.elapsed().as_secs_f64());
         bad |= done.is_err();
     }
-    let memory = sweep::in_memory(&[&o.sizes[..], &[sweep::TARGET]].concat());
+    let memory = sweep::in_memory(&[&o.sizes[..], &[sweep::ZONE, sweep::REGION, sweep::TARGET]].concat());
     let tables = format!("{}\n{}\n{memory}", r.slopes(), r.waits());
     let files =
         [("roles.csv", r.csv()), ("waits.csv", r.waits_csv()), ("slopes.md", tables.clone()), ("scale.svg", r.plot())];
--- a/scramble/src/scale.rs
+++ b/scramble/src/scale.rs
@@ -1,10 +1,10 @@
 //! How work and messages grow with the fleet, in memory.
 
 use crate::fleet::World;
-use hutbook::coordination::shares::{Held, Ledger};
-use hutbook::coordination::view::{Event, Server, Spot, View};
+use hutbook::coordination::shares::{divide, Held, Ledger};
+use hutbook::coordination::view::{hash, Event, Server, Spot, View};
 use hutbook::state::entry::to_bytes;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 const CONFIG: &str = include_str!("../../examples/glenmorven.json");
@@ -36,6 +36,9 @@
     Size { edges, servers, letters: (count(&w) - before) * 1_000 / COUNT_MS, work }
 }
 
+/// slots. What a warm model server of the example bears.
+const WARM_SLOTS: u32 = 8;
+
 /// What single parts of the core's leader cost, without a fleet around them.
 pub struct Parts {
     /// ms. Dividing every server's slots among all edges.
@@ -49,6 +52,8 @@
     pub places_bytes: usize,
     /// ms. An edge's copy of its view, made for every update.
     pub copy_ms: f64,
+    /// Edges that get no slot on any server, though each has one to sixteen jobs.
+    pub without: usize,
 }
 
 /// Every server stands in one of two groups, is warm, and all edges have alike to do.
@@ -108,7 +113,13 @@
     let t = Instant::now();
     let copy = v.clone();
     let copy_ms = ms(t);
+    let uneven: Vec<(u64, u32)> = (0..edges as u64).map(|i| (i + 1, 1 + (i % 16) as u32)).collect();
+    let mut some = BTreeSet::new();
+    for n in v.servers.keys() {
+        some.extend(divide(WARM_SLOTS, &uneven, hash(n)).into_keys());
+    }
     Parts {
+        without: edges - some.len(),
         divide_ms,
         grant_us,
         settle_ms,
--- a/scramble/src/sweep.rs
+++ b/scramble/src/sweep.rs
@@ -37,6 +37,9 @@
 const FLAT: f64 = 0.1;
 /// The size to come: edges, servers.
 pub const TARGET: (usize, usize) = (1_200, 10_000);
+/// The same, for one of its 20 zones and one of its 7 regions.
+pub const ZONE: (usize, usize) = (60, 500);
+pub const REGION: (usize, usize) = (171, 1_429);
 
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -644,12 +647,12 @@
 
 /// What single parts of the leader cost in memory, the size to come included; in markdown.
 pub fn in_memory(sizes: &[(usize, usize)]) -> String {
-    let mut t = "| edges | servers | dividing all shares, ms | one grant, µs | one server leaves: settling, ms | whole view, bytes | places of one change, bytes | copy of the view, ms |\n|---|---|---|---|---|---|---|---|\n".to_string();
+    let mut t = "| edges | servers | dividing all shares, ms | one grant, µs | one server leaves: settling, ms | whole view, bytes | places of one change, bytes | copy of the view, ms | edges without a slot though all have jobs |\n|---|---|---|---|---|---|---|---|---|\n".to_string();
     for (e, s) in sizes {
         let p = parts(*e, *s);
         t.push_str(&format!(
-            "| {e} | {s} | {:.2} | {:.1} | {:.2} | {} | {} | {:.3} |\n",
-            p.divide_ms, p.grant_us, p.settle_ms, p.view_bytes, p.places_bytes, p.copy_ms
+            "| {e} | {s} | {:.2} | {:.1} | {:.2} | {} | {} | {:.3} | {} |\n",
+            p.divide_ms, p.grant_us, p.settle_ms, p.view_bytes, p.places_bytes, p.copy_ms, p.without
         ));
     }
     t
