--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -23,6 +23,8 @@
 pub const APPEND_BYTES: usize = 512 * 1024;
 /// bytes. One piece of a capture: far below the frame bound.
 pub const PIECE_BYTES: usize = 256 * 1024;
+/// ms. A piece of a capture that hasn't been taken is sent again: it and its answer fit in twice on a slow link.
+pub const PIECE_AGAIN_MS: u64 = 300;
 /// entries. Proposals not yet committed that a leader holds before it says busy.
 pub const OPEN_PROPOSALS: u64 = 4_096;
 /// reads. Linearizable reads waiting for one confirmation round.
@@ -42,6 +44,13 @@
 pub const LICENCE_MS: u64 = 1_500;
 /// ms. Taken off the term at the edge and added at the core: clocks drift far less than this.
 pub const DRIFT_MS: u64 = 50;
+/// ms. What an edge may send to a cold server counts this long beyond its licence: the rate that
+/// such a server bears is one for every second, and its last second may have begun just before.
+pub const COLD_AFTER_MS: u64 = 1_000;
+/// jobs. A second, for each edge that sends to a cold server where there are too many to give each one.
+pub const COLD_EACH: u32 = 2;
+/// ms. A directory's list shows its servers as they were this long before, at the most.
+pub const LIST_LAG_MS: u64 = 1_000;
 /// ms. How often the slots of all servers are divided anew: many renewals share one division.
 pub const TARGETS_MS: u64 = 100;
 /// edges × servers. For each so many, the slots are divided one interval later: at 15 ns a pair, 3 % of a core.
@@ -54,6 +63,8 @@
 pub const CORE_LEAST: usize = 3;
 /// members. Copies of every store group.
 pub const STORE_COPIES: usize = 3;
+/// ms. Between steps of a repair: each is one agreed change, and a whole repair is a few of them.
+pub const MEND_MS: u64 = 100;
 /// ms. How often a bothy or a joining refuge speaks to the core.
 pub const CHECK_IN_MS: u64 = 500;
 /// ms. A store group's leader speaks again this soon while the core wants to know its open jobs.
@@ -71,6 +82,20 @@
 pub const RUN_MS: u64 = 120_000;
 /// ms. How often a store leader commits its clock while nothing else does.
 pub const CLOCK_MS: u64 = 500;
+/// ms. A program's account stands this long after its last use: far longer than any pause between two
+/// turns, and as long as the end of a turn may be offered late.
+pub const LEDGER_MS: u64 = SETTLE_FOR_MS;
+/// turns. Settled ones that an account remembers; many times what a program takes in the time that a
+/// message can be late.
+pub const ENDED_KEPT: usize = 1_024;
+/// sessions. Whose last server an account remembers: more than a program's lines of turns side by side.
+pub const SESSIONS_KEPT: usize = 64;
+/// accounts. Beyond them a new program is told to come back, so that memory stays bounded.
+pub const LEDGERS_KEPT: usize = 100_000;
+/// bytes. Texts of turns kept; beyond them no turn gets leave, so that memory stays bounded.
+pub const TEXT_BYTES: u64 = 64 * 1024 * 1024;
+/// bytes. Texts of one chain that go out with a leave: below the frame bound.
+pub const CHAIN_BYTES: u64 = 6 * 1024 * 1024;
 /// slots. Programs are spread over store groups by this table; many more than groups ever.
 pub const STORE_SLOTS: u64 = 256;
 
@@ -105,7 +130,7 @@
 /// bytes. Largest frame between our processes.
 pub const FRAME_BYTES: usize = 8 * 1024 * 1024;
 /// bytes. Largest body from a caller or an operator.
-pub const BODY_BYTES: usize = 1024 * 1024;
+pub const BODY_BYTES: usize = 4 * 1024 * 1024;
 /// messages. Waiting to be written to one partner; beyond it they are dropped, as a network would.
 pub const OUTBOX: usize = 4_096;
 /// ms. A write to a partner that takes longer ends the session.
@@ -161,6 +186,11 @@
 pub const LOOKUPS: u32 = 3;
 /// ms. Between tries at a data folder that takes no write.
 pub const DISK_AGAIN_MS: u64 = 200;
+/// ms. Between words on such a folder: it may stay full for minutes.
+pub const DISK_SAY_MS: u64 = 5_000;
+/// bytes. What redb keeps of its file in memory: a log is written and hardly read, and the smallest
+/// machines have 48 MB for everything. redb's own default is a gigabyte.
+pub const DISK_CACHE_BYTES: usize = 4 * 1024 * 1024;
 /// inputs. A replica takes at one go before it looks at the clock again.
 pub const BATCH: usize = 256;
 /// calls. Answers one process waits for at once.
@@ -183,7 +213,64 @@
 pub const CONFIGS_KEPT: usize = 64;
 /// decisions. The scaler's last ones kept readable.
 pub const DECISIONS_KEPT: usize = 64;
+/// machines. Whose names are kept, with the id of each of their lives: far more than a fleet has.
+pub const NAMES_KEPT: usize = 1_024;
 /// change ids. Remembered so that a repeated change gets its first verdict.
 pub const CHANGES_KEPT: usize = 256;
 /// events. Kept for edges that are a little behind; older ones get a whole capture.
 pub const FEED_EVENTS: usize = 2_048;
+/// ms. Connecting to a server that takes work passed through: a few round trips; a dead one says nothing.
+pub const PASS_CONNECT_MS: u64 = 250;
+/// ms. An idle session to a server is used again for this long where the server says nothing.
+pub const PASS_KEEP_MS: u64 = 800;
+/// ms. Taken off the time that a server says it keeps idle sessions.
+pub const PASS_KEEP_ROOM_MS: u64 = 400;
+/// ms. Longest that an idle session is used again, whatever the server says.
+pub const PASS_KEEP_MOST_MS: u64 = 10_000;
+/// answers. Surplus ones of other jobs that are read past before a session is given up.
+pub const PASS_SURPLUS: usize = 3;
+/// ms. A job that may run once only uses an idle session that was used this lately: servers close
+/// those that have been idle for longer, and what is written into a closing one may have run.
+pub const PASS_ONCE_IDLE_MS: u64 = 500;
+/// ms. Between looks for a place by a job that found none.
+pub const PASS_LOOK_MS: u64 = 10;
+/// ms. A server that failed a job gets none that could go elsewhere for this long, doubling.
+pub const PASS_OUT_MS: u64 = 250;
+/// ms. Longest that such a server is left out before it is tried again.
+pub const PASS_OUT_MOST_MS: u64 = 4_000;
+/// parts. Of prompts, remembered for each server as kept there; the eldest go first.
+pub const PASS_PARTS: usize = 4_096;
+/// tokens a ms. How fast a server reads a prompt, until it has been measured: a large model's on one accelerator.
+pub const PASS_READ_PER_MS: f64 = 35.0;
+/// ms. What each job already on a server is taken to cost the next one there.
+pub const PASS_JOB_COST_MS: f64 = 4.0;
+/// ms. What another cell's server is taken to cost more.
+pub const PASS_CELL_COST_MS: f64 = 3.0;
+/// ms. What a server said of its load counts for this long.
+pub const PASS_SAID_MS: u64 = 400;
+/// share. Of its slots that a server may be given by one edge's own count before it passes for full.
+pub const PASS_FULL: f64 = 1.5;
+/// ms. When a refused job may come back: a few looks at the fleet later.
+pub const PASS_BACK_MS: u64 = 200;
+/// ms. How long work passed through waits for a licence that is just being renewed.
+pub const PASS_UNLICENSED_MS: u64 = 400;
+/// ms. How long a turn asks for its leave: an election of its store fits in.
+pub const PASS_LEAVE_MS: u64 = 1_500;
+/// ms. How long the end of a kept turn is offered while its user agent waits for the last byte.
+pub const PASS_KEPT_MS: u64 = 2_500;
+/// ms. How long the end of any other turn is offered; then its reservation ends it.
+pub const PASS_END_MS: u64 = 10_000;
+/// ms. Between looks at idle sessions to servers.
+pub const PASS_TIDY_MS: u64 = 500;
+/// bytes. Largest body of work passed through.
+pub const PASS_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// ms. An idle session of a user agent that has work passed through is kept this long: longer than
+/// those that we know keep theirs, so that we are not the ones to close it.
+pub const PASS_FRONT_IDLE_MS: u64 = 30_000;
+/// ms. Between looks at a directory of servers: well inside the bound on leaving servers.
+pub const DIRECTORY_MS: u64 = 700;
+/// ms. One page of it must have come by then.
+pub const DIRECTORY_TRY_MS: u64 = 1_000;
+/// ms. Bytes that a partner's machine hasn't taken for this long end their session: many round trips,
+/// and less than an election should wait for.
+pub const UNACKED_MS: u64 = 800;
--- a/hutbook/src/coordination/core.rs
+++ b/hutbook/src/coordination/core.rs
@@ -52,14 +52,21 @@
         #[n(2)] pub rev: u64,
         #[n(3)] pub update: Update,
         #[n(4)] pub shares: BTreeMap<String, u32>,
+        /// Jobs a second that this edge may send to each cold server that takes work passed through;
+        /// none to a cold one that isn't named here.
+        #[cbor(n(5), default)] pub cold: BTreeMap<String, u32>,
+        /// Edges that hold a licence.
+        #[cbor(n(6), default)] pub edges: u32,
     }
     pub struct CheckIn {
         #[n(0)] pub me: Member,
         #[n(1)] pub cell: String,
-        /// From a store group's leader: the group and its members.
+        /// From a store group's leader: the group and its members, as it has agreed on them.
         #[n(2)] pub leads: Option<(u32, Members)>,
         /// Its group's open jobs, if the core's last answer asked for them.
         #[n(3)] pub open: Option<OpenJobs>,
+        /// What operators call this machine; empty where it has no name.
+        #[cbor(n(4), default)] pub name: String,
     }
     #[derive(Default)]
     pub struct Duty {
@@ -77,8 +84,11 @@
     pub enum CoreAsk {
         #[n(0)] Renew(#[n(0)] Renewal),
         #[n(1)] CheckIn(#[n(0)] CheckIn),
-        #[n(2)] Join(#[n(0)] Member),
-        #[n(3)] PutConfig { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config> },
+        /// A core machine that asks to be let in, or says where it stands; and its cell.
+        #[n(2)] Join(#[n(0)] Member, #[cbor(n(1), default)] String),
+        /// `number` is the operator's own, which must rise, and then `base` is one of those; 0 where there is none.
+        /// `words` is a digest of how the change was asked for, which tells its repeats; 0: its text does.
+        #[n(3)] PutConfig { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64, #[cbor(n(5), default)] words: u64 },
         #[n(4)] GetConfig(#[n(0)] u64),
         #[n(5)] Configs,
         #[n(6)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
@@ -95,8 +105,31 @@
         #[n(16)] Places,
         #[n(17)] Scaler,
         #[n(18)] Status,
+        /// The whole list of servers as their directory has it, from the leader's poller.
+        #[n(20)] Directory { #[n(0)] term: u64, #[n(1)] servers: Vec<Listing> },
+        /// A store machine by its name.
+        #[n(21)] RetireNamed(#[n(0)] String),
+        #[n(22)] RetirementNamed(#[n(0)] String),
         #[n(19)] Thought { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
     }
+    /// What a directory says of one server, with the revision of its cold time that this may
+    /// end: 0 where it may not.
+    struct Relisted {
+        #[n(0)] listing: Listing,
+        #[n(1)] since: u64,
+    }
+    /// One server as a directory lists it.
+    #[derive(Eq)]
+    pub struct Listing {
+        /// Names one life of one server.
+        #[n(0)] pub name: String,
+        #[n(1)] pub group: String,
+        #[n(2)] pub addr: String,
+        #[n(3)] pub cell: String,
+        #[n(4)] pub slots: u32,
+        #[n(5)] pub leaving: bool,
+        #[n(6)] pub cold: bool,
+    }
     pub enum CoreTell {
         #[n(0)] Grant(#[n(0)] Box<Grant>),
         #[n(1)] Duty(#[n(0)] Duty),
@@ -114,7 +147,7 @@
     }
     enum CoreCmd {
         #[n(0)] Found(#[n(0)] u64),
-        #[n(1)] Config { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config> },
+        #[n(1)] Config { #[n(0)] base: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64, #[cbor(n(5), default)] words: u64 },
         #[n(2)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
         #[n(3)] Leave(#[n(0)] String),
         #[n(4)] Remove(#[n(0)] String),
@@ -127,6 +160,10 @@
         /// What was found out about the process of a server whose warm-up began at `since`.
         /// Nothing waits any more for a group that a config has removed.
         #[n(12)] Faded { #[n(0)] term: u64, #[n(1)] group: String },
+        #[n(14)] Named { #[n(0)] name: String, #[n(1)] node: u64 },
+        #[n(15)] RetireNamed(#[n(0)] String),
+        /// How the directory's list differs from what is agreed.
+        #[n(13)] Directory { #[n(0)] term: u64, #[n(1)] put: Vec<Relisted>, #[n(2)] gone: Vec<String> },
         #[n(11)] Born { #[n(0)] term: u64, #[n(1)] server: String, #[n(2)] since: u64, #[n(3)] born: u64, #[n(4)] fell: bool },
     }
     pub struct Noted {
@@ -146,6 +183,9 @@
         #[n(3)] samples: VecDeque<Sample>,
         #[n(4)] decisions: VecDeque<Noted>,
         #[n(5)] retired: Vec<u64>,
+        /// Names of store machines and the id of each of their lives, oldest first.
+        #[cbor(n(6), default)] names: Vec<(String, u64)>,
+        #[cbor(n(7), default)] retired_names: Vec<String>,
     }
 }
 
@@ -153,6 +193,7 @@
 struct Bothy {
     me: Member,
     cell: String,
+    name: String,
     heard: u64,
 }
 
@@ -164,7 +205,55 @@
     groups: BTreeMap<String, ([f64; 4], u32)>,
 }
 
+/// What every core machine of a fleet is started with alike; not agreed in the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shape {
+    /// Voters the core grows to by itself.
+    pub core_voters: usize,
+    /// Copies of every store group.
+    pub store_copies: usize,
+    /// ms. A member silent for this long is replaced where another stands ready.
+    pub repair_ms: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Shape { core_voters: CORE_VOTERS, store_copies: STORE_COPIES, repair_ms: REPAIR_MS }
+    }
+}
+
+/// The id of a core machine that founds a cluster with others: all of them know it by its
+/// address alone. Never 0, which stands for nobody.
+pub fn founder_id(addr: &str) -> u64 {
+    hash(&format!("founder {addr}")) | 1
+}
+
+/// The cluster that core machines at these addresses found, in whatever order they are named.
+pub fn founding_cluster(addrs: &[String]) -> u64 {
+    let mut a = addrs.to_vec();
+    a.sort();
+    a.dedup();
+    hash(&format!("cluster {}", a.join(" "))) | 1
+}
+
+/// The founders themselves, as their ids and addresses.
+pub fn founders(addrs: &[String]) -> Vec<Member> {
+    addrs.iter().map(|a| Member { id: founder_id(a), addr: a.clone() }).collect()
+}
+
+/// A cold server as the directory's polls have shown it to this leader.
+struct Sight {
+    /// Revision at which its cold time began, and when a poll first found it so.
+    since: u64,
+    at: u64,
+    /// The directory itself has said that it is cold; else that is only taken for granted.
+    said: bool,
+}
+
 pub struct Core {
+    shape: Shape,
+    /// ms. How old a directory's list may be.
+    list_lag_ms: u64,
     kept: Kept,
     journal: Journal<Event>,
     /// Leader's memory; gone with the leadership.
@@ -175,7 +264,13 @@
     seen: BTreeMap<u64, u64>,
     check_at: u64,
     last_change: u64,
+    last_own: u64,
     members: Members,
+    /// Cells of the core's machines, as they told this leader.
+    cells: BTreeMap<u64, String>,
+    /// Cold servers of the directory; and when its last list came.
+    sights: BTreeMap<String, Sight>,
+    listed_at: u64,
     /// Voters heard from lately.
     alive: std::collections::BTreeSet<u64>,
     /// Removed groups for which nothing waits, since when.
@@ -187,7 +282,13 @@
 impl Core {
     /// A core that has agreed on nothing; `found` names the cluster it forms.
     pub fn new() -> Core {
+        Core::with(Shape::default())
+    }
+
+    pub fn with(shape: Shape) -> Core {
         Core {
+            shape,
+            list_lag_ms: LIST_LAG_MS,
             kept: Kept::default(),
             journal: Journal::new(FEED_EVENTS, 0),
             ledger: Ledger::default(),
@@ -196,13 +297,22 @@
             seen: BTreeMap::new(),
             check_at: 0,
             last_change: 0,
+            last_own: 0,
             members: Members::default(),
+            cells: BTreeMap::new(),
+            sights: BTreeMap::new(),
+            listed_at: 0,
             alive: Default::default(),
             births: BTreeMap::new(),
             idle: BTreeMap::new(),
         }
     }
 
+    /// The same core, whose directory's list is this old at the most.
+    pub fn list_lag(self, ms: u64) -> Core {
+        Core { list_lag_ms: ms, ..self }
+    }
+
     /// The first entry of a new cluster's log.
     pub fn founding(cluster: u64) -> Vec<u8> {
         to_bytes(&CoreCmd::Found(cluster))
@@ -237,13 +347,25 @@
         CoreTell::Agreed(rev)
     }
 
-    fn put_config(&mut self, rev: u64, base: u64, change: String, text: String, config: Config) -> CoreTell {
-        if let Some(t) = self.changed(&change, &text) {
+    #[allow(clippy::too_many_arguments)]
+    fn put_config(
+        &mut self,
+        rev: u64,
+        base: u64,
+        change: String,
+        text: String,
+        config: Config,
+        number: u64,
+        words: u64,
+    ) -> CoreTell {
+        if let Some(t) = self.changed(&change, words) {
             return t;
         }
-        let cur = self.kept.view.config_rev;
-        let won = base == cur;
-        self.kept.changes.push_back((change.clone(), won, if won { rev } else { cur }, hash(&text)));
+        // an operator who numbers configs builds on those numbers, and they rise
+        let v = &self.kept.view;
+        let cur = if number > 0 { v.config_number } else { v.config_rev };
+        let won = base == cur && (number == 0 || number > cur);
+        self.kept.changes.push_back((change.clone(), won, if won { rev } else { cur }, words));
         if self.kept.changes.len() > CHANGES_KEPT {
             self.kept.changes.pop_front();
         }
@@ -256,17 +378,21 @@
         }
         // a group whose bounds moved keeps its count inside them
         for (n, g) in &config.groups {
+            // work passed through starts with all there are, until the scaler says otherwise
+            if g.pass.is_some() && !self.kept.view.wanted.contains_key(n) {
+                continue;
+            }
             let c = self.kept.view.wanted.get(n).copied().unwrap_or(g.least).clamp(g.least, g.most);
             self.emit(rev, Event::Wanted { group: n.clone(), count: c });
         }
-        self.emit(rev, Event::Config { text, config });
+        self.emit(rev, Event::Config { text, config, number });
         self.done(rev)
     }
 
     /// The first verdict on a change that was sent again.
-    fn changed(&self, change: &str, text: &str) -> Option<CoreTell> {
+    fn changed(&self, change: &str, words: u64) -> Option<CoreTell> {
         let c = self.kept.changes.iter().find(|c| c.0 == change)?;
-        if c.3 != hash(text) {
+        if c.3 != words {
             let why = "this change id was used for another document".to_string();
             return Some(CoreTell::Refused { code: "change_reused".into(), why });
         }
@@ -279,7 +405,76 @@
         if old.is_some_and(|s| !s.leaving && (&s.group, &s.addr, &s.cell) == (&group, &addr, &cell)) {
             return CoreTell::Agreed(self.kept.view.rev);
         }
-        self.emit(rev, Event::Server(Server { name, group, addr, cell, leaving: false, since: rev, born: 0 }));
+        self.emit(
+            rev,
+            Event::Server(Server {
+                name,
+                group,
+                addr,
+                cell,
+                leaving: false,
+                since: rev,
+                born: 0,
+                slots: 0,
+                cold: false,
+                listed_by_directory: false,
+            }),
+        );
+        self.done(rev)
+    }
+
+    /// How the directory's whole list differs from what is agreed; nothing is proposed where it doesn't.
+    fn directory(&mut self, st: Stand, term: u64, servers: &[Listing]) -> Plan<CoreTell> {
+        if term != st.term {
+            let why = "that list was polled under another term".to_string();
+            return Plan::Tell(CoreTell::Refused { code: "stale_term".into(), why });
+        }
+        let v = &self.kept.view;
+        let listed: std::collections::BTreeSet<&str> = servers.iter().map(|l| l.name.as_str()).collect();
+        let mut put = vec![];
+        for l in servers {
+            let old = v.servers.get(&l.name);
+            // this list was begun after the one before had come; what it shows is older by its lag.
+            // Where the directory has called it cold itself, its word that it no longer is will do
+            let sure = |x: &&Sight| x.said || self.listed_at >= x.at + self.list_lag_ms;
+            let sight = self.sights.get(&l.name).filter(|x| old.is_some_and(|s| s.since == x.since));
+            let since = sight.filter(sure).map_or(0, |x| x.since);
+            if old != Some(&relisted(old, l.clone(), since, v.rev)) {
+                put.push(Relisted { listing: l.clone(), since });
+            }
+        }
+        let ours = v.servers.values().filter(|s| s.listed_by_directory);
+        let gone: Vec<String> =
+            ours.clone().filter(|s| !listed.contains(s.name.as_str())).map(|s| s.name.clone()).collect();
+        let cold: BTreeMap<&str, bool> = servers.iter().map(|l| (l.name.as_str(), l.cold)).collect();
+        let mut sights = BTreeMap::new();
+        for s in ours.filter(|s| s.cold) {
+            let before = self.sights.remove(&s.name).filter(|x| x.since == s.since);
+            let (at, said) = before.map_or((st.now, false), |x| (x.at, x.said));
+            let said = said || cold.get(s.name.as_str()) == Some(&true);
+            sights.insert(s.name.clone(), Sight { since: s.since, at, said });
+        }
+        self.sights = sights;
+        self.listed_at = st.now;
+        if put.is_empty() && gone.is_empty() {
+            return Plan::Tell(CoreTell::Agreed(v.rev));
+        }
+        Plan::Propose(to_bytes(&CoreCmd::Directory { term, put, gone }))
+    }
+
+    fn directory_agreed(&mut self, rev: u64, put: Vec<Relisted>, gone: Vec<String>) -> CoreTell {
+        for r in put {
+            let old = self.kept.view.servers.get(&r.listing.name);
+            let new = relisted(old, r.listing, r.since, rev);
+            if old != Some(&new) {
+                self.emit(rev, Event::Server(new));
+            }
+        }
+        for n in gone {
+            if self.kept.view.servers.get(&n).is_some_and(|s| s.listed_by_directory) {
+                self.emit(rev, Event::Gone(n));
+            }
+        }
         self.done(rev)
     }
 
@@ -308,12 +503,23 @@
         }
         if out {
             let v = &self.kept.view;
+            // whoever passes work through says itself when nothing is left to take it
+            let mut ours = v.servers.values().filter(|s| !v.passes(&s.group) && !s.listed_by_directory);
             let left = v.servers.values().any(|s| s.cell != cell && !v.out.contains_key(&s.cell) && !s.leaving);
-            if !left {
+            let passes = v.config.as_ref().is_some_and(|c| c.groups.values().any(|g| g.pass.is_some()));
+            if !left && (!passes || ours.next().is_some()) {
                 let why = format!("no server outside {cell} would be left to take its work");
                 return CoreTell::Refused { code: "last_cell".into(), why };
             }
         }
+        if !out && self.kept.view.out.contains_key(&cell) {
+            // they may have turned cold meanwhile: cold until the directory says otherwise
+            let v = &self.kept.view;
+            let back = v.servers.values().filter(|s| s.cell == cell && s.listed_by_directory).cloned();
+            for s in back.collect::<Vec<_>>() {
+                self.emit(rev, Event::Server(Server { cold: true, since: rev, ..s }));
+            }
+        }
         self.emit(rev, Event::Cell { cell, out });
         self.done(rev)
     }
@@ -324,12 +530,16 @@
         while self.kept.samples.len() > most {
             self.kept.samples.pop_front();
         }
-        let stale = d.moves.iter().find(|m| self.kept.view.wanted.get(&m.group) != Some(&m.from));
+        // counted as in the scene that it was decided on: what is wanted, and for work passed through is there
+        let stale = d.moves.iter().find(|m| self.kept.view.room(&m.group).1 != m.from);
         let outcome = match stale {
             Some(m) => format!("not applied: {} no longer stood at {}", m.group, m.from),
             None => {
                 for m in &d.moves {
-                    self.emit(rev, Event::Wanted { group: m.group.clone(), count: m.to });
+                    let all = self.kept.view.passes(&m.group) && m.to >= self.kept.view.room(&m.group).0;
+                    // all there are means those to come as well
+                    let count = if all { u32::MAX } else { m.to };
+                    self.emit(rev, Event::Wanted { group: m.group.clone(), count });
                 }
                 "applied".to_string()
             }
@@ -378,11 +588,20 @@
         self.ledger.hear(st.now, r.node, seen, r.have, &r.cell, &r.addr, r.demand, r.held);
         self.ledger.births(st.now, &self.kept.view, r.node, &mut self.births);
         let (no, shares) = self.ledger.grant(st.now, &self.kept.view, r.node);
+        let cold = self.ledger.cold(st.now, &self.kept.view, r.node);
         let update = match self.journal.since(r.have) {
             Some(e) if r.have <= self.kept.view.rev && (r.have > 0 || self.kept.view.rev == 0) => Update::Events(e),
             _ => Update::Whole(Box::new(self.kept.view.clone())),
         };
-        CoreTell::Grant(Box::new(Grant { no, term: st.term, rev: self.kept.view.rev, update, shares }))
+        CoreTell::Grant(Box::new(Grant {
+            no,
+            term: st.term,
+            rev: self.kept.view.rev,
+            update,
+            shares,
+            cold,
+            edges: self.ledger.live(st.now) as u32,
+        }))
     }
 
     fn take_windows(&mut self, now: u64, node: u64, ws: Vec<Window>) {
@@ -525,16 +744,24 @@
     /// Proposals that follow from what the leader sees: emptied drains, store members.
     fn own(&mut self, st: Stand, out: &mut Vec<Todo<Scene>>) {
         let term = st.term;
-        if self.ledger.accounted {
-            let draining = self.kept.view.places.iter().flat_map(|(g, p)| p.iter().map(move |(n, s)| (g, n, s)));
-            for (g, n, s) in draining {
+        if self.ledger.all_have(st.now, self.kept.view.rev) {
+            for (g, p) in &self.kept.view.places {
+                // what runs at a server that work passes through to is nobody's to count
+                let known = self.kept.view.passes(g) || self.ledger.accounted;
                 // empty once nobody can still hold it or have work on it
-                if s.draining && self.ledger.all_have(st.now, self.kept.view.rev) && self.ledger.busy(n) == 0 {
+                for (n, _) in p.iter().filter(|(n, s)| s.draining && known && self.ledger.busy(n) == 0) {
                     let cmd = CoreCmd::Emptied { term, group: g.clone(), server: n.clone() };
                     out.push(Todo::Propose(to_bytes(&cmd)));
                 }
             }
         }
+        for b in self.bothies.values().filter(|b| !b.name.is_empty()) {
+            // a name is known to every later leader, so that it is never taken for one never heard of
+            if !self.kept.names.iter().any(|(n, id)| *id == b.me.id && *n == b.name) {
+                let cmd = CoreCmd::Named { name: b.name.clone(), node: b.me.id };
+                out.push(Todo::Propose(to_bytes(&cmd)));
+            }
+        }
         let v = &self.kept.view;
         let quiet = |l: &Ledger, g: &String| l.all_have(st.now, v.config_rev) && l.demand(g) == 0;
         self.idle.retain(|g, _| v.fading.contains_key(g) && quiet(&self.ledger, g));
@@ -545,18 +772,86 @@
                 out.push(Todo::Propose(to_bytes(&CoreCmd::Faded { term, group: g.clone() })));
             }
         }
-        if let Some((group, is)) = self.next_stores(st.now) {
-            out.push(Todo::Propose(to_bytes(&CoreCmd::Stores { term, group, is })));
+    }
+
+    /// Does this name belong to that life of a store machine?
+    fn is_named(&self, node: u64, name: &str) -> bool {
+        !name.is_empty()
+            && (self.bothies.get(&node).is_some_and(|b| b.name == name)
+                || self.kept.names.iter().any(|(n, id)| *id == node && n == name))
+    }
+
+    /// Is this store machine to go, or gone, by its id or its name? A name is retired whatever
+    /// disk its machine comes back with.
+    fn retires(&self, node: u64) -> bool {
+        self.kept.retired.contains(&node) || self.kept.retired_names.iter().any(|n| self.is_named(node, n))
+    }
+
+    fn knows(&self, name: &str) -> bool {
+        self.kept.names.iter().any(|(n, _)| n == name)
+            || self.bothies.values().any(|b| !name.is_empty() && b.name == name)
+    }
+
+    /// A new leader has not heard everybody yet.
+    fn hears_all(&self, now: u64) -> bool {
+        now >= self.ledger.rose + 4 * CHECK_IN_MS
+    }
+
+    fn retire_named(&self, now: u64, name: String) -> Plan<CoreTell> {
+        if self.kept.retired_names.contains(&name) {
+            return Plan::Tell(CoreTell::Agreed(self.kept.view.rev));
         }
+        if !self.knows(&name) {
+            return Plan::Tell(self.no_name(now));
+        }
+        let heard = |b: &&Bothy| now < b.heard + self.shape.repair_ms.max(4 * CHECK_IN_MS);
+        let stay = |b: &&Bothy| b.name != name && !self.retires(b.me.id);
+        // one that came back with an empty disk is one machine, not two
+        let left = self.bothies.values().filter(heard).filter(stay).map(|b| b.me.addr.as_str());
+        let left = left.collect::<std::collections::BTreeSet<_>>().len();
+        if left >= self.shape.store_copies {
+            return Plan::Propose(to_bytes(&CoreCmd::RetireNamed(name)));
+        }
+        if !self.hears_all(now) {
+            return Plan::Tell(CoreTell::Busy);
+        }
+        let why = format!("{left} live machines would be left for {} copies", self.shape.store_copies);
+        Plan::Tell(CoreTell::Refused { code: "too_few".into(), why })
+    }
+
+    fn no_name(&self, now: u64) -> CoreTell {
+        if !self.hears_all(now) {
+            return CoreTell::Busy;
+        }
+        CoreTell::Unknown("no store machine of that name has been heard of".into())
+    }
+
+    /// Out of every group, and every group whole without it, each of its members heard: what was
+    /// agreed stands on most of the members agreed since, so the next loss is borne.
+    fn is_retired(&self, now: u64, name: &str) -> bool {
+        let ids = |m: &[Member]| m.iter().map(|x| x.id).collect::<std::collections::BTreeSet<_>>();
+        let gone = |s: &StoreGroup| s.wanted.iter().chain(&s.actual).all(|m| !self.is_named(m.id, name));
+        let live = |m: &Member| self.bothies.get(&m.id).is_some_and(|b| now < b.heard + 2 * CHECK_IN_MS);
+        let whole = |s: &StoreGroup| {
+            s.actual.len() >= self.shape.store_copies && ids(&s.wanted) == ids(&s.actual) && s.actual.iter().all(live)
+        };
+        self.kept.retired_names.iter().any(|n| n == name) && self.kept.view.stores.values().all(|s| gone(s) && whole(s))
     }
 
     /// The next change to a store group's wanted members, if one is due.
     fn next_stores(&self, now: u64) -> Option<(u32, StoreGroup)> {
         let v = &self.kept.view;
-        let live = |id: u64| self.bothies.get(&id).is_some_and(|b| now < b.heard + REPAIR_MS);
+        let repair = self.shape.repair_ms;
+        let live = |id: u64| self.bothies.get(&id).is_some_and(|b| now < b.heard + repair);
+        // another stands where it stood: it is dead for sure, and nothing waits for it
+        let replaced = |m: &Member| {
+            let old = self.bothies.get(&m.id).map_or(0, |b| b.heard);
+            let other = |b: &Bothy| b.me.id != m.id && b.me.addr == m.addr && b.heard > old + CHECK_IN_MS / 2;
+            self.bothies.values().any(other)
+        };
         let free = |b: &&Bothy| {
             now < b.heard + 2 * CHECK_IN_MS
-                && !self.kept.retired.contains(&b.me.id)
+                && !self.retires(b.me.id)
                 && v.stores.values().all(|s| s.wanted.iter().chain(&s.actual).all(|m| m.id != b.me.id))
         };
         let Some((g, s)) = v.stores.iter().next() else {
@@ -566,20 +861,33 @@
         // one change at a time: what was wanted before must have come about
         let ids = |m: &[Member]| m.iter().map(|x| x.id).collect::<std::collections::BTreeSet<_>>();
         let settled = ids(&s.wanted) == ids(&s.actual);
-        let cells: Vec<&str> =
-            s.wanted.iter().filter_map(|m| self.bothies.get(&m.id)).map(|b| b.cell.as_str()).collect();
-        let spare = self.bothies.values().filter(free).min_by_key(|b| cells.iter().filter(|c| **c == b.cell).count());
-        if s.wanted.len() < STORE_COPIES {
-            let b = spare.filter(|_| settled)?;
-            let mut is = s.clone();
-            is.wanted.push(b.me.clone());
+        let dead = s.wanted.iter().find(|m| replaced(m)).or_else(|| {
+            // a new leader has heard nobody yet
+            s.wanted.iter().find(|m| !live(m.id) && now > self.ledger.rose + repair)
+        });
+        // one that is to retire goes as a dead one does: not before another votes in its place
+        let dead = dead.or_else(|| s.wanted.iter().find(|m| settled && self.retires(m.id)));
+        let cell = |m: &Member| self.bothies.get(&m.id).map(|b| b.cell.as_str());
+        let kept: Vec<&Member> = s.wanted.iter().filter(|m| dead.is_none_or(|d| d.id != m.id)).collect();
+        let there = |c: &str| kept.iter().filter(|m| cell(m) == Some(c)).count();
+        let spare = self.bothies.values().filter(free).min_by_key(|b| there(&b.cell));
+        let mut is = s.clone();
+        if s.wanted.len() < self.shape.store_copies && dead.is_none() {
+            is.wanted.push(spare.filter(|_| settled)?.me.clone());
             return Some((*g, is));
         }
         // a dead copy is replaced where a spare stands ready; the new one comes first
-        let dead = s.wanted.iter().find(|m| !live(m.id) && now > self.ledger.rose + REPAIR_MS)?;
-        let mut is = s.clone();
-        is.wanted.retain(|m| m.id != dead.id);
-        is.wanted.push(spare?.me.clone());
+        if let Some(d) = dead {
+            is.wanted.retain(|m| m.id != d.id);
+            is.wanted.push(spare?.me.clone());
+            return Some((*g, is));
+        }
+        // a cell with most of the copies would take the group with it
+        let spare = spare.filter(|_| settled)?;
+        let crowd = s.wanted.iter().filter(|m| cell(m).is_some_and(|c| there(c) * 2 > s.wanted.len()));
+        let out = crowd.max_by_key(|m| m.id).filter(|m| cell(m).is_some_and(|c| there(&spare.cell) + 1 < there(c)))?;
+        is.wanted.retain(|m| m.id != out.id);
+        is.wanted.push(spare.me.clone());
         Some((*g, is))
     }
 
@@ -593,7 +901,7 @@
             d.founder = s.founder == id && s.actual.is_empty();
             d.wanted = s.wanted.clone();
         }
-        self.bothies.insert(id, Bothy { me: c.me, cell: c.cell, heard: st.now });
+        self.bothies.insert(id, Bothy { me: c.me, cell: c.cell, name: c.name, heard: st.now });
         // an answer to another term's question says nothing of this one
         if let (Some((g, _)), Some(o)) = (c.leads, c.open.filter(|o| o.term == st.term)) {
             self.ledger.tell(st.now, &self.kept.view, g, o);
@@ -631,6 +939,7 @@
                     let _ = a.push(jzon::object! {
                         name: s.name.as_str(), group: s.group.as_str(), address: s.addr.as_str(), cell: s.cell.as_str(),
                         leaving: s.leaving, usable: v.usable(&s.name), listed_at: s.since, busy: self.ledger.busy(&s.name),
+                        slots: s.slots, cold: s.cold,
                     });
                 }
                 a
@@ -653,6 +962,12 @@
                 }
                 jzon::object! { node: id_text(*node), done: !still }
             }
+            CoreAsk::RetirementNamed(name) => {
+                if !self.knows(name) {
+                    return None;
+                }
+                jzon::object! { name: name.as_str(), done: self.is_retired(st.now, name) }
+            }
             CoreAsk::Members => members_json(&self.members),
             CoreAsk::Places => {
                 let mut o = jzon::object! {};
@@ -680,14 +995,14 @@
                     let ids = |m: &[Member]| m.iter().map(|x| id_text(x.id)).collect::<Vec<_>>();
                     stores[g.to_string()] = jzon::object! { wanted: ids(&s.wanted), actual: ids(&s.actual) };
                 }
-                let silent = self.bothies.values().filter(|b| st.now > b.heard + REPAIR_MS).count();
+                let silent = self.bothies.values().filter(|b| st.now > b.heard + self.shape.repair_ms).count();
                 let mut edges = jzon::array![];
                 for (n, e) in &self.ledger.edges {
                     let _ = edges.push(jzon::object! { node: id_text(*n), address: e.addr.as_str(), cell: e.cell.as_str(), licensed: e.until >= st.now, revision: e.have });
                 }
                 jzon::object! {
                     cluster: id_text(v.cluster), term: st.term, revision: v.rev, config_revision: v.config_rev,
-                    core: members_json(&self.members), edges: edges, stores: stores, silent_stores: silent,
+                    config_number: v.config_number, core: members_json(&self.members), edges: edges, stores: stores, silent_stores: silent,
                     servers: v.servers.len(), evacuated: v.out.keys().cloned().collect::<Vec<_>>(),
                 }
             }
@@ -696,6 +1011,26 @@
     }
 }
 
+/// A server as it stands once the directory has said this of it.
+fn relisted(old: Option<&Server>, l: Listing, since: u64, rev: u64) -> Server {
+    // a name is one life of one server
+    let old = old.filter(|s| (&s.group, &s.addr, &s.cell) == (&l.group, &l.addr, &l.cell));
+    Server {
+        // lists lag, and not all alike: nobody comes back from leaving
+        leaving: l.leaving || old.is_some_and(|s| s.leaving),
+        // new to the list is cold until a list that began later says otherwise
+        cold: l.cold || old.is_none_or(|s| s.cold && s.since != since),
+        since: old.map_or(rev, |s| s.since),
+        born: old.map_or(0, |s| s.born),
+        name: l.name,
+        group: l.group,
+        addr: l.addr,
+        cell: l.cell,
+        slots: l.slots,
+        listed_by_directory: true,
+    }
+}
+
 pub fn id_text(id: u64) -> String {
     format!("{id:016x}")
 }
@@ -742,7 +1077,8 @@
                 }
                 None => return Plan::Read,
             },
-            CoreAsk::Join(m) => {
+            CoreAsk::Join(m, cell) => {
+                self.cells.insert(m.id, cell);
                 if self.kept.retired.contains(&m.id) {
                     let why = "it was removed by an operator; start it with an empty folder".to_string();
                     return Plan::Tell(CoreTell::Refused { code: "removed".into(), why });
@@ -762,11 +1098,12 @@
                 }
                 CoreCmd::Dismiss(id)
             }
-            CoreAsk::PutConfig { base, change, text, config } => {
-                if let Some(t) = self.changed(&change, &text) {
+            CoreAsk::PutConfig { base, change, text, config, number, words } => {
+                let words = if words == 0 { hash(&text) } else { words };
+                if let Some(t) = self.changed(&change, words) {
                     return Plan::Tell(t);
                 }
-                CoreCmd::Config { base, change, text, config }
+                CoreCmd::Config { base, change, text, config, number, words }
             }
             CoreAsk::List { name, group, addr, cell } => CoreCmd::List { name, group, addr, cell },
             CoreAsk::Leave(n) => CoreCmd::Leave(n),
@@ -788,6 +1125,8 @@
                 }
                 CoreCmd::Retire(n)
             }
+            CoreAsk::RetireNamed(n) => return self.retire_named(st.now, n),
+            CoreAsk::Directory { term, servers } => return self.directory(st, term, &servers),
             CoreAsk::Thought { term, decision, sample } => return self.thought(st, term, &decision, &sample),
             _ => return Plan::Read,
         };
@@ -798,7 +1137,7 @@
         match ask {
             CoreAsk::Renew(r) => self.grant(st, r),
             CoreAsk::CheckIn(c) => self.check_in(st, c),
-            CoreAsk::Join(_) => {
+            CoreAsk::Join(..) => {
                 let d = Duty { cluster: self.kept.view.cluster, cores: self.members.voters.clone(), ..Duty::default() };
                 CoreTell::Duty(d)
             }
@@ -809,6 +1148,7 @@
                 Some((rev, text, _)) => CoreTell::Config { rev: *rev, text: text.clone() },
                 None => CoreTell::Unknown("no config of that revision is kept".into()),
             },
+            CoreAsk::RetirementNamed(n) if !self.knows(&n) => self.no_name(st.now),
             a => match self.json(st, &a) {
                 Some(j) => CoreTell::Json(j.dump()),
                 None => CoreTell::Unknown("nothing of that name".into()),
@@ -831,7 +1171,9 @@
                 }
                 CoreTell::Agreed(index)
             }
-            CoreCmd::Config { base, change, text, config } => self.put_config(index, base, change, text, *config),
+            CoreCmd::Config { base, change, text, config, number, words } => {
+                self.put_config(index, base, change, text, *config, number, words)
+            }
             CoreCmd::List { name, group, addr, cell } => self.list(index, name, group, addr, cell),
             CoreCmd::Leave(n) => self.leave(index, &n),
             CoreCmd::Remove(n) => {
@@ -843,6 +1185,21 @@
             }
             CoreCmd::Evacuate { cell, out } => self.evacuate(index, cell, out),
             CoreCmd::Retire(n) => self.retire(index, n),
+            CoreCmd::Named { name, node } => {
+                if !self.kept.names.iter().any(|(n, id)| *id == node && *n == name) {
+                    self.kept.names.push((name, node));
+                    if self.kept.names.len() > NAMES_KEPT {
+                        self.kept.names.remove(0);
+                    }
+                }
+                CoreTell::Agreed(index)
+            }
+            CoreCmd::RetireNamed(name) => {
+                if !self.kept.retired_names.contains(&name) {
+                    self.kept.retired_names.push(name);
+                }
+                CoreTell::Agreed(index)
+            }
             CoreCmd::Dismiss(n) => {
                 let known = self.kept.view.cores.iter().any(|m| m.id == n);
                 if !known && !self.kept.retired.contains(&n) {
@@ -857,6 +1214,7 @@
             | CoreCmd::Decided { term: t, .. }
             | CoreCmd::Born { term: t, .. }
             | CoreCmd::Faded { term: t, .. }
+            | CoreCmd::Directory { term: t, .. }
                 if t != term =>
             {
                 stale
@@ -875,6 +1233,7 @@
                 self.born(index, &server, since, born, fell);
                 CoreTell::Agreed(index)
             }
+            CoreCmd::Directory { put, gone, .. } => self.directory_agreed(index, put, gone),
             CoreCmd::Faded { group, .. } => {
                 if self.kept.view.fading.contains_key(&group) {
                     self.emit(index, Event::Faded(group));
@@ -915,6 +1274,8 @@
         self.seen.clear();
         self.births.clear();
         self.idle.clear();
+        self.cells.clear();
+        self.sights.clear();
         self.check_at = st.now + CHECK_MS;
     }
 
@@ -932,9 +1293,17 @@
             let cmd = CoreCmd::Born { term: st.term, server, since, born, fell };
             out.push(Todo::Propose(to_bytes(&cmd)));
         }
-        if st.now >= self.last_change + CHECK_IN_MS {
-            self.last_change = st.now;
+        if st.now >= self.last_own + CHECK_IN_MS {
+            self.last_own = st.now;
             self.own(st, &mut out);
+        }
+        // a repair goes on as soon as the step before is agreed, and no step is taken twice
+        let calm = raft.applied() == raft.last() && st.now >= self.last_change + MEND_MS;
+        if calm || st.now >= self.last_change + CHECK_IN_MS {
+            self.last_change = st.now;
+            if let Some((group, is)) = self.next_stores(st.now) {
+                out.push(Todo::Propose(to_bytes(&CoreCmd::Stores { term: st.term, group, is })));
+            }
             out.extend(self.next_core(st.now, raft).map(Todo::Change));
         }
         out.extend(self.think(st).map(Todo::Think));
@@ -952,24 +1321,55 @@
 }
 
 impl Core {
-    /// The core's own members: newcomers learn, then vote; a dead one goes once enough others live.
+    /// The core's own members: newcomers learn, then vote; a dead one goes once another stands
+    /// ready, or enough others live.
     fn next_core(&self, now: u64, raft: &Raft) -> Option<Change> {
         let m = raft.members();
-        let heard = raft.heard();
-        let of = |id: u64| heard.iter().find(|(p, _, _)| *p == id);
-        let live = |id: u64| id == raft.id || of(id).is_some_and(|h| now < h.2 + REPAIR_MS);
-        let dead = m.voters.iter().find(|v| !live(v.id));
-        let alive = m.voters.iter().filter(|v| live(v.id)).count();
-        if let Some(d) = dead.filter(|_| alive >= CORE_LEAST) {
-            return Some(Change::Remove(d.id));
+        let heard: BTreeMap<u64, u64> = raft.heard().into_iter().map(|h| (h.0, h.2)).collect();
+        let silent = |id: u64, ms: u64| id != raft.id && heard.get(&id).is_none_or(|h| now >= h + ms);
+        // a newcomer stands where it stood: it is dead for sure. Newcomers come last in the list
+        let replaced = |x: &Member| {
+            let later = m.all().skip_while(|y| y.id != x.id).skip(1);
+            silent(x.id, ELECTION_MS) && later.into_iter().any(|y| y.addr == x.addr)
+        };
+        if let Some(l) = m.learners.iter().find(|l| replaced(l)) {
+            return Some(Change::Remove(l.id));
+        }
+        let dead =
+            m.voters.iter().find(|v| replaced(v)).or(m.voters.iter().find(|v| silent(v.id, self.shape.repair_ms)));
+        let alive = m.voters.iter().filter(|v| !silent(v.id, self.shape.repair_ms) && !replaced(v)).count();
+        let cell = |x: &Member| self.cells.get(&x.id).map_or("", |c| c.as_str());
+        let kept: Vec<&Member> = m.voters.iter().filter(|v| dead.is_none_or(|d| d.id != v.id)).collect();
+        let there = |c: &str| kept.iter().filter(|v| !c.is_empty() && cell(v) == c).count();
+        let ready = m.learners.iter().filter(|l| raft.caught_up(now, l.id) && !self.kept.retired.contains(&l.id));
+        let next = ready.min_by_key(|l| there(cell(l)));
+        if let Some(d) = dead {
+            // without one in its place it is only given up after long, and never below three
+            let enough = alive >= CORE_LEAST.min(self.shape.core_voters);
+            let given_up = silent(d.id, self.shape.repair_ms.max(REPAIR_MS));
+            let stands_in = next.is_some() || m.voters.len() > self.shape.core_voters;
+            if enough && (stands_in || given_up || replaced(d)) || next.is_some() && replaced(d) {
+                return Some(Change::Remove(d.id));
+            }
         }
         // removed by an operator: the leader itself goes last
         let gone = m.all().filter(|x| self.kept.retired.contains(&x.id));
         if let Some(g) = gone.max_by_key(|x| x.id != raft.id) {
             return Some(Change::Remove(g.id));
         }
-        let room = m.voters.len() < CORE_VOTERS || dead.is_some();
-        m.learners.iter().find(|l| raft.caught_up(now, l.id)).filter(|_| room).map(|l| Change::Promote(l.id))
+        // a cell with most of the voters would take the core with it: one more elsewhere, then one fewer there
+        let (most, size) =
+            m.voters.iter().map(|v| (there(cell(v)), v)).max_by_key(|x| x.0).map_or((0, 0), |x| (x.0, kept.len()));
+        let crowded = |v: &&Member| there(cell(v)) == most && most > 1;
+        if size > self.shape.core_voters && dead.is_none() {
+            let out = m.voters.iter().filter(|v| v.id != raft.id && crowded(v)).max_by_key(|v| v.id);
+            return out.map(|v| Change::Remove(v.id));
+        }
+        let spread = most * 2 > size
+            && size >= CORE_LEAST
+            && next.is_some_and(|l| !cell(l).is_empty() && there(cell(l)) + 1 < most);
+        let room = m.voters.len() < self.shape.core_voters || dead.is_some() || spread;
+        next.filter(|_| room).map(|l| Change::Promote(l.id))
     }
 }
 
@@ -1007,6 +1407,96 @@
         assert_eq!(c.kept.decisions.len(), 1);
     }
 
+    #[test]
+    fn founders_know_each_other_by_their_addresses_alone() {
+        // given three addresses, named in another order by each
+        let a = ["10.0.0.1:1".to_string(), "10.0.0.2:1".into(), "10.0.0.3:1".into()];
+        let b = [a[2].clone(), a[0].clone(), a[1].clone()];
+        // when each works out who founds what, then it is the same
+        assert_eq!(founding_cluster(&a), founding_cluster(&b));
+        let sorted = |x: &[String]| {
+            let mut f = founders(x);
+            f.sort();
+            f
+        };
+        assert_eq!(sorted(&a), sorted(&b));
+        // and another list is another cluster, and nobody has the id of nobody
+        assert_ne!(founding_cluster(&a), founding_cluster(&a[..2]));
+        let ids: std::collections::BTreeSet<u64> = a.iter().map(|x| founder_id(x)).collect();
+        assert!(ids.len() == 3 && !ids.contains(&0));
+    }
+
+    #[test]
+    fn decisions_on_work_passed_through_count_what_is_in_use() {
+        use crate::state::config::{Group, Kind, Limits, PassGroup, Tuning};
+        // given six listed servers, all of them in use though nothing was said of how many
+        let mut c = Core::new();
+        let pass = PassGroup {
+            sessions_most: 100,
+            cold_per_s: 0.0,
+            cache_tokens: 0,
+            piece_tokens: 4,
+            batch: 0,
+            health_path: "/".into(),
+        };
+        let g = Group {
+            kind: Kind::Model,
+            slo_ms: 500,
+            least: 1,
+            most: 1_000,
+            in_flight: 4,
+            warm_jobs: 1,
+            pressure_most: 4.0,
+            cache_most: 0.9,
+            pass: Some(pass),
+        };
+        let config = Config {
+            groups: BTreeMap::from([("g".to_string(), g)]),
+            routes: BTreeMap::new(),
+            work: BTreeMap::new(),
+            scaler: Tuning::default(),
+            limits: Limits::default(),
+            ways: BTreeMap::new(),
+        };
+        c.put_config(1, 0, "a".into(), String::new(), config.clone(), 0, 1);
+        let listing = |i: u64| Listing {
+            name: format!("s{i}"),
+            group: "g".into(),
+            addr: format!("a{i}"),
+            cell: "c".into(),
+            slots: 4,
+            leaving: false,
+            cold: false,
+        };
+        let put = |r: std::ops::Range<u64>| r.map(|i| Relisted { listing: listing(i), since: 0 }).collect();
+        c.directory_agreed(2, put(0..6), vec![]);
+        let d = |from: u32, to: u32| Decision {
+            course: Course::Shrink,
+            abnormal: vec![],
+            ranks: vec![],
+            moves: vec![scaler::Move { group: "g".into(), from, to }],
+            judge: String::new(),
+            reasons: vec![],
+            load: BTreeMap::new(),
+        };
+        let s = || Sample { counts: BTreeMap::new(), load: BTreeMap::new(), ok: true };
+        let used = |c: &Core| c.view().servers.keys().filter(|n| c.view().usable(n)).count();
+        // when a step down counts from those six, it holds; from any other number it doesn't
+        c.decided(3, 1, d(5, 3), s());
+        assert_eq!(used(&c), 6);
+        c.decided(4, 1, d(6, 4), s());
+        assert_eq!(used(&c), 4);
+        // and a config again, or a server more, leaves it there
+        c.put_config(5, 1, "b".into(), String::new(), config, 0, 2);
+        c.directory_agreed(6, put(6..7), vec![]);
+        assert_eq!(used(&c), 4);
+        // and a step up to all there are takes those to come as well
+        c.decided(7, 1, d(4, 7), s());
+        assert_eq!(used(&c), 7);
+        c.directory_agreed(8, put(7..9), vec![]);
+        assert_eq!(used(&c), 9);
+    }
+
     #[test]
     fn a_decision_is_dropped_when_its_workload_moved_meanwhile() {
         use crate::state::config::{Group, Kind, Limits, Tuning};
@@ -1021,6 +1511,7 @@
             warm_jobs: 1,
             pressure_most: 4.0,
             cache_most: 0.9,
+            pass: None,
         };
         let groups = BTreeMap::from([("lang".to_string(), g)]);
         let config = Config {
@@ -1029,8 +1520,9 @@
             work: BTreeMap::new(),
             scaler: Tuning::default(),
             limits: Limits::default(),
+            ways: BTreeMap::new(),
         };
-        c.emit(1, Event::Config { text: String::new(), config });
+        c.emit(1, Event::Config { text: String::new(), config, number: 0 });
         for slot in 0..4 {
             let h = c.merged.entry(slot).or_default().pairs.entry((OUTSIDE.into(), "lang".into())).or_default();
             (0..50).for_each(|_| h.add(100));
--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -2,9 +2,11 @@
 pub mod core;
 pub mod edge;
 pub mod line;
+pub mod pass;
 pub mod raft;
 pub mod replica;
 pub mod scaler;
 pub mod shares;
 pub mod store;
+mod turns;
 pub mod view;
--- a/hutbook/src/transport/daemon.rs
+++ b/hutbook/src/transport/daemon.rs
@@ -1,13 +1,16 @@
 //! What all daemons share: how they start, stop, and say that they are ready.
 
-use super::http::{Asked, Said};
-use super::logs;
+use super::http::{self, Asked, Said};
+use super::logs::{self, Seldom};
 use crate::constants::*;
 use crate::protocol::settings::{self, Settings, Start, Who};
+use crate::state::disk::DiskError;
 use actix_rt::signal::unix::{signal, SignalKind};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Exit code for settings or flags that are wrong.
 pub const BAD_SETTINGS: u8 = 2;
@@ -29,6 +32,11 @@
             return ExitCode::from(BAD_SETTINGS);
         }
     };
+    start(who, s, run)
+}
+
+/// Starts with settings that are in order.
+pub fn start(who: Who, s: Settings, run: impl FnOnce(Settings) -> Result<(), String>) -> ExitCode {
     logs::start(who.name(), &s.log);
     match run(s) {
         Ok(()) => ExitCode::SUCCESS,
@@ -58,6 +66,23 @@
     }
 }
 
+/// Does it as soon as the disk lets it: a full or failing one gives the folder back by itself, and
+/// emptying it would only lose what it holds. What is damaged is refused at once.
+pub async fn with_room<T>(mut f: impl FnMut() -> Result<T, DiskError>) -> Result<T, String> {
+    let mut said = Seldom::default();
+    loop {
+        match f() {
+            Err(DiskError::Failed(why)) => {
+                if said.again() {
+                    log::error!("the disk gives no room or fails; trying again until it does: {why}");
+                }
+                actix_rt::time::sleep(Duration::from_millis(DISK_AGAIN_MS)).await;
+            }
+            r => return r.map_err(|e| e.to_string()),
+        }
+    }
+}
+
 /// Waits for SIGTERM or SIGINT and marks the process as closing.
 pub async fn told_to_stop(c: &Closing) -> std::io::Result<()> {
     let (mut t, mut i) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
@@ -106,3 +131,37 @@
     let l = if l.is_empty() { String::new() } else { format!("{{{}}}", l.join(",")) };
     out.push_str(&format!("corkdrum_{name}{l} {v}\n"));
 }
+
+/// Serves readiness alone at an address of its own.
+pub fn serve_ready<F>(at: Option<SocketAddr>, closing: Closing, ready: F) -> Result<(), String>
+where
+    F: Fn() -> Result<(), String> + Clone + Send + 'static,
+{
+    let Some(at) = at else { return Ok(()) };
+    let (s, _) = http::serve(at, 1, closing.clone(), move |a| {
+        let (r, c) = (ready(), closing.clone());
+        async move {
+            match (a.method.as_str(), a.path.first().map(String::as_str)) {
+                ("GET", Some("ready" | "readyz")) if is_closing(&c) => {
+                    Said::no(503, "closing", "it has been told to stop")
+                }
+                ("GET", Some("ready" | "readyz")) => match r {
+                    Ok(()) => Said::text("ready\n".into()),
+                    Err(why) => Said::no(503, "not_ready", why),
+                },
+                _ => Said::no(404, "unknown_path", "only readiness is served there"),
+            }
+        }
+    })
+    .map_err(|e| format!("{at}: {e}"))?;
+    actix_rt::spawn(s);
+    Ok(())
+}
+
+/// SIGHUP says that settings have changed: it must not end the process.
+pub async fn told_to_read_again(again: impl Fn()) {
+    let Ok(mut h) = signal(SignalKind::hangup()) else { return };
+    while h.recv().await.is_some() {
+        again();
+    }
+}
--- a/scramble/src/scale.rs
+++ b/scramble/src/scale.rs
@@ -61,7 +61,7 @@
     let text = crate::sweep::config(CONFIG, servers, 0);
     let config = hutbook::protocol::config::read(&text).expect("the example config is tested");
     let mut v = View::default();
-    v.fold(1, &Event::Config { text, config });
+    v.fold(1, &Event::Config { text, config, number: 1 });
     let group = |i: usize| if i.is_multiple_of(2) { "lang" } else { "tiles" };
     let mut spots = BTreeMap::from([("lang", BTreeMap::new()), ("tiles", BTreeMap::new())]);
     for i in 0..servers {
@@ -70,7 +70,18 @@
         spots.get_mut(group(i)).expect("both are there").insert(name.clone(), Spot { since: 2, draining: false });
         v.fold(
             2,
-            &Event::Server(Server { name, group: group(i).into(), addr, cell, leaving: false, since: 2, born: 1 }),
+            &Event::Server(Server {
+                name,
+                group: group(i).into(),
+                addr,
+                cell,
+                leaving: false,
+                since: 2,
+                born: 1,
+                cold: false,
+                listed_by_directory: false,
+                slots: 0,
+            }),
         );
     }
     for (g, spots) in spots {
