--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -134,8 +134,10 @@
 
 /// bytes. Largest frame between our processes.
 pub const FRAME_BYTES: usize = 8 * 1024 * 1024;
-/// bytes. Largest body from a caller or an operator.
-pub const BODY_BYTES: usize = 4 * 1024 * 1024;
+/// bytes. Largest body from a caller.
+pub const BODY_BYTES: usize = 1024 * 1024;
+/// bytes. Largest body from an operator: a config of some ten thousand routes.
+pub const OPERATOR_BYTES: usize = 4 * 1024 * 1024;
 /// messages. Waiting to be written to one partner; beyond it they are dropped, as a network would.
 pub const OUTBOX: usize = 4_096;
 /// ms. A write to a partner that takes longer ends the session.
--- a/hutbook/src/protocol/settings.rs
+++ b/hutbook/src/protocol/settings.rs
@@ -74,7 +74,7 @@
 }
 
 pub enum Start {
-    Run(Settings),
+    Run(Box<Settings>),
     /// Help or version: to be printed, then a good end.
     Say(String),
 }
@@ -206,7 +206,7 @@
     if m.opt_present("check") {
         return Ok(Start::Say("the settings are in order\n".into()));
     }
-    let found_alone = Settings {
+    let s = Settings {
         wire,
         advertise,
         http,
@@ -224,7 +224,7 @@
         linger_ms: 0,
         shape: Shape::default(),
     };
-    Ok(Start::Run(found_alone))
+    Ok(Start::Run(Box::new(s)))
 }
 
 fn socket(r: &mut Reader, place: &str, a: &str) -> SocketAddr {
--- a/hutbook/src/transport/daemon.rs
+++ b/hutbook/src/transport/daemon.rs
@@ -21,7 +21,7 @@
 pub fn main(who: Who, run: impl FnOnce(Settings) -> Result<(), String>) -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let s = match settings::read(who, &args) {
-        Ok(Start::Run(s)) => s,
+        Ok(Start::Run(s)) => *s,
         Ok(Start::Say(t)) => {
             print!("{t}");
             return ExitCode::SUCCESS;
@@ -138,7 +138,7 @@
     F: Fn() -> Result<(), String> + Clone + Send + 'static,
 {
     let Some(at) = at else { return Ok(()) };
-    let (s, _) = http::serve(at, 1, closing.clone(), move |a| {
+    let (s, _) = http::serve(at, 1, BODY_BYTES, closing.clone(), move |a| {
         let (r, c) = (ready(), closing.clone());
         async move {
             match (a.method.as_str(), a.path.first().map(String::as_str)) {
--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -97,6 +97,7 @@
 pub fn serve<F, R>(
     addr: SocketAddr,
     workers: usize,
+    body_most: usize,
     closing: Arc<AtomicBool>,
     f: F,
 ) -> std::io::Result<(Server, Active)>
@@ -107,7 +108,7 @@
     serve_requests(addr, workers, KEEP_ALIVE_MS, None, move |req| {
         let (f, closing) = (f.clone(), closing.clone());
         async move {
-            let s = match read(req).await {
+            let s = match read(req, body_most).await {
                 Ok(a) => f(a).await,
                 Err(s) => s,
             };
@@ -191,7 +192,7 @@
     }
 }
 
-async fn read(mut req: Request) -> Result<Asked, Said> {
+async fn read(mut req: Request, most: usize) -> Result<Asked, Said> {
     let mut a = Asked { method: req.method().to_string(), ..Asked::default() };
     a.path = req.path().split('/').filter(|s| !s.is_empty()).map(plain).collect();
     for kv in req.uri().query().unwrap_or("").split('&').filter(|s| !s.is_empty()) {
@@ -206,8 +207,8 @@
     let whole = async {
         while let Some(b) = p.next().await {
             let b = b.map_err(|_| Said::no(400, "bad_body", "the body broke off"))?;
-            if body.len() + b.len() > BODY_BYTES {
-                return Err(Said::no(413, "body_too_large", format!("more than {BODY_BYTES} bytes")));
+            if body.len() + b.len() > most {
+                return Err(Said::no(413, "body_too_large", format!("more than {most} bytes")));
             }
             body.extend_from_slice(&b);
         }
--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -18,8 +18,11 @@
     Patch(Patch),
 }
 
+/// Works a change out on the text of the config in force.
+pub type Apply = Box<dyn Fn(&str) -> Result<CoreAsk, Said> + Send>;
+
 pub struct Patch {
-    pub apply: Box<dyn Fn(&str) -> Result<CoreAsk, Said> + Send>,
+    pub apply: Apply,
 }
 
 /// How operators speak to this core. It translates; what is decided is decided elsewhere.
--- a/huts/src/bothy.rs
+++ b/huts/src/bothy.rs
@@ -46,7 +46,7 @@
         Post::start(disk.id, disk.cluster, Some(s.wire), s.at(), handler).map_err(|e| format!("{}: {e}", s.wire))?;
     let me = Member { id: disk.id, addr: s.at().to_string() };
     let (sl, p, c, my, cell) = (slot.clone(), post.clone(), closing.clone(), me.clone(), s.cell.clone());
-    let (server, active) = http::serve(s.http, 1, closing.clone(), move |a| {
+    let (server, active) = http::serve(s.http, 1, BODY_BYTES, closing.clone(), move |a| {
         let (sl, p, c, my, cell) = (sl.clone(), p.clone(), c.clone(), my.clone(), cell.clone());
         async move {
             let ready = match sl.get() {
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -88,18 +88,19 @@
     let (h, p, c, r) = (hut.clone(), post.clone(), closing.clone(), reach.clone());
     let (my, first) = (me.clone(), seeds.clone());
     let cell = s.cell.clone();
-    let (server, active) = http::serve(s.http, daemon::workers(), closing.clone(), move |a| {
-        let (d, h, p, c, r, my, first, cell) =
-            (dialect.clone(), h.clone(), p.clone(), c.clone(), r.clone(), my.clone(), first.clone(), cell.clone());
-        async move {
-            let ready = h.look(|x| x.leader().map(drop).ok_or("no leader is known".to_string()));
-            match common(&a, &c, ready, || metrics(&h, &p), || beliefs(&h, &my, &cell)).filter(|_| d.common(&a)) {
-                Some(s) => s,
-                None => operators::answer(r, members(&h, &my, &first), a, &*d).await,
+    let (server, active) =
+        http::serve(s.http, s.workers.unwrap_or_else(daemon::workers), OPERATOR_BYTES, closing.clone(), move |a| {
+            let (d, h, p, c, r, my, first, cell) =
+                (dialect.clone(), h.clone(), p.clone(), c.clone(), r.clone(), my.clone(), first.clone(), cell.clone());
+            async move {
+                let ready = h.look(|x| x.leader().map(drop).ok_or("no leader is known".to_string()));
+                match common(&a, &c, ready, || metrics(&h, &p), || beliefs(&h, &my, &cell)).filter(|_| d.common(&a)) {
+                    Some(s) => s,
+                    None => operators::answer(r, members(&h, &my, &first), a, &*d).await,
+                }
             }
-        }
-    })
-    .map_err(|e| format!("{}: {e}", s.http))?;
+        })
+        .map_err(|e| format!("{}: {e}", s.http))?;
     let handle = server.handle();
     actix_rt::spawn(server);
     if let Some(l) = list {
--- a/huts/src/trailhead.rs
+++ b/huts/src/trailhead.rs
@@ -41,7 +41,7 @@
     let field = Arc::new(Field::new(edge.clone(), way.clone()));
     let (f, t, c, p) = (field.clone(), tally.clone(), closing.clone(), post.clone());
     let workers = s.workers.unwrap_or_else(daemon::workers);
-    let (server, active) = http::serve(s.http, workers, closing.clone(), move |a| {
+    let (server, active) = http::serve(s.http, workers, BODY_BYTES, closing.clone(), move |a| {
         let (f, t, c, p) = (f.clone(), t.clone(), c.clone(), p.clone());
         async move {
             match common(&a, &c, ready(&f), || metrics(&f, &t, &p), || beliefs(&f)) {
--- a/scramble/src/bin/bivouac.rs
+++ b/scramble/src/bin/bivouac.rs
@@ -126,7 +126,10 @@
         now: Mutex::default(),
     });
     let r = actix_rt::System::new().block_on(async move {
-        let (s, _) = http::serve(addr, 1, Arc::new(AtomicBool::new(false)), move |a| serve(camp.clone(), a))?;
+        let (s, _) =
+            http::serve(addr, 1, hutbook::constants::BODY_BYTES, Arc::new(AtomicBool::new(false)), move |a| {
+                serve(camp.clone(), a)
+            })?;
         s.await
     });
     if let Err(e) = r {
