--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -2,7 +2,7 @@
 
 /// Version of what the processes say to each other; a node speaks its own and the one before.
 pub const WIRE_VERSION: u16 = 1;
-/// Version of what stands on disk. 2: a capture lies in pieces. Folders of older ones are read.
+/// Version of what stands on disk. 2: a snapshot lies in pieces. Folders of older ones are read.
 pub const DISK_VERSION: u64 = 2;
 
 /// ms. Leader's heartbeat: four fit into the shortest election wait, so one lost packet unseats nobody.
@@ -21,10 +21,10 @@
 pub const APPEND_ENTRIES: usize = 512;
 /// bytes. An append message stops growing here.
 pub const APPEND_BYTES: usize = 512 * 1024;
-/// bytes. One piece of a capture: far below the frame bound.
-pub const PIECE_BYTES: usize = 256 * 1024;
-/// ms. A piece of a capture that hasn't been taken is sent again: it and its answer fit in twice on a slow link.
-pub const PIECE_AGAIN_MS: u64 = 300;
+/// bytes. One piece of a snapshot: far below the frame bound.
+pub const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
+/// ms. A piece of a snapshot that hasn't been taken is sent again: it and its answer fit in twice on a slow link.
+pub const SNAPSHOT_CHUNK_RETRY_MS: u64 = 300;
 /// entries. Proposals not yet committed that a leader holds before it says busy.
 pub const OPEN_PROPOSALS: u64 = 4_096;
 /// reads. Linearizable reads waiting for one confirmation round.
@@ -33,13 +33,13 @@
 pub const PROMOTE_LAG: u64 = 64;
 /// addresses. Of partners, as they told them; far more than a group has members.
 pub const ADDRS_KEPT: usize = 64;
-/// entries. A capture is taken each time this many were applied, if they weigh as much as the last
+/// entries. a snapshot is taken each time this many were applied, if they weigh as much as the last
 /// one: then captures write no more than the log itself.
-pub const CAPTURE_EVERY: u64 = 4_096;
+pub const SNAPSHOT_EVERY: u64 = 4_096;
 /// entries. Applied at the most before one is taken all the same: a start applies them again.
-pub const CAPTURE_MOST: u64 = 16 * CAPTURE_EVERY;
+pub const SNAPSHOT_MOST: u64 = 16 * SNAPSHOT_EVERY;
 /// bytes. Of entries, likewise: they stand in memory until then.
-pub const CAPTURE_BYTES: usize = 16 * 1024 * 1024;
+pub const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
 
 /// ms. How often a trailhead renews its licence.
 pub const RENEW_MS: u64 = 300;
@@ -198,7 +198,7 @@
 /// bytes. What redb keeps of its file in memory: a log is written and hardly read, and the smallest
 /// machines have 48 MB for everything. redb's own default is a gigabyte.
 pub const DISK_CACHE_BYTES: usize = 4 * 1024 * 1024;
-/// bytes. Of a capture in one value on disk: redb gives each value a page of the next power of two,
+/// bytes. Of a snapshot in one value on disk: redb gives each value a page of the next power of two,
 /// and holds what it writes in memory until the page is full.
 pub const DISK_PIECE_BYTES: usize = 250 * 1024;
 /// inputs. A replica takes at one go before it looks at the clock again.
--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -1,7 +1,7 @@
 //! What one trailhead knows and may do: the view it follows, its licence, its
 //! waiting lines and its measurements. Each under its own lock.
 
-use super::core::{Grant, Renewal, Update, Window};
+use super::control::{Grant, Renewal, Update, Window};
 use super::line::{Left, Line, Look, Placed, Refusal, Srv, Wait};
 use super::pass::Pass;
 use super::shares::Held;
--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -1,5 +1,5 @@
 //! Coordination: how many nodes act as one. Synchronous; given the time.
-pub mod core;
+pub mod control;
 pub mod edge;
 pub mod line;
 pub mod pass;
--- a/hutbook/src/protocol/settings.rs
+++ b/hutbook/src/protocol/settings.rs
@@ -2,7 +2,7 @@
 
 use super::findings::{is_name, Finding, Reader};
 use crate::constants::DAY_MS;
-use crate::coordination::core::Shape;
+use crate::coordination::control::Shape;
 use getopts::Options;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/hutbook/src/protocol/wire.rs
+++ b/hutbook/src/protocol/wire.rs
@@ -1,18 +1,18 @@
 //! Frames between our own processes: length, version, then CBOR.
 
 use crate::constants::*;
-use crate::coordination::core::{CoreAsk, CoreTell};
-use crate::coordination::raft::RaftMsg;
-use crate::coordination::store::{StoreAsk, StoreTell};
+use crate::coordination::control::{ControlRequest, ControlResponse};
+use crate::coordination::raft::RaftMessage;
+use crate::coordination::store::{StoreRequest, StoreResponse};
 use crate::state::entry::to_bytes;
 
 messages! {
     pub enum Body {
-        #[n(0)] Raft { #[n(0)] group: u32, #[n(1)] msg: RaftMsg, #[n(2)] at: String },
-        #[n(1)] Core(#[n(0)] Box<CoreAsk>),
-        #[n(2)] CoreSaid(#[n(0)] Box<CoreTell>),
-        #[n(3)] Store { #[n(0)] group: u32, #[n(1)] ask: Box<StoreAsk> },
-        #[n(4)] StoreSaid(#[n(0)] Box<StoreTell>),
+        #[n(0)] Raft { #[n(0)] group: u32, #[n(1)] msg: RaftMessage, #[n(2)] at: String },
+        #[n(1)] Core(#[n(0)] Box<ControlRequest>),
+        #[n(2)] CoreSaid(#[n(0)] Box<ControlResponse>),
+        #[n(3)] Store { #[n(0)] group: u32, #[n(1)] ask: Box<StoreRequest> },
+        #[n(4)] StoreSaid(#[n(0)] Box<StoreResponse>),
         /// Turned away, and why.
         #[n(5)] Away(#[n(0)] String),
     }
--- a/hutbook/src/state/entry.rs
+++ b/hutbook/src/state/entry.rs
@@ -23,7 +23,7 @@
         #[n(1)] pub term: u64,
         #[n(2)] pub what: What,
     }
-    pub struct Capture {
+    pub struct Snapshot {
         #[n(0)] pub index: u64,
         #[n(1)] pub term: u64,
         #[n(2)] pub members: Members,
--- a/hutbook/src/transport/callers.rs
+++ b/hutbook/src/transport/callers.rs
@@ -4,7 +4,7 @@
 use super::http::{Asked, Out, Said};
 use super::serve::{tool, turn, Ear, Ground, Heard, Job, Told};
 use crate::constants::*;
-use crate::coordination::store::{Ended, Program, StoreAsk, StoreTell, Verdict};
+use crate::coordination::store::{Ended, Program, StoreRequest, StoreResponse, Verdict};
 use crate::coordination::view::hash;
 use crate::protocol::findings::{is_name, Reader};
 use crate::state::config::{Config, Kind};
@@ -119,18 +119,18 @@
     if !r.found.is_empty() {
         return bad(r);
     }
-    let ask = StoreAsk::Put { id: id.into(), allowance, time_left_ms: time, retention_ms: retention };
+    let ask = StoreRequest::Put { id: id.into(), allowance, time_left_ms: time, retention_ms: retention };
     match f.store(id, ask).await {
-        Some(StoreTell::Program(p, t)) => Said::json(200, program_json(&p, t)),
-        Some(StoreTell::Conflict) => Said::no(409, "program_differs", "this program exists with other terms"),
+        Some(StoreResponse::Program(p, t)) => Said::json(200, program_json(&p, t)),
+        Some(StoreResponse::Conflict) => Said::no(409, "program_differs", "this program exists with other terms"),
         _ => later(503, "store_unreachable", "nothing could be decided", "same_key"),
     }
 }
 
 async fn get(f: &Arc<Field>, id: &str) -> Said {
-    match f.store(id, StoreAsk::Program { id: id.into() }).await {
-        Some(StoreTell::Program(p, t)) => Said::json(200, program_json(&p, t)),
-        Some(StoreTell::NoProgram) => Said::no(404, "no_program", "no such program is kept"),
+    match f.store(id, StoreRequest::Program { id: id.into() }).await {
+        Some(StoreResponse::Program(p, t)) => Said::json(200, program_json(&p, t)),
+        Some(StoreResponse::NoProgram) => Said::no(404, "no_program", "no such program is kept"),
         _ => later(503, "store_unreachable", "nothing could be decided", "same_key"),
     }
 }
@@ -139,11 +139,11 @@
     let Some(p) = a.query.get("program").filter(|p| is_name(p)) else {
         return Said::no(400, "no_program_named", "say which program the key belongs to: ?program=ID");
     };
-    let ask = StoreAsk::Look { program: p.clone(), key: key.into(), digest: 0 };
+    let ask = StoreRequest::Look { program: p.clone(), key: key.into(), digest: 0 };
     match f.store(p, ask).await {
-        Some(StoreTell::Ended(e)) => Said::json(200, verdict_json(&Told::Ended(e), key)),
-        Some(StoreTell::Running) => Said::json(200, verdict_json(&Told::Running, key)),
-        Some(StoreTell::Unknown(..) | StoreTell::NoProgram) => Said::no(404, "no_job", "no such key is kept"),
+        Some(StoreResponse::Ended(e)) => Said::json(200, verdict_json(&Told::Ended(e), key)),
+        Some(StoreResponse::Running) => Said::json(200, verdict_json(&Told::Running, key)),
+        Some(StoreResponse::Unknown(..) | StoreResponse::NoProgram) => Said::no(404, "no_job", "no such key is kept"),
         _ => later(503, "store_unreachable", "nothing could be decided", "same_key"),
     }
 }
@@ -191,10 +191,10 @@
     if no.status != 404 || !is_name(id) || !is_name(&key) {
         return no;
     }
-    let ask = StoreAsk::Look { program: id.into(), key: key.clone(), digest: 0 };
+    let ask = StoreRequest::Look { program: id.into(), key: key.clone(), digest: 0 };
     match f.store(id, ask).await {
-        Some(StoreTell::Ended(e)) => verdict(&Told::Ended(e), &key),
-        Some(StoreTell::Running) => verdict(&Told::Running, &key),
+        Some(StoreResponse::Ended(e)) => verdict(&Told::Ended(e), &key),
+        Some(StoreResponse::Running) => verdict(&Told::Running, &key),
         _ => no,
     }
 }
--- a/hutbook/src/transport/directory.rs
+++ b/hutbook/src/transport/directory.rs
@@ -4,7 +4,7 @@
 use super::http::call;
 use super::hut::Hut;
 use crate::constants::*;
-use crate::coordination::core::{Core, CoreAsk, CoreTell, Listing};
+use crate::coordination::control::{ControlRequest, ControlResponse, Core, Listing};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
         if let Some(term) = term {
             match whole(&*d).await {
                 // what was read under an earlier term is dropped with it
-                Ok(servers) => hut.ask(CoreAsk::Directory { term, servers }, CoreTell::Busy, |_| {}),
+                Ok(servers) => hut.ask(ControlRequest::Directory { term, servers }, ControlResponse::Busy, |_| {}),
                 Err(e) => log::debug!("the directory can't be had: {e}"),
             }
         }
--- a/hutbook/src/transport/field.rs
+++ b/hutbook/src/transport/field.rs
@@ -7,7 +7,7 @@
 use crate::constants::*;
 use crate::coordination::edge::Edge;
 use crate::coordination::line::Look;
-use crate::coordination::store::{StoreAsk, StoreTell};
+use crate::coordination::store::{StoreRequest, StoreResponse};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use std::pin::Pin;
@@ -44,7 +44,7 @@
         actix_rt::time::sleep(Duration::from_millis(ms)).await;
     }
 
-    async fn store(&self, program: &str, ask: StoreAsk) -> Option<StoreTell> {
+    async fn store(&self, program: &str, ask: StoreRequest) -> Option<StoreResponse> {
         self.stores.ask(&self.edge.view(), program, ask).await
     }
 
--- a/hutbook/src/transport/hut.rs
+++ b/hutbook/src/transport/hut.rs
@@ -3,8 +3,8 @@
 use super::logs::Seldom;
 use super::post::Post;
 use crate::constants::*;
-use crate::coordination::raft::RaftMsg;
-use crate::coordination::replica::{Feed, Fruit, Fruits, Machine, Replica};
+use crate::coordination::raft::RaftMessage;
+use crate::coordination::replica::{Input, Output, Outputs, Replica, StateMachine};
 use crate::protocol::wire::Body;
 use crate::state::disk::{Boot, Disk, DiskOp};
 use std::collections::HashMap;
@@ -29,15 +29,15 @@
 
 type Answer<T> = Box<dyn FnOnce(T) + Send>;
 
-enum Input<M: Machine> {
-    Msg(u64, String, RaftMsg),
+enum Inbound<M: StateMachine> {
+    Msg(u64, String, RaftMessage),
     Synced(u64),
-    Ask(M::Ask, Answer<M::Tell>),
+    Ask(M::Request, Answer<M::Response>),
     StepAside,
 }
 
-pub struct Hut<M: Machine> {
-    tx: SyncSender<Input<M>>,
+pub struct Hut<M: StateMachine> {
+    tx: SyncSender<Inbound<M>>,
     pub replica: Arc<Mutex<Replica<M>>>,
     /// ms the newest sync took, and syncs that failed.
     pub sync_ms: Arc<AtomicU64>,
@@ -45,14 +45,15 @@
 }
 
 /// What runs a long computation of the machine and says what came of it.
-pub type Thinker<M> = Arc<dyn Fn(<M as Machine>::Think) -> Option<<M as Machine>::Ask> + Send + Sync>;
+pub type Thinker<M> =
+    Arc<dyn Fn(<M as StateMachine>::Computation) -> Option<<M as StateMachine>::Request> + Send + Sync>;
 
 impl<M> Hut<M>
 where
-    M: Machine + Send + 'static,
-    M::Ask: Send + 'static,
-    M::Tell: Send + 'static,
-    M::Think: Send + 'static,
+    M: StateMachine + Send + 'static,
+    M::Request: Send + 'static,
+    M::Response: Send + 'static,
+    M::Computation: Send + 'static,
 {
     /// `boot` is what `disk` holds.
     #[allow(clippy::too_many_arguments)]
@@ -86,22 +87,22 @@
         Ok(hut)
     }
 
-    pub fn msg(&self, from: u64, at: String, msg: RaftMsg) {
+    pub fn msg(&self, from: u64, at: String, msg: RaftMessage) {
         // full: dropped, as a network would
-        let _ = self.tx.try_send(Input::Msg(from, at, msg));
+        let _ = self.tx.try_send(Inbound::Msg(from, at, msg));
     }
 
     /// Asks the replica; where its inbox is full, `busy` is the answer.
-    pub fn ask(&self, ask: M::Ask, busy: M::Tell, f: impl FnOnce(M::Tell) + Send + 'static) {
-        match self.tx.try_send(Input::Ask(ask, Box::new(f))) {
+    pub fn ask(&self, ask: M::Request, busy: M::Response, f: impl FnOnce(M::Response) + Send + 'static) {
+        match self.tx.try_send(Inbound::Ask(ask, Box::new(f))) {
             Ok(()) => {}
-            Err(TrySendError::Full(Input::Ask(_, f)) | TrySendError::Disconnected(Input::Ask(_, f))) => f(busy),
+            Err(TrySendError::Full(Inbound::Ask(_, f)) | TrySendError::Disconnected(Inbound::Ask(_, f))) => f(busy),
             Err(_) => {}
         }
     }
 
     pub fn step_aside(&self) {
-        let _ = self.tx.try_send(Input::StepAside);
+        let _ = self.tx.try_send(Inbound::StepAside);
     }
 
     pub fn look<T>(&self, f: impl FnOnce(&Replica<M>) -> T) -> T {
@@ -110,7 +111,7 @@
 
     /// One batch after the other, in order; a failed one is tried until it holds.
     /// Meanwhile the replica sees no sync come back, and stands down by itself.
-    fn write(&self, mut disk: Disk, rx: Receiver<(u64, Vec<DiskOp>)>, back: SyncSender<Input<M>>) {
+    fn write(&self, mut disk: Disk, rx: Receiver<(u64, Vec<DiskOp>)>, back: SyncSender<Inbound<M>>) {
         while let Ok((mut mark, mut ops)) = rx.recv() {
             while let Ok((m, o)) = rx.try_recv() {
                 mark = m;
@@ -126,32 +127,32 @@
                 std::thread::sleep(Duration::from_millis(DISK_AGAIN_MS));
             }
             self.sync_ms.store(t.elapsed().as_millis() as u64, Ordering::Relaxed);
-            if back.send(Input::Synced(mark)).is_err() {
+            if back.send(Inbound::Synced(mark)).is_err() {
                 return;
             }
         }
     }
 }
 
-struct Runner<M: Machine> {
+struct Runner<M: StateMachine> {
     group: u32,
     clock: Clock,
     post: Arc<Post>,
     disk: Sender<(u64, Vec<DiskOp>)>,
-    tickets: HashMap<u64, Answer<M::Tell>>,
+    tickets: HashMap<u64, Answer<M::Response>>,
     next: u64,
     thinker: Thinker<M>,
-    back: SyncSender<Input<M>>,
+    back: SyncSender<Inbound<M>>,
 }
 
 impl<M> Runner<M>
 where
-    M: Machine + Send + 'static,
-    M::Ask: Send + 'static,
-    M::Tell: Send + 'static,
-    M::Think: Send + 'static,
+    M: StateMachine + Send + 'static,
+    M::Request: Send + 'static,
+    M::Response: Send + 'static,
+    M::Computation: Send + 'static,
 {
-    fn run(mut self, r: &Mutex<Replica<M>>, rx: Receiver<Input<M>>, first: Fruits<M>) {
+    fn run(mut self, r: &Mutex<Replica<M>>, rx: Receiver<Inbound<M>>, first: Outputs<M>) {
         self.spread(first);
         let mut tick_at = 0;
         loop {
@@ -180,46 +181,46 @@
                 let now = self.clock.now();
                 if now >= tick_at {
                     tick_at = now + TICK_MS;
-                    fruit.extend(r.step(now, Feed::Tick));
+                    fruit.extend(r.step(now, Input::Tick));
                 }
             }
             self.spread(fruit);
         }
     }
 
-    fn feed(&mut self, i: Input<M>) -> Feed<M::Ask> {
+    fn feed(&mut self, i: Inbound<M>) -> Input<M::Request> {
         match i {
-            Input::Msg(from, at, msg) => Feed::Msg { from, at, msg },
-            Input::Synced(m) => Feed::Synced(m),
-            Input::StepAside => Feed::StepAside,
-            Input::Ask(ask, f) => {
+            Inbound::Msg(from, at, msg) => Input::Message { from, at, msg },
+            Inbound::Synced(m) => Input::Synced(m),
+            Inbound::StepAside => Input::TransferLeadership,
+            Inbound::Ask(ask, f) => {
                 self.next += 1;
                 self.tickets.insert(self.next, f);
-                Feed::Ask { ticket: self.next, ask }
+                Input::Request { ticket: self.next, request: ask }
             }
         }
     }
 
-    fn spread(&mut self, fruit: Fruits<M>) {
+    fn spread(&mut self, fruit: Outputs<M>) {
         for f in fruit {
             match f {
-                Fruit::Send { addr, msg, .. } => {
+                Output::Send { addr, msg, .. } => {
                     self.post.send(&addr, Body::Raft { group: self.group, msg, at: self.post.at.clone() })
                 }
-                Fruit::Persist { mark, ops } => {
+                Output::Persist { sync_ticket: mark, ops } => {
                     // gone only when the process ends
                     let _ = self.disk.send((mark, ops));
                 }
-                Fruit::Tell { ticket, tell } => {
+                Output::Reply { ticket, response: tell } => {
                     if let Some(f) = self.tickets.remove(&ticket) {
                         f(tell);
                     }
                 }
-                Fruit::Think(k) => {
+                Output::Compute(k) => {
                     let (t, back) = (self.thinker.clone(), self.back.clone());
                     let _ = std::thread::Builder::new().name("think".into()).spawn(move || {
                         if let Some(ask) = t(k) {
-                            let _ = back.try_send(Input::Ask(ask, Box::new(|_| {})));
+                            let _ = back.try_send(Inbound::Ask(ask, Box::new(|_| {})));
                         }
                     });
                 }
--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -5,7 +5,7 @@
 use super::http::{Asked, Out, Said};
 use super::reach::{Reach, Wired};
 use crate::constants::*;
-use crate::coordination::core::{CoreAsk, CoreTell};
+use crate::coordination::control::{ControlRequest, ControlResponse};
 use crate::protocol::config;
 use crate::protocol::findings::{is_name, Finding, Reader};
 use std::net::SocketAddr;
@@ -13,13 +13,13 @@
 
 /// What one call of an operator comes to.
 pub enum Order {
-    Ask(CoreAsk),
+    Ask(ControlRequest),
     /// Changes named items of the config in force: given its text, the whole new one.
     Patch(Patch),
 }
 
 /// Works a change out on the text of the config in force.
-pub type Apply = Box<dyn Fn(&str) -> Result<CoreAsk, Said> + Send>;
+pub type Apply = Box<dyn Fn(&str) -> Result<ControlRequest, Said> + Send>;
 
 pub struct Patch {
     pub apply: Apply,
@@ -28,7 +28,7 @@
 /// How operators speak to this core. It translates; what is decided is decided elsewhere.
 pub trait Dialect: Send + Sync {
     fn order(&self, a: &Asked) -> Result<Order, Said>;
-    fn said(&self, a: &Asked, t: CoreTell) -> Said;
+    fn said(&self, a: &Asked, t: ControlResponse) -> Said;
     /// Are the paths that all daemons answer served beside it?
     fn common(&self, a: &Asked) -> bool;
 }
@@ -41,7 +41,7 @@
         ask(a).map(Order::Ask)
     }
 
-    fn said(&self, _: &Asked, t: CoreTell) -> Said {
+    fn said(&self, _: &Asked, t: ControlResponse) -> Said {
         said(t)
     }
 
@@ -56,8 +56,8 @@
         Ok(Order::Ask(x)) => x,
         Ok(Order::Patch(p)) => {
             // the change is worked out on what is in force, and holds only if that still is
-            match reach.core(&addrs, CoreAsk::GetConfig(0), OPERATOR_MS, CALL_MS).await {
-                Some(CoreTell::Config { text, .. }) => match (p.apply)(&text) {
+            match reach.core(&addrs, ControlRequest::GetConfig(0), OPERATOR_MS, CALL_MS).await {
+                Some(ControlResponse::Config { text, .. }) => match (p.apply)(&text) {
                     Ok(x) => x,
                     Err(s) => return s,
                 },
@@ -77,7 +77,7 @@
     Said::no(503, "no_leader", "the core has no leader with a quorum that could be reached").with("retry-after", "1")
 }
 
-fn ask(a: &Asked) -> Result<CoreAsk, Said> {
+fn ask(a: &Asked) -> Result<ControlRequest, Said> {
     let path: Vec<&str> = a.path.iter().map(String::as_str).collect();
     let name = |s: &&str| {
         is_name(s).then(|| s.to_string()).ok_or_else(|| Said::no(422, "bad_name", format!("{s} is not a name")))
@@ -87,26 +87,26 @@
     Ok(match (a.method.as_str(), path.as_slice()) {
         ("GET", ["v1", "config"]) => {
             let rev = a.query.get("revision").map_or(Ok(0), |r| r.parse());
-            CoreAsk::GetConfig(rev.map_err(|_| Said::no(422, "bad_revision", "a revision is a number"))?)
+            ControlRequest::GetConfig(rev.map_err(|_| Said::no(422, "bad_revision", "a revision is a number"))?)
         }
         ("PUT", ["v1", "config"]) => put_config(a)?,
-        ("GET", ["v1", "config", "history"]) => CoreAsk::Configs,
-        ("GET", ["v1", "servers"]) => CoreAsk::Servers,
+        ("GET", ["v1", "config", "history"]) => ControlRequest::Configs,
+        ("GET", ["v1", "servers"]) => ControlRequest::Servers,
         ("PUT", ["v1", "servers", n]) => list(name(n)?, &a.body)?,
-        ("POST", ["v1", "servers", n, "leaving"]) => CoreAsk::Leave(name(n)?),
+        ("POST", ["v1", "servers", n, "leaving"]) => ControlRequest::Leave(name(n)?),
         ("DELETE", ["v1", "servers", n]) => {
-            CoreAsk::Remove { name: name(n)?, anyway: a.query.get("anyway").is_some_and(|v| v == "true") }
+            ControlRequest::Remove { name: name(n)?, anyway: a.query.get("anyway").is_some_and(|v| v == "true") }
         }
-        ("PUT", ["v1", "cells", c, "evacuation"]) => CoreAsk::Evacuate { cell: name(c)?, out: true },
-        ("DELETE", ["v1", "cells", c, "evacuation"]) => CoreAsk::Evacuate { cell: name(c)?, out: false },
-        ("GET", ["v1", "cells", c, "evacuation"]) => CoreAsk::Evacuation(name(c)?),
-        ("PUT", ["v1", "stores", n, "retirement"]) => CoreAsk::Retire(node(n)?),
-        ("GET", ["v1", "stores", n, "retirement"]) => CoreAsk::Retirement(node(n)?),
-        ("GET", ["v1", "core", "members"]) => CoreAsk::Members,
-        ("DELETE", ["v1", "core", "members", n]) => CoreAsk::RemoveCore(node(n)?),
-        ("GET", ["v1", "places"]) => CoreAsk::Places,
-        ("GET", ["v1", "scaler"]) => CoreAsk::Scaler,
-        ("GET", ["v1", "status"]) => CoreAsk::Status,
+        ("PUT", ["v1", "cells", c, "evacuation"]) => ControlRequest::Evacuate { cell: name(c)?, out: true },
+        ("DELETE", ["v1", "cells", c, "evacuation"]) => ControlRequest::Evacuate { cell: name(c)?, out: false },
+        ("GET", ["v1", "cells", c, "evacuation"]) => ControlRequest::Evacuation(name(c)?),
+        ("PUT", ["v1", "stores", n, "retirement"]) => ControlRequest::Retire(node(n)?),
+        ("GET", ["v1", "stores", n, "retirement"]) => ControlRequest::Retirement(node(n)?),
+        ("GET", ["v1", "core", "members"]) => ControlRequest::Members,
+        ("DELETE", ["v1", "core", "members", n]) => ControlRequest::RemoveCore(node(n)?),
+        ("GET", ["v1", "places"]) => ControlRequest::Places,
+        ("GET", ["v1", "scaler"]) => ControlRequest::Scaler,
+        ("GET", ["v1", "status"]) => ControlRequest::Status,
         (_, ["v1", "config" | "servers" | "cells" | "stores" | "core" | "places" | "scaler" | "status", ..]) => {
             return Err(Said::no(405, "wrong_method", "not with this method, or not at this path"))
         }
@@ -120,7 +120,7 @@
     Said::json(422, jzon::object! { error: "bad_config", findings: l })
 }
 
-fn put_config(a: &Asked) -> Result<CoreAsk, Said> {
+fn put_config(a: &Asked) -> Result<ControlRequest, Said> {
     let c = config::read(&a.body).map_err(|f| findings(&f))?;
     let Some(m) = a.headers.get("if-match") else {
         return Err(Said::no(428, "no_base", "say with If-Match which revision this builds on; 0 where there is none"));
@@ -131,10 +131,10 @@
         Some(_) => return Err(Said::no(422, "bad_change_id", "a change id is a name")),
         None => format!("{:016x}", draw()),
     };
-    Ok(CoreAsk::PutConfig { base, change, text: a.body.clone(), config: Box::new(c), number: 0, words: 0 })
+    Ok(ControlRequest::PutConfig { base, change, text: a.body.clone(), config: Box::new(c), number: 0, words: 0 })
 }
 
-fn list(name: String, body: &str) -> Result<CoreAsk, Said> {
+fn list(name: String, body: &str) -> Result<ControlRequest, Said> {
     let mut r = Reader::default();
     let v = r.parse(body).unwrap_or(jzon::JsonValue::Null);
     r.keys("", &v, &["group", "address", "cell"]);
@@ -149,23 +149,23 @@
     if !r.found.is_empty() {
         return Err(findings(&r.found));
     }
-    Ok(CoreAsk::List { name, group, addr, cell })
+    Ok(ControlRequest::List { name, group, addr, cell })
 }
 
-fn said(t: CoreTell) -> Said {
+fn said(t: ControlResponse) -> Said {
     match t {
-        CoreTell::Agreed(r) => Said::json(200, jzon::object! { revision: r }).with("etag", format!("\"{r}\"")),
-        CoreTell::Config { rev, text } => {
+        ControlResponse::Agreed(r) => Said::json(200, jzon::object! { revision: r }).with("etag", format!("\"{r}\"")),
+        ControlResponse::Config { rev, text } => {
             let s = Said { status: 200, headers: vec![], body: Out::Whole("application/json", text) };
             s.with("etag", format!("\"{rev}\""))
         }
-        CoreTell::Json(j) => Said { status: 200, headers: vec![], body: Out::Whole("application/json", j) },
-        CoreTell::Raced(r) => {
+        ControlResponse::Json(j) => Said { status: 200, headers: vec![], body: Out::Whole("application/json", j) },
+        ControlResponse::Raced(r) => {
             let j = jzon::object! { error: "lost_race", why: "another change came first", revision: r };
             Said::json(412, j).with("etag", format!("\"{r}\""))
         }
-        CoreTell::Refused { code, why } => Said::no(409, &code, why),
-        CoreTell::Unknown(why) => Said::no(404, "unknown", why),
+        ControlResponse::Refused { code, why } => Said::no(409, &code, why),
+        ControlResponse::Unknown(why) => Said::no(404, "unknown", why),
         _ => Said::no(503, "no_answer", "the core gave no answer to this").with("retry-after", "1"),
     }
 }
--- a/hutbook/src/transport/passing.rs
+++ b/hutbook/src/transport/passing.rs
@@ -10,10 +10,10 @@
 use super::serve::{Gate, Ground};
 use super::sessions::{Bite, Sending};
 use crate::constants::*;
-use crate::coordination::core::OUTSIDE;
+use crate::coordination::control::OUTSIDE;
 use crate::coordination::edge::Edge;
 use crate::coordination::pass::{Pass, Spotted, Want, Went};
-use crate::coordination::store::{Link, StoreAsk, StoreTell, TurnEnd, TurnLeave};
+use crate::coordination::store::{Link, StoreRequest, StoreResponse, TurnEnd, TurnLeave};
 use crate::coordination::view::{hash, View};
 use crate::state::config::{Nature, Way};
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -268,12 +268,12 @@
     let mut body = a.body.clone();
     if let Some(t) = &s.turn {
         match leave(g, t, &to, came + w.timeout_ms.min(PASS_LEAVE_MS)).await {
-            Some(StoreTell::TurnMay { chain, server }) => {
+            Some(StoreResponse::TurnMay { chain, server }) => {
                 body = whole_talk(&chain, &a.body);
                 s.want.last = server;
             }
-            Some(StoreTell::TurnSpent) => return drop(to.send(own(402, "allowance_spent", None))),
-            Some(StoreTell::TurnUnknown) => return drop(to.send(own(404, "no_such_turn", None))),
+            Some(StoreResponse::TurnSpent) => return drop(to.send(own(402, "allowance_spent", None))),
+            Some(StoreResponse::TurnUnknown) => return drop(to.send(own(404, "no_such_turn", None))),
             _ => {
                 drop(to.send(refusal("store_unreachable")));
                 // leave may have been given: it is given back when the store can be reached
@@ -369,11 +369,11 @@
 }
 
 /// Leave is asked until it is given, refused, or out of time.
-async fn leave<G: PassGround>(g: &G, t: &TurnLeave, to: &Reply, until: u64) -> Option<StoreTell> {
+async fn leave<G: PassGround>(g: &G, t: &TurnLeave, to: &Reply, until: u64) -> Option<StoreResponse> {
     loop {
-        let r = within(g, until, g.store(&t.program, StoreAsk::TurnLeave(t.clone()))).await.flatten();
+        let r = within(g, until, g.store(&t.program, StoreRequest::TurnLeave(t.clone()))).await.flatten();
         match r {
-            Some(StoreTell::TurnMay { .. } | StoreTell::TurnSpent | StoreTell::TurnUnknown) => return r,
+            Some(StoreResponse::TurnMay { .. } | StoreResponse::TurnSpent | StoreResponse::TurnUnknown) => return r,
             _ if g.now() >= until || to.is_closed() => return None,
             _ => g.nap(HUNT_MS).await,
         }
@@ -391,7 +391,7 @@
     for_ms: u64,
 ) -> bool {
     let Some(t) = &s.turn else { return true };
-    let ask = StoreAsk::TurnEnd(TurnEnd {
+    let ask = StoreRequest::TurnEnd(TurnEnd {
         turn: t.turn.clone(),
         program: t.program.clone(),
         session: t.session.clone(),
@@ -405,7 +405,7 @@
     let until = g.now() + for_ms;
     loop {
         match within(g, until, g.store(&t.program, ask.clone())).await.flatten() {
-            Some(StoreTell::Settled) => return true,
+            Some(StoreResponse::Settled) => return true,
             _ if g.now() >= until => return false,
             _ => g.nap(HUNT_MS).await,
         }
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -6,10 +6,10 @@
 use super::hut::Clock;
 use super::post::Post;
 use crate::constants::*;
-use crate::coordination::core::{CoreAsk, CoreTell, Duty};
+use crate::coordination::control::{ControlRequest, ControlResponse, Duty};
 use crate::coordination::edge::Edge;
 use crate::coordination::shares::OpenJobs;
-use crate::coordination::store::{StoreAsk, StoreTell};
+use crate::coordination::store::{StoreRequest, StoreResponse};
 use crate::coordination::view::View;
 use crate::protocol::wire::Body;
 use crate::state::entry::Member;
@@ -62,13 +62,13 @@
     let to = |m: &Option<Member>| m.as_ref().map_or(Word::Again, |m| Word::Go(m.addr.clone()));
     match b {
         Body::CoreSaid(t) => match &**t {
-            CoreTell::NotLeader(m) => to(m),
-            CoreTell::Lost | CoreTell::Busy => Word::Again,
+            ControlResponse::NotLeader(m) => to(m),
+            ControlResponse::Lost | ControlResponse::Busy => Word::Again,
             _ => Word::Answer,
         },
         Body::StoreSaid(t) => match &**t {
-            StoreTell::NotLeader(m) => to(m),
-            StoreTell::Lost | StoreTell::Busy => Word::Again,
+            StoreResponse::NotLeader(m) => to(m),
+            StoreResponse::Lost | StoreResponse::Busy => Word::Again,
             _ => Word::Answer,
         },
         _ => Word::Again,
@@ -116,7 +116,7 @@
         }
     }
 
-    pub async fn core(&self, addrs: &[String], ask: CoreAsk, ms: u64, each: u64) -> Option<CoreTell> {
+    pub async fn core(&self, addrs: &[String], ask: ControlRequest, ms: u64, each: u64) -> Option<ControlResponse> {
         match self.ask(addrs, Body::Core(Box::new(ask)), ms, each).await {
             Some(Body::CoreSaid(t)) => Some(*t),
             _ => None,
@@ -135,7 +135,7 @@
         Stores { way, groups: Mutex::default() }
     }
 
-    pub async fn ask(&self, v: &View, program: &str, ask: StoreAsk) -> Option<StoreTell> {
+    pub async fn ask(&self, v: &View, program: &str, ask: StoreRequest) -> Option<StoreResponse> {
         let group = v.store_of(program)?;
         let s = v.stores.get(&group)?;
         let mut addrs: Vec<String> = s.actual.iter().chain(&s.wanted).map(|m| m.addr.clone()).collect();
@@ -153,10 +153,10 @@
 
 /// A store group's leader asks its own group which jobs are open, as the core wants to know.
 pub async fn open_jobs<S: Speak>(way: &S, me: &str, group: u32, d: &Duty) -> Option<OpenJobs> {
-    let ask = Body::Store { group, ask: Box::new(StoreAsk::Open) };
+    let ask = Body::Store { group, ask: Box::new(StoreRequest::Open) };
     match way.call(me, ask, CALL_MS).await {
         Some(Body::StoreSaid(t)) => match *t {
-            StoreTell::Open(jobs) => Some(OpenJobs { term: d.term, at: d.at, jobs }),
+            StoreResponse::Open(jobs) => Some(OpenJobs { term: d.term, at: d.at, jobs }),
             _ => None,
         },
         _ => None,
@@ -173,8 +173,8 @@
         let mut addrs: Vec<String> = edge.view().cores.iter().map(|m| m.addr.clone()).collect();
         // seeds are for the first contact, and for a core that has moved away altogether
         addrs.extend(seeds.iter().cloned());
-        let ask = CoreAsk::Renew(edge.renewal(sent));
-        if let Some(CoreTell::Grant(g)) = reach.core(&addrs, ask, LICENCE_MS, RENEW_TRY_MS).await {
+        let ask = ControlRequest::Renew(edge.renewal(sent));
+        if let Some(ControlResponse::Grant(g)) = reach.core(&addrs, ask, LICENCE_MS, RENEW_TRY_MS).await {
             edge.granted(w.now(), sent, *g);
         }
         edge.pump_all(w.now());
--- a/hutbook/src/transport/serve.rs
+++ b/hutbook/src/transport/serve.rs
@@ -5,10 +5,10 @@
 
 use super::http::Broke;
 use crate::constants::*;
-use crate::coordination::core::OUTSIDE;
+use crate::coordination::control::OUTSIDE;
 use crate::coordination::edge::{Edge, Seat};
 use crate::coordination::line::{Left, Look, Refusal, Wait};
-use crate::coordination::store::{Ended, Intent, Program, StoreAsk, StoreTell, Turn, Verdict};
+use crate::coordination::store::{Ended, Intent, Program, StoreRequest, StoreResponse, Turn, Verdict};
 use crate::coordination::view::hash;
 use crate::state::config::Route;
 use std::cell::RefCell;
@@ -60,7 +60,7 @@
     fn draw(&self) -> u64;
     async fn nap(&self, ms: u64);
     /// None when the store could not be reached, or its answer didn't come.
-    async fn store(&self, program: &str, ask: StoreAsk) -> Option<StoreTell>;
+    async fn store(&self, program: &str, ask: StoreRequest) -> Option<StoreResponse>;
     async fn model(&self, c: ModelCall) -> Result<Result<Self::Stream, u16>, Broke>;
     async fn tool(&self, c: ToolCall) -> Result<(u16, String), Broke>;
     /// Asks a back end for its load and since when its process runs; None when nothing comes.
@@ -128,12 +128,12 @@
 
 /// Is this key known already, and does its program stand? Else the verdict.
 async fn look<G: Ground>(g: &G, j: &Job) -> Result<(Program, u64), Told> {
-    let ask = StoreAsk::Look { program: j.program.clone(), key: j.key.clone(), digest: j.digest };
+    let ask = StoreRequest::Look { program: j.program.clone(), key: j.key.clone(), digest: j.digest };
     match g.store(&j.program, ask).await {
         // its key may have been forgotten with the program it belonged to
-        Some(StoreTell::Unknown(p, _)) if j.since != 0 && p.since != j.since => Err(Told::MadeAnew),
+        Some(StoreResponse::Unknown(p, _)) if j.since != 0 && p.since != j.since => Err(Told::MadeAnew),
         // time left is the program's, counted from the store's clock
-        Some(StoreTell::Unknown(p, c)) => {
+        Some(StoreResponse::Unknown(p, c)) => {
             let ends = g.now() + p.ends.saturating_sub(c);
             Ok((p, ends))
         }
@@ -142,19 +142,19 @@
     }
 }
 
-fn known(t: StoreTell) -> Told {
+fn known(t: StoreResponse) -> Told {
     match t {
-        StoreTell::Ended(e) => Told::Ended(e),
-        StoreTell::Running => Told::Running,
-        StoreTell::OtherBody => Told::OtherBody,
-        StoreTell::NoProgram => Told::NoProgram,
+        StoreResponse::Ended(e) => Told::Ended(e),
+        StoreResponse::Running => Told::Running,
+        StoreResponse::OtherBody => Told::OtherBody,
+        StoreResponse::NoProgram => Told::NoProgram,
         _ => Told::Unavailable("store_busy"),
     }
 }
 
 /// A refusal is told only once its tombstone is agreed: it did not run and never will.
 async fn refuse<G: Ground>(g: &G, j: &Job, code: &str) -> Told {
-    let ask = StoreAsk::Refuse {
+    let ask = StoreRequest::Refuse {
         program: j.program.clone(),
         key: j.key.clone(),
         digest: j.digest,
@@ -306,8 +306,8 @@
             unsent: r.unsent,
             since: r.since,
         };
-        let history = match g.store(&j.program, StoreAsk::Begin(i)).await {
-            Some(StoreTell::Go(h)) => h,
+        let history = match g.store(&j.program, StoreRequest::Begin(i)).await {
+            Some(StoreResponse::Go(h)) => h,
             Some(t) => return Err(known(t)),
             None => return Err(Told::Unavailable("store_unreachable")),
         };
@@ -331,11 +331,11 @@
 /// store can't be reached: it is told to ask again, and the end is recorded when it can be.
 async fn settle<G: Ground>(g: &G, e: &Edge, j: &Job, r: &Run, end: Ended, turn: Option<Turn>, ear: &Ear) -> Told {
     let (program, key) = (j.program.clone(), j.key.clone());
-    let ask = StoreAsk::Settle { program, key, edge: e.id, attempt: r.attempt, ended: end, turn };
+    let ask = StoreRequest::Settle { program, key, edge: e.id, attempt: r.attempt, ended: end, turn };
     let until = g.now() + SETTLE_FOR_MS;
     loop {
         match g.store(&j.program, ask.clone()).await {
-            Some(t @ (StoreTell::Ended(_) | StoreTell::Running | StoreTell::NoProgram)) => return known(t),
+            Some(t @ (StoreResponse::Ended(_) | StoreResponse::Running | StoreResponse::NoProgram)) => return known(t),
             _ if g.now() >= until => return Told::Unavailable("not_recorded"),
             _ => ear.tell(Told::Unavailable("not_recorded_yet")).await,
         }
--- a/huts/src/bothy.rs
+++ b/huts/src/bothy.rs
@@ -1,8 +1,8 @@
 //! The store: keeps programs and jobs.
 
 use hutbook::constants::*;
-use hutbook::coordination::core::{id_text, members_json, CheckIn, CoreAsk, CoreTell, Duty};
-use hutbook::coordination::store::{Store, StoreTell};
+use hutbook::coordination::control::{id_text, members_json, CheckIn, ControlRequest, ControlResponse, Duty};
+use hutbook::coordination::store::{Store, StoreResponse};
 use hutbook::protocol::settings::Settings;
 use hutbook::protocol::wire::Body;
 use hutbook::state::disk::{Disk, DiskError};
@@ -37,9 +37,9 @@
         (Body::Raft { group, msg, at }, Some((g, h))) if group == *g => h.msg(l.from, at, msg),
         (Body::Raft { .. }, _) => {}
         (Body::Store { group, ask }, Some((g, h))) if group == *g => {
-            h.ask(*ask, StoreTell::Busy, move |t| reply.send(Body::StoreSaid(Box::new(t))))
+            h.ask(*ask, StoreResponse::Busy, move |t| reply.send(Body::StoreSaid(Box::new(t))))
         }
-        (Body::Store { .. }, _) => reply.send(Body::StoreSaid(Box::new(StoreTell::NotLeader(None)))),
+        (Body::Store { .. }, _) => reply.send(Body::StoreSaid(Box::new(StoreResponse::NotLeader(None)))),
         _ => reply.send(Body::Away("a bothy answers for its store group alone".into())),
     });
     let post =
@@ -116,7 +116,9 @@
             let c = CheckIn { me: self.me.clone(), cell: self.cell.clone(), leads, open, name: self.name.clone() };
             let mut addrs: Vec<String> = cores.iter().map(|m| m.addr.clone()).collect();
             addrs.extend(self.seeds.iter().cloned());
-            if let Some(CoreTell::Duty(d)) = reach.core(&addrs, CoreAsk::CheckIn(c), OPERATOR_MS, CALL_MS).await {
+            if let Some(ControlResponse::Duty(d)) =
+                reach.core(&addrs, ControlRequest::CheckIn(c), OPERATOR_MS, CALL_MS).await
+            {
                 self.obey(&d, &mut cores).await?;
                 asked = d.asks.then_some(d);
             }
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -1,8 +1,8 @@
 //! The core: keeps the fleet's agreed state and steers it.
 
 use hutbook::constants::*;
-use hutbook::coordination::core::{
-    founder_id, founding_cluster, id_text, members_json, ponder, Core, CoreAsk, CoreTell,
+use hutbook::coordination::control::{
+    founder_id, founding_cluster, id_text, members_json, ponder, ControlRequest, ControlResponse, Core,
 };
 use hutbook::protocol::settings::Settings;
 use hutbook::protocol::wire::{Body, CORE};
@@ -59,8 +59,10 @@
     let h = slot.clone();
     let handler: Handler = Arc::new(move |l, reply| match (l.body, h.get()) {
         (Body::Raft { group: CORE, msg, at }, Some(h)) => h.msg(l.from, at, msg),
-        (Body::Core(ask), Some(h)) => h.ask(*ask, CoreTell::Busy, move |t| reply.send(Body::CoreSaid(Box::new(t)))),
-        (Body::Core(_), None) => reply.send(Body::CoreSaid(Box::new(CoreTell::NotLeader(None)))),
+        (Body::Core(ask), Some(h)) => {
+            h.ask(*ask, ControlResponse::Busy, move |t| reply.send(Body::CoreSaid(Box::new(t))))
+        }
+        (Body::Core(_), None) => reply.send(Body::CoreSaid(Box::new(ControlResponse::NotLeader(None)))),
         (Body::Raft { .. }, _) => {}
         _ => reply.send(Body::Away("a refuge answers for the core alone".into())),
     });
@@ -70,9 +72,11 @@
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
     // a newcomer asks to be let in until it has learnt which cluster this is
     while disk.cluster == 0 {
-        match reach.core(&seeds, CoreAsk::Join(me.clone(), s.cell.clone()), OPERATOR_MS, CALL_MS).await {
-            Some(CoreTell::Duty(d)) if d.cluster != 0 => daemon::with_room(|| disk.set_cluster(d.cluster)).await?,
-            Some(CoreTell::Refused { why, .. }) => log::warn!("not let in yet: {why}"),
+        match reach.core(&seeds, ControlRequest::Join(me.clone(), s.cell.clone()), OPERATOR_MS, CALL_MS).await {
+            Some(ControlResponse::Duty(d)) if d.cluster != 0 => {
+                daemon::with_room(|| disk.set_cluster(d.cluster)).await?
+            }
+            Some(ControlResponse::Refused { why, .. }) => log::warn!("not let in yet: {why}"),
             _ => log::info!("no core has answered yet"),
         }
         actix_rt::time::sleep(Duration::from_millis(CHECK_IN_MS)).await;
@@ -136,10 +140,10 @@
         if listed && led && told == term {
             continue;
         }
-        let ask = CoreAsk::Join(me.clone(), cell.clone());
+        let ask = ControlRequest::Join(me.clone(), cell.clone());
         match reach.core(&members(&hut, &me, &seeds), ask, OPERATOR_MS, CALL_MS).await {
-            Some(CoreTell::Duty(_)) => told = term,
-            Some(CoreTell::Refused { why, .. }) => log::warn!("not let in: {why}"),
+            Some(ControlResponse::Duty(_)) => told = term,
+            Some(ControlResponse::Refused { why, .. }) => log::warn!("not let in: {why}"),
             _ => {}
         }
     }
--- a/huts/src/trailhead.rs
+++ b/huts/src/trailhead.rs
@@ -1,7 +1,7 @@
 //! The edge: serves callers and dispatches their work, under a short licence.
 
 use hutbook::constants::*;
-use hutbook::coordination::core::id_text;
+use hutbook::coordination::control::id_text;
 use hutbook::coordination::edge::Edge;
 use hutbook::protocol::settings::Settings;
 use hutbook::protocol::wire::Body;
--- a/scramble/src/catalogue.rs
+++ b/scramble/src/catalogue.rs
@@ -3,7 +3,7 @@
 
 use crate::check::check;
 use crate::fleet::{World, SYNC_MS};
-use hutbook::coordination::core::CoreAsk;
+use hutbook::coordination::control::ControlRequest;
 
 const CONFIG: &str = include_str!("../../examples/glenmorven.json");
 /// ms. Callers arrive for this long; the blow falls after `BLOW_MS`.
@@ -109,7 +109,7 @@
     ("a cell evacuated", |w| {
         w.evacuate("ben", 10_000).expect("reported done");
         w.run(4_000);
-        w.operate(CoreAsk::Evacuate { cell: "ben".into(), out: false });
+        w.operate(ControlRequest::Evacuate { cell: "ben".into(), out: false });
     }),
     ("everything killed", |w| total(w, 1_000)),
 ];
--- a/scramble/src/crossing.rs
+++ b/scramble/src/crossing.rs
@@ -4,7 +4,7 @@
 use crate::check::{judge, LINES};
 use crate::fleet::{Kind, World};
 use crate::saw::Saw;
-use hutbook::coordination::core::CoreAsk;
+use hutbook::coordination::control::ControlRequest;
 
 const CONFIG: &str = include_str!("../../examples/glenmorven.json");
 const CHAT: Kind = Kind { name: "rush", route: "chat", turns: 1, tool: None };
@@ -151,7 +151,7 @@
         m.iter().map(|x| x.id).find(|x| (*x == r.raft.id) == n.is_multiple_of(2))
     });
     if let Some(id) = id.flatten() {
-        w.operate(CoreAsk::Retire(id));
+        w.operate(ControlRequest::Retire(id));
     }
 }
 
@@ -251,7 +251,7 @@
     w.run(14_000);
     let until = w.now();
     w.0.borrow_mut().saw.struck.push((from, until));
-    let t = w.operate(CoreAsk::Evacuate { cell: "glen".into(), out: false });
+    let t = w.operate(ControlRequest::Evacuate { cell: "glen".into(), out: false });
     let now = w.now();
     w.0.borrow_mut().saw.evacuated.iter_mut().for_each(|x| x.1 = now.min(x.1));
     assert!(t.is_some(), "nobody took the cell back");
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -1,9 +1,9 @@
 //! The fleet as stories handle it, and the ground its edges and callers stand on.
 
 use super::*;
-use hutbook::coordination::core::{founder_id, founders, founding_cluster, Shape};
+use hutbook::coordination::control::{founder_id, founders, founding_cluster, Shape};
 use hutbook::coordination::line::Look;
-use hutbook::coordination::store::StoreAsk;
+use hutbook::coordination::store::StoreRequest;
 use hutbook::coordination::view::View;
 use hutbook::transport::http::Broke;
 use hutbook::transport::reach::{open_jobs, pump, renew, Reach, Speak, Stores};
@@ -141,8 +141,8 @@
     }
 
     /// Asks the core as an operator would, and runs the fleet until it is answered.
-    pub fn operate(&self, ask: CoreAsk) -> Option<CoreTell> {
-        let out: Rc<RefCell<Option<Option<CoreTell>>>> = Rc::default();
+    pub fn operate(&self, ask: ControlRequest) -> Option<ControlResponse> {
+        let out: Rc<RefCell<Option<Option<ControlResponse>>>> = Rc::default();
         let (o, w) = (out.clone(), self.clone());
         self.spawn("outside", async move {
             let addrs = w.names("refuge");
@@ -315,10 +315,10 @@
         let end = self.now() + bound;
         while self.now() < end && (self.leads(name) || self.jobs_at(name) > 0) {
             if self.leads(name) {
-                self.0.borrow_mut().feed_any(
+                self.0.borrow_mut().step_any(
                     name,
-                    |r, now| r.step(now, Feed::StepAside),
-                    |r, now| r.step(now, Feed::StepAside),
+                    |r, now| r.step(now, Input::TransferLeadership),
+                    |r, now| r.step(now, Input::TransferLeadership),
                 );
             }
             self.run(CHECK_IN_MS);
@@ -591,7 +591,9 @@
             continue;
         }
         let cell = way.world.0.borrow().nodes[&name].cell.clone();
-        if let Some(CoreTell::Duty(_)) = reach.core(&addrs, CoreAsk::Join(me, cell), OPERATOR_MS, CALL_MS).await {
+        if let Some(ControlResponse::Duty(_)) =
+            reach.core(&addrs, ControlRequest::Join(me, cell), OPERATOR_MS, CALL_MS).await
+        {
             told = term;
         }
     }
@@ -610,7 +612,9 @@
             c.open = open_jobs(&way, &name, *g, &d).await;
         }
         let addrs = way.world.names("refuge");
-        if let Some(CoreTell::Duty(d)) = reach.core(&addrs, CoreAsk::CheckIn(c), OPERATOR_MS, CALL_MS).await {
+        if let Some(ControlResponse::Duty(d)) =
+            reach.core(&addrs, ControlRequest::CheckIn(c), OPERATOR_MS, CALL_MS).await
+        {
             way.world.0.borrow_mut().obey(&name, &d);
             asked = d.asks.then_some(d);
         }
@@ -800,7 +804,7 @@
         self.way.nap(ms).await;
     }
 
-    async fn store(&self, program: &str, ask: StoreAsk) -> Option<StoreTell> {
+    async fn store(&self, program: &str, ask: StoreRequest) -> Option<StoreResponse> {
         self.stores.ask(&self.edge.view(), program, ask).await
     }
 
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -14,11 +14,11 @@
 use disk::Disk;
 use exec::Exec;
 use hutbook::constants::*;
-use hutbook::coordination::core::{ponder, CheckIn, Core, CoreAsk, CoreTell, Duty, Shape};
+use hutbook::coordination::control::{ponder, CheckIn, ControlRequest, ControlResponse, Core, Duty, Shape};
 use hutbook::coordination::edge::Edge;
 use hutbook::coordination::raft::Role;
-use hutbook::coordination::replica::{Feed, Fruit, Fruits, Machine, Replica};
-use hutbook::coordination::store::{Store, StoreTell};
+use hutbook::coordination::replica::{Input, Output, Outputs, Replica, StateMachine};
+use hutbook::coordination::store::{Store, StoreResponse};
 use hutbook::protocol::wire::{Body, CORE};
 use hutbook::state::disk::{Boot, DiskOp};
 use hutbook::state::entry::Member;
@@ -121,7 +121,7 @@
     Answer { call: u64, body: Body },
     Tick,
     SyncDone,
-    Thought(CoreAsk),
+    Thought(ControlRequest),
 }
 
 #[allow(clippy::large_enum_variant)]
@@ -294,25 +294,25 @@
             News::SyncDone => {
                 let n = self.nodes.get_mut(name).expect("reached");
                 if let Some(m) = n.disk.end() {
-                    self.feed_any(name, |r, now| r.step(now, Feed::Synced(m)), |r, now| r.step(now, Feed::Synced(m)));
+                    self.step_any(name, |r, now| r.step(now, Input::Synced(m)), |r, now| r.step(now, Input::Synced(m)));
                 }
                 self.sync(name);
             }
             News::Thought(ask) => {
                 let n = self.nodes.get_mut(name).expect("reached");
                 if let Part::Core(Some(r)) = &mut n.part {
-                    let f = r.step(now, Feed::Ask { ticket: 0, ask });
+                    let f = r.step(now, Input::Request { ticket: 0, request: ask });
                     self.core_fruit(name, f);
                 }
             }
         }
     }
 
-    fn feed_any(
+    fn step_any(
         &mut self,
         name: &str,
-        core: impl FnOnce(&mut Replica<Core>, u64) -> Fruits<Core>,
-        store: impl FnOnce(&mut Replica<Store>, u64) -> Fruits<Store>,
+        core: impl FnOnce(&mut Replica<Core>, u64) -> Outputs<Core>,
+        store: impl FnOnce(&mut Replica<Store>, u64) -> Outputs<Store>,
     ) {
         let now = self.now;
         let n = self.nodes.get_mut(name).expect("known node");
@@ -335,33 +335,33 @@
         let n = self.nodes.get_mut(name).expect("reached");
         match (body, &mut n.part) {
             (Body::Raft { group: CORE, msg, at }, Part::Core(Some(r))) => {
-                let f = r.step(now, Feed::Msg { from: id, at, msg });
+                let f = r.step(now, Input::Message { from: id, at, msg });
                 self.core_fruit(name, f);
             }
             (Body::Raft { group, msg, at }, Part::Store { group: Some(g), replica: Some(r), .. }) if *g == group => {
-                let f = r.step(now, Feed::Msg { from: id, at, msg });
+                let f = r.step(now, Input::Message { from: id, at, msg });
                 self.store_fruit(name, f);
             }
             (Body::Core(ask), Part::Core(Some(r))) => {
                 n.next_ask += 1;
                 let ticket = n.next_ask;
                 n.asks.insert(ticket, Asker { from, call });
-                let f = r.step(now, Feed::Ask { ticket, ask: *ask });
+                let f = r.step(now, Input::Request { ticket, request: *ask });
                 self.core_fruit(name, f);
             }
             (Body::Core(_), Part::Core(None)) => {
-                let t = CoreTell::NotLeader(None);
+                let t = ControlResponse::NotLeader(None);
                 self.answer(name, Asker { from, call }, Body::CoreSaid(Box::new(t)));
             }
             (Body::Store { group, ask }, Part::Store { group: Some(g), replica: Some(r), .. }) if *g == group => {
                 n.next_ask += 1;
                 let ticket = n.next_ask;
                 n.asks.insert(ticket, Asker { from, call });
-                let f = r.step(now, Feed::Ask { ticket, ask: *ask });
+                let f = r.step(now, Input::Request { ticket, request: *ask });
                 self.store_fruit(name, f);
             }
             (Body::Store { .. }, _) => {
-                let t = StoreTell::NotLeader(None);
+                let t = StoreResponse::NotLeader(None);
                 self.answer(name, Asker { from, call }, Body::StoreSaid(Box::new(t)));
             }
             _ => {}
@@ -369,7 +369,7 @@
     }
 
     fn on_tick(&mut self, name: &str) {
-        self.feed_any(name, |r, now| r.step(now, Feed::Tick), |r, now| r.step(now, Feed::Tick));
+        self.step_any(name, |r, now| r.step(now, Input::Tick), |r, now| r.step(now, Input::Tick));
     }
 
     fn sync(&mut self, name: &str) {
@@ -384,27 +384,27 @@
         self.sync(name);
     }
 
-    fn fruit<M: Machine>(
+    fn fruit<M: StateMachine>(
         &mut self,
         name: &str,
         group: u32,
-        fs: Fruits<M>,
-        said: fn(M::Tell) -> Body,
-        think: fn(M::Think) -> Option<CoreAsk>,
+        fs: Outputs<M>,
+        said: fn(M::Response) -> Body,
+        think: fn(M::Computation) -> Option<ControlRequest>,
     ) {
         for f in fs {
             match f {
-                Fruit::Send { addr, msg, .. } => {
+                Output::Send { addr, msg, .. } => {
                     self.letter(name, &addr, 0, Body::Raft { group, msg, at: name.to_string() })
                 }
-                Fruit::Persist { mark, ops } => self.persist(name, mark, ops),
-                Fruit::Tell { ticket, tell } => {
+                Output::Persist { sync_ticket: mark, ops } => self.persist(name, mark, ops),
+                Output::Reply { ticket, response: tell } => {
                     let n = self.nodes.get_mut(name).expect("known node");
                     if let Some(a) = n.asks.remove(&ticket) {
                         self.answer(name, a, said(tell));
                     }
                 }
-                Fruit::Think(k) => {
+                Output::Compute(k) => {
                     if let Some(ask) = think(k) {
                         self.to(THINK_MS, name, News::Thought(ask));
                     }
@@ -413,11 +413,11 @@
         }
     }
 
-    fn core_fruit(&mut self, name: &str, f: Fruits<Core>) {
+    fn core_fruit(&mut self, name: &str, f: Outputs<Core>) {
         self.fruit::<Core>(name, CORE, f, |t| Body::CoreSaid(Box::new(t)), |k| Some(ponder(&k)));
     }
 
-    fn store_fruit(&mut self, name: &str, f: Fruits<Store>) {
+    fn store_fruit(&mut self, name: &str, f: Outputs<Store>) {
         let group = match &self.nodes[name].part {
             Part::Store { group: Some(g), .. } => *g,
             _ => return,
--- a/scramble/src/nemesis.rs
+++ b/scramble/src/nemesis.rs
@@ -4,7 +4,7 @@
 use crate::check::{check, Breach};
 use crate::fleet::{Kind, World, SYNC_MS};
 use crate::saw::Saw;
-use hutbook::coordination::core::{CoreAsk, CoreTell};
+use hutbook::coordination::control::{ControlRequest, ControlResponse};
 
 const CONFIG: &str = include_str!("../../examples/glenmorven.json");
 const CELLS: [&str; 3] = ["ben", "glen", "strath"];
@@ -220,10 +220,10 @@
             self.w.0.borrow_mut().saw.leaving.iter_mut().filter(|x| x.2 == n).for_each(|x| x.1 = now.min(x.1));
             self.w.set_back(&n, |b| b.done = 0);
             let (cell, _, _) = self.w.0.borrow().saw.servers[&n].clone();
-            let ask = CoreAsk::List { name: n.clone(), group: "lang".into(), addr: n.clone(), cell };
+            let ask = ControlRequest::List { name: n.clone(), group: "lang".into(), addr: n.clone(), cell };
             let t = self.w.operate(ask);
             self.did(format!("{n} is listed again: {}", short(&t)));
-        } else if let Some(CoreTell::Agreed(_)) = self.w.operate(CoreAsk::Leave(n.clone())) {
+        } else if let Some(ControlResponse::Agreed(_)) = self.w.operate(ControlRequest::Leave(n.clone())) {
             let now = self.w.now();
             self.w.0.borrow_mut().saw.leaving.push((now, u64::MAX, n.clone()));
             self.did(format!("{n} is leaving"));
@@ -242,11 +242,14 @@
         if let Some(c) = self.out.take() {
             let now = self.w.now();
             self.w.0.borrow_mut().saw.evacuated.iter_mut().filter(|x| x.2 == c).for_each(|x| x.1 = now.min(x.1));
-            let t = self.w.operate(CoreAsk::Evacuate { cell: c.clone(), out: false });
+            let t = self.w.operate(ControlRequest::Evacuate { cell: c.clone(), out: false });
             return self.did(format!("{c} is used again: {}", short(&t)));
         }
         let c = CELLS[self.draw(3) as usize];
-        let Some(CoreTell::Agreed(_)) = self.w.operate(CoreAsk::Evacuate { cell: c.into(), out: true }) else { return };
+        let Some(ControlResponse::Agreed(_)) = self.w.operate(ControlRequest::Evacuate { cell: c.into(), out: true })
+        else {
+            return;
+        };
         self.out = Some(c.into());
         let done = self.w.evacuated(c, 6_000);
         self.did(format!("{c} is evacuated: {done:?}"));
@@ -300,10 +303,10 @@
     }
 }
 
-fn short(t: &Option<CoreTell>) -> String {
+fn short(t: &Option<ControlResponse>) -> String {
     match t {
-        Some(CoreTell::Agreed(r)) => format!("agreed at {r}"),
-        Some(CoreTell::Raced(r)) => format!("lost to {r}"),
+        Some(ControlResponse::Agreed(r)) => format!("agreed at {r}"),
+        Some(ControlResponse::Raced(r)) => format!("lost to {r}"),
         Some(t) => format!("{t:?}").chars().take(60).collect(),
         None => "no answer".into(),
     }
