--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -4,6 +4,8 @@
 //! What must be on disk before it may be said is held back until the driver
 //! reports the matching sync_ticket as synced.
 
+mod fingerprint;
+
 use crate::constants::*;
 use crate::state::disk::{Boot, DiskOp};
 use crate::state::entry::{Entry, Member, Members, Snapshot, What};
@@ -13,6 +15,7 @@
 use std::sync::Arc;
 
 messages! {
+    #[derive(Hash)]
     pub enum RaftMessage {
         #[n(0)] VoteRequest { #[n(0)] term: u64, #[n(1)] last: u64, #[n(2)] last_term: u64, #[n(3)] pre: bool, #[n(4)] forced: bool },
         #[n(1)] VoteResponse { #[n(0)] term: u64, #[n(1)] pre: bool, #[n(2)] yes: bool },
@@ -22,6 +25,7 @@
         #[n(5)] SnapshotChunkAck { #[n(0)] term: u64, #[n(1)] index: u64, #[n(2)] upto: u64 },
         #[n(6)] TimeoutNow { #[n(0)] term: u64 },
     }
+    #[derive(Hash)]
     pub enum Change {
         #[n(0)] AddLearner(#[n(0)] Member),
         #[n(1)] Promote(#[n(0)] u64),
@@ -55,7 +59,7 @@
     TransferLeadership,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub enum RaftOutput {
     Send { to: u64, msg: RaftMessage },
     Persist { sync_ticket: u64, ops: Vec<DiskOp> },
@@ -70,6 +74,7 @@
 
 messages! {
     /// Why a proposal, read or change was not taken.
+    #[derive(Hash)]
     pub enum Denial {
         #[n(0)] NotLeader,
         /// Taken but its outcome is unknown to this node.
@@ -87,6 +92,7 @@
     Leader,
 }
 
+#[derive(Clone)]
 struct Peer {
     next: u64,
     matched: u64,
@@ -101,6 +107,7 @@
     piece_at: u64,
 }
 
+#[derive(Clone)]
 struct HeldOutputs {
     sync_ticket: u64,
     since: u64,
@@ -108,6 +115,7 @@
     outs: Vec<RaftOutput>,
 }
 
+#[derive(Clone)]
 pub struct Raft {
     pub id: u64,
     pub term: u64,
--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -5,6 +5,7 @@
 use crate::state::disk::{Boot, DiskOp};
 use crate::state::entry::{Entry, Member, Members, What};
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 
 /// What a question needs before it can be answered.
 pub enum Plan<T> {
@@ -89,6 +90,24 @@
     snapshot_bytes: usize,
 }
 
+impl<M: StateMachine + Clone> Clone for Replica<M>
+where
+    M::Request: Clone,
+{
+    fn clone(&self) -> Self {
+        Replica {
+            raft: self.raft.clone(),
+            machine: self.machine.clone(),
+            waits: self.waits.clone(),
+            asks: self.asks.clone(),
+            addrs: self.addrs.clone(),
+            snapshot_index: self.snapshot_index,
+            since: self.since,
+            snapshot_bytes: self.snapshot_bytes,
+        }
+    }
+}
+
 /// Tickets of the replica's own proposals: nobody waits for them.
 const NOBODY: u64 = 0;
 
@@ -109,6 +128,17 @@
         (r, f)
     }
 
+    /// Feeds `hasher` with all that decides how this replica goes on from `now`, for a model checker. When its next
+    /// snapshot is due is left out: a checker takes them when it likes.
+    pub fn fingerprint(&self, now: u64, hasher: &mut impl Hasher)
+    where
+        M: Hash,
+        M::Request: Hash,
+    {
+        self.raft.fingerprint(now, hasher);
+        (&self.machine, &self.waits, &self.asks).hash(hasher);
+    }
+
     pub fn leader(&self) -> Option<Member> {
         let id = self.raft.leader?;
         let known = self.raft.members().all().find(|m| m.id == id).map(|m| m.addr.clone());
--- a/hutbook/src/state/disk.rs
+++ b/hutbook/src/state/disk.rs
@@ -10,7 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum DiskOp {
     Meta {
         term: u64,
@@ -28,7 +28,7 @@
 }
 
 /// What a node finds when it starts.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Hash)]
 pub struct Boot {
     pub term: u64,
     pub voted: Option<u64>,
--- a/hutbook/src/state/entry.rs
+++ b/hutbook/src/state/entry.rs
@@ -1,28 +1,31 @@
 //! What the replicated log is made of.
 
 messages! {
-    #[derive(Eq, PartialOrd, Ord)]
+    #[derive(Eq, PartialOrd, Ord, Hash)]
     pub struct Member {
         #[n(0)] pub id: u64,
         /// An attribute only; identity is the id.
         #[n(1)] pub addr: String,
     }
-    #[derive(Default)]
+    #[derive(Default, Hash)]
     pub struct Members {
         #[n(0)] pub voters: Vec<Member>,
         #[n(1)] pub learners: Vec<Member>,
     }
+    #[derive(Hash)]
     pub enum What {
         /// A new leader's first entry.
         #[n(0)] Blank,
         #[n(1)] Members(#[n(0)] Members),
         #[n(2)] Command(#[cbor(n(0), with = "minicbor::bytes")] Vec<u8>),
     }
+    #[derive(Hash)]
     pub struct Entry {
         #[n(0)] pub index: u64,
         #[n(1)] pub term: u64,
         #[n(2)] pub what: What,
     }
+    #[derive(Hash)]
     pub struct Snapshot {
         #[n(0)] pub index: u64,
         #[n(1)] pub term: u64,
--- /dev/null
+++ b/scramble/src/model/scenario.rs
@@ -0,0 +1,209 @@
+//! Starting points and bounds of the searches that are run.
+
+use super::action::{Action, Budget, Delivery, NodeId};
+use super::invariant::Violation;
+use super::node::Fault;
+use super::state::{Rules, State};
+
+/// A step of the way to the start of a search; it costs nothing of the budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Setup {
+    Do(Action),
+    /// Everything under way comes to pass, in order.
+    Settle,
+}
+
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub name: String,
+    pub voters: u8,
+    /// Nodes with empty disks, which may be added.
+    pub spares: u8,
+    pub setup: Vec<Setup>,
+    pub delivery: Delivery,
+    pub budget: Budget,
+    pub calm_requests: bool,
+    pub contested: bool,
+    pub restless: Vec<NodeId>,
+    /// actions. No schedule goes on beyond it.
+    pub depth: u32,
+    /// distinct states. The search ends at about this many.
+    pub most_states: u64,
+    pub fault: Fault,
+}
+
+/// actions. On the way to a start; one that needs more goes round in circles.
+const SETUP_MOST: usize = 10_000;
+const UNBOUNDED: u32 = u32::MAX;
+
+impl Scenario {
+    fn new(name: &str, voters: u8, spares: u8) -> Scenario {
+        Scenario {
+            name: name.into(),
+            voters,
+            spares,
+            setup: vec![],
+            delivery: Delivery::InOrder,
+            budget: Budget::default(),
+            calm_requests: false,
+            contested: false,
+            restless: vec![],
+            depth: UNBOUNDED,
+            most_states: u64::MAX,
+            fault: Fault::None,
+        }
+    }
+
+    pub fn rules(&self) -> Rules {
+        Rules {
+            delivery: self.delivery,
+            fault: self.fault,
+            calm_requests: self.calm_requests,
+            contested: self.contested,
+            restless: self.restless.clone(),
+        }
+    }
+
+    /// The state that the search starts from.
+    pub fn start(&self) -> Result<State, Violation> {
+        let rules = self.rules();
+        let mut state = State::founded(self.voters, self.spares, Budget::default(), self.fault);
+        for step in &self.setup {
+            match step {
+                Setup::Do(action) => state = state.after(&rules, *action)?,
+                Setup::Settle => {
+                    for n in 0.. {
+                        assert!(n < SETUP_MOST, "{}: the start never settles", self.name);
+                        if state.queue().is_empty() {
+                            break;
+                        }
+                        state = state.after(&rules, Action::Take(0))?;
+                    }
+                }
+            }
+        }
+        state.set_budget(self.budget);
+        Ok(state)
+    }
+
+    /// What led to the start.
+    pub fn start_described(&self) -> String {
+        let steps = self.setup.iter().map(|s| match s {
+            Setup::Do(action) => format!("{action:?}"),
+            Setup::Settle => "all settles".into(),
+        });
+        let steps: Vec<String> = steps.collect();
+        format!("{} voters, {} spares; {}", self.voters, self.spares, steps.join("; "))
+    }
+
+    /// The same with a rule taken out.
+    pub fn with(mut self, fault: Fault) -> Scenario {
+        self.fault = fault;
+        self
+    }
+}
+
+/// Node 1 is elected and its first entry is agreed by all.
+fn elected() -> Vec<Setup> {
+    let time_out = Action::TimeOut { node: 1, alone: false };
+    vec![Setup::Do(time_out), Setup::Settle, Setup::Do(Action::Heartbeat(1)), Setup::Settle]
+}
+
+/// An order is agreed while node 3 hears nothing, the log becomes a snapshot, and node 3 is back.
+fn behind_a_snapshot() -> Vec<Setup> {
+    let mut setup = elected();
+    setup.push(Setup::Do(Action::Cut { from: 1, to: 3 }));
+    setup.extend([Setup::Do(Action::Order(1)), Setup::Settle]);
+    setup.extend([Setup::Do(Action::Compact(1)), Setup::Settle]);
+    setup.push(Setup::Do(Action::Heal { from: 1, to: 3 }));
+    setup
+}
+
+/// Elections from the start, messages in every order.
+pub fn elections_in_any_order() -> Scenario {
+    Scenario {
+        delivery: Delivery::Any,
+        budget: Budget { time_outs: 2, crashes: 1, repeats: 0, ..Budget::default() },
+        restless: vec![1, 2],
+        depth: 14,
+        ..Scenario::new("elections, any order", 3, 0)
+    }
+}
+
+/// Elections with losses, repeats, delays and a crash.
+pub fn elections() -> Scenario {
+    Scenario {
+        budget: Budget { time_outs: 2, crashes: 1, losses: 1, delays: 1, repeats: 1, ..Budget::default() },
+        ..Scenario::new("elections", 3, 0)
+    }
+}
+
+/// Orders, one sent again, a read, under losses and a change of leader.
+pub fn orders() -> Scenario {
+    Scenario {
+        setup: elected(),
+        budget: Budget { time_outs: 1, losses: 1, crashes: 1, orders: 1, resends: 1, reads: 1, ..Budget::default() },
+        ..Scenario::new("orders", 3, 0)
+    }
+}
+
+/// Two callers' orders for one number, and a leader that is cut off one way.
+pub fn contested_orders() -> Scenario {
+    Scenario {
+        setup: elected(),
+        budget: Budget { time_outs: 1, cuts: 1, orders: 2, reads: 1, ..Budget::default() },
+        contested: true,
+        ..Scenario::new("contested orders", 3, 0)
+    }
+}
+
+/// A follower that needs a snapshot.
+pub fn snapshots() -> Scenario {
+    Scenario {
+        setup: behind_a_snapshot(),
+        budget: Budget { heartbeats: 2, time_outs: 1, crashes: 1, delays: 1, repeats: 1, ..Budget::default() },
+        ..Scenario::new("snapshot to a follower", 3, 0)
+    }
+}
+
+/// A node is added and promoted, and one leaves.
+pub fn membership() -> Scenario {
+    Scenario {
+        setup: elected(),
+        budget: Budget { changes: 3, heartbeats: 1, time_outs: 1, losses: 1, ..Budget::default() },
+        calm_requests: true,
+        ..Scenario::new("membership 3 to 4 to 3", 3, 1)
+    }
+}
+
+/// Leadership is handed over, with an order under way.
+pub fn transfer() -> Scenario {
+    Scenario {
+        setup: elected(),
+        budget: Budget { transfers: 1, orders: 1, time_outs: 1, delays: 1, losses: 1, ..Budget::default() },
+        ..Scenario::new("transfer of leadership", 3, 0)
+    }
+}
+
+/// Five voters.
+pub fn five_voters() -> Scenario {
+    Scenario {
+        setup: elected(),
+        budget: Budget { time_outs: 1, orders: 1, losses: 1, ..Budget::default() },
+        ..Scenario::new("five voters", 5, 0)
+    }
+}
+
+/// What runs with every change.
+pub fn all() -> Vec<Scenario> {
+    vec![
+        elections_in_any_order(),
+        elections(),
+        orders(),
+        contested_orders(),
+        snapshots(),
+        membership(),
+        transfer(),
+        five_voters(),
+    ]
+}
--- /dev/null
+++ b/scramble/src/model/trace.rs
@@ -0,0 +1,109 @@
+//! A schedule as a person reads it.
+
+use super::action::Action;
+use super::scenario::Scenario;
+use super::search::{after, Break, Report};
+use super::state::{Event, State};
+use hutbook::coordination::raft::RaftMessage;
+use hutbook::state::entry::{Entry, What};
+use std::fmt::Write;
+
+/// One line: what was explored, and in what time.
+pub fn summary(scenario: &Scenario, report: &Report) -> String {
+    let seconds = report.elapsed.as_secs_f64();
+    let rate = report.states as f64 / seconds.max(1e-9);
+    let verdict = match &report.found {
+        Some(found) => format!("{:?} broken", found.violation.invariant),
+        None if report.exhausted => "exhausted, nothing broken".into(),
+        None => "not exhausted, nothing broken".into(),
+    };
+    format!(
+        "{:<34} {:>10} transitions {:>9} states, depth {:>3}, {seconds:>7.1} s, {rate:>8.0} states/s: {verdict}",
+        scenario.name, report.transitions, report.states, report.depth
+    )
+}
+
+/// The schedule that leads to a break, a line for each action, and what the nodes are like just before the last.
+pub fn schedule(scenario: &Scenario, found: &Break) -> String {
+    let rules = scenario.rules();
+    let mut text = format!("{}: {:?}: {}\n", scenario.name, found.violation.invariant, found.violation.detail);
+    let _ = writeln!(text, "start: {}", scenario.start_described());
+    let Ok(mut state) = scenario.start() else { return text + "broken on the way to the start\n" };
+    for (step, action) in found.schedule.iter().enumerate() {
+        let _ = writeln!(text, "{:>3}  {}", step + 1, described(&state, *action));
+        match after(&state, &rules, *action) {
+            Ok(next) => state = next,
+            Err(_) => break,
+        }
+    }
+    text.push_str("the nodes before the last step:\n");
+    for node in state.nodes() {
+        let _ = match &node.replica {
+            Some(r) => writeln!(
+                text,
+                "  node {}: {:?} in term {}, snapshot to {}, log {}, committed {}; on disk: term {}, log to {}, {} batches unsynced",
+                node.id,
+                r.raft.role,
+                r.raft.term,
+                r.raft.snapshot_position().0,
+                entries(r.raft.entries()),
+                r.raft.commit,
+                node.disk.term,
+                node.disk_end().0,
+                node.unsynced.len()
+            ),
+            None => writeln!(text, "  node {}: down; on disk: term {}, log to {}", node.id, node.disk.term, node.disk_end().0),
+        };
+    }
+    text
+}
+
+fn described(state: &State, action: Action) -> String {
+    match action {
+        Action::Take(place) => event(&state.queue()[usize::from(place)]),
+        Action::Repeat(place) => {
+            format!("{}, and its repeat stays under way", event(&state.queue()[usize::from(place)]))
+        }
+        Action::Delay => format!("delayed: {}", event(&state.queue()[0])),
+        Action::Lose => format!("lost: {}", event(&state.queue()[0])),
+        Action::TimeOut { node, alone: true } => format!("the timer of node {node} fires, of it alone"),
+        Action::TimeOut { node, alone: false } => format!("the timer of node {node} fires"),
+        Action::Crash { node, kept } => format!("node {node} crashes, {kept} unsynced batches are on its disk"),
+        other => format!("{other:?}"),
+    }
+}
+
+fn event(event: &Event) -> String {
+    match event {
+        Event::Sync(node) => format!("node {node} syncs its oldest batch"),
+        Event::Message { from, to, message } => format!("{from} -> {to}: {}", content(message)),
+    }
+}
+
+fn content(message: &RaftMessage) -> String {
+    match message {
+        RaftMessage::AppendRequest { term, prev, prev_term, entries: list, commit, round } => format!(
+            "AppendRequest term {term}, after {prev} of term {prev_term}: {}, committed {commit}, round {round}",
+            entries(list.iter())
+        ),
+        RaftMessage::SnapshotChunk { term, index, index_term, .. } => {
+            format!("SnapshotChunk term {term}, up to index {index} of term {index_term}")
+        }
+        other => format!("{other:?}"),
+    }
+}
+
+fn entries<'a>(list: impl Iterator<Item = &'a Entry>) -> String {
+    let each = list.map(|e| {
+        let what = match &e.what {
+            What::Blank => "blank".to_string(),
+            What::Command(bytes) => format!("order {bytes:?}"),
+            What::Members(m) => {
+                let ids = |list: &[hutbook::state::entry::Member]| list.iter().map(|m| m.id).collect::<Vec<u64>>();
+                format!("voters {:?} learners {:?}", ids(&m.voters), ids(&m.learners))
+            }
+        };
+        format!("{}@{} {what}", e.index, e.term)
+    });
+    format!("[{}]", each.collect::<Vec<String>>().join(", "))
+}
