--- /dev/null
+++ b/scramble/tests/model.rs
@@ -0,0 +1,93 @@
+//! The model checker over the product's replicas; and that it notices when a rule is taken out.
+
+use rstest::rstest;
+use scramble::model::invariant::{disjoint_majorities, Invariant};
+use scramble::model::machine::MachineFault;
+use scramble::model::node::Fault;
+use scramble::model::scenario::{self, Scenario};
+use scramble::model::{search, trace};
+use std::collections::BTreeSet;
+
+/// distinct states. A search for a fault that was put in ends here at the latest.
+const FAULT_STATES: u64 = 100_000;
+
+#[rstest]
+#[case::elections_in_any_order(scenario::elections_in_any_order())]
+#[case::elections(scenario::elections())]
+#[case::orders(scenario::orders())]
+#[case::contested_orders(scenario::contested_orders())]
+#[case::snapshots(scenario::snapshots())]
+#[case::membership(scenario::membership())]
+#[case::transfer(scenario::transfer())]
+#[case::five_voters(scenario::five_voters())]
+fn every_schedule_within_the_bounds_keeps_every_invariant(#[case] scenario: Scenario) {
+    // given a start and a budget, when every schedule is tried
+    let report = search::run(&scenario, 1);
+    println!("{}", trace::summary(&scenario, &report));
+    // then nothing breaks, and none was left out
+    if let Some(found) = &report.found {
+        panic!("{}", trace::schedule(&scenario, found));
+    }
+    assert!(report.exhausted, "more schedules than the bound allows");
+}
+
+#[rstest]
+#[case::votes_before_the_sync(scenario::elections(), Fault::SyncsAreReportedAtOnce, Invariant::PromiseOnDisk)]
+#[case::a_vote_forgotten(scenario::elections(), Fault::VotesAreForgotten, Invariant::ElectionSafety)]
+#[case::an_entry_forgotten(scenario::orders(), Fault::NewestEntryIsForgotten, Invariant::LeaderCompleteness)]
+#[case::a_command_changed(scenario::orders(), Fault::CommandsChangeOnTheWay, Invariant::LogMatching)]
+#[case::acknowledged_too_soon(scenario::orders(), Fault::OrdersAreAcknowledgedAtOnce, Invariant::OrderKeptOnce)]
+#[case::applied_twice(scenario::orders(), Fault::Machine(MachineFault::AppliesRepeats), Invariant::OrderKeptOnce)]
+#[case::no_compare_and_set(
+    scenario::contested_orders(),
+    Fault::Machine(MachineFault::NoCompareAndSet),
+    Invariant::OneOrderPerNumber
+)]
+#[case::stale_reads(scenario::contested_orders(), Fault::ReadsAreAnsweredAtOnce, Invariant::FreshReads)]
+#[case::a_snapshot_that_leaves_out(
+    scenario::snapshots(),
+    Fault::Machine(MachineFault::SnapshotLeavesOut),
+    Invariant::OrderKeptOnce
+)]
+#[case::unknown_told_as_refused(scenario::orders(), Fault::LostIsToldAsRefused, Invariant::RefusedNeverRuns)]
+fn a_rule_taken_out_is_noticed(#[case] scenario: Scenario, #[case] fault: Fault, #[case] expected: Invariant) {
+    // given a replica, or what drives it, without one of its rules
+    let scenario = Scenario { most_states: FAULT_STATES, ..scenario.with(fault) };
+    // when schedules are tried, shortest first
+    let report = search::run(&scenario, 1);
+    println!("{}", trace::summary(&scenario, &report));
+    // then the invariant that the rule carries breaks
+    let found = report.found.expect("nothing was noticed");
+    println!("{}", trace::schedule(&scenario, &found));
+    assert_eq!(found.violation.invariant, expected, "{}", found.violation.detail);
+}
+
+#[test]
+fn the_same_is_found_with_any_number_of_threads() {
+    let scenario = Scenario { most_states: 20_000, ..scenario::orders() };
+    let [one, three] = [1, 3].map(|threads| search::run(&scenario, threads));
+    assert_eq!((one.transitions, one.states, one.depth), (three.transitions, three.states, three.depth));
+    // and a break comes with the same schedule
+    let scenario = scenario.with(Fault::LostIsToldAsRefused);
+    let [one, three] = [1, 3].map(|threads| search::run(&scenario, threads).found.expect("a break"));
+    assert_eq!(one.schedule, three.schedule);
+}
+
+#[rstest]
+// three voters, two of whom each could win with another
+#[case((3, vec![1, 2, 3]), (3, vec![1, 2, 3]), false)]
+// four, and two of the old three: one must be in both
+#[case((4, vec![1, 2, 3, 4]), (3, vec![1, 2, 3]), false)]
+// three and five: 1, 4 and 5 against 2 and 3
+#[case((5, vec![1, 4, 5]), (3, vec![2, 3]), true)]
+// four less one, and four and one more: two changes from one state at once
+#[case((5, vec![1, 4, 5]), (3, vec![2, 3, 4]), true)]
+#[case((3, vec![1, 2]), (3, vec![2, 3]), false)]
+fn majorities_without_a_common_member(
+    #[case] a: (usize, Vec<u64>),
+    #[case] b: (usize, Vec<u64>),
+    #[case] disjoint: bool,
+) {
+    let set = |ids: Vec<u64>| ids.into_iter().collect::<BTreeSet<u64>>();
+    assert_eq!(disjoint_majorities((a.0, &set(a.1)), (b.0, &set(b.1))), disjoint);
+}
