--- /dev/null
+++ b/hutbook/src/coordination/raft/election.rs
@@ -0,0 +1,186 @@
+//! Who leads: pre-vote, votes, terms, stepping down and the transfer of leadership.
+
+use super::{Denial, Raft, RaftMessage, RaftOutput};
+use crate::constants::*;
+use crate::state::entry::What;
+use rand_core::Rng;
+use std::collections::BTreeMap;
+
+/// What a member is in its term.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Role {
+    Follower,
+    /// Asks whether it would be elected, before it disturbs anybody (Raft thesis 9.6).
+    PreCandidate,
+    Candidate,
+    Leader,
+}
+
+impl Raft {
+    pub(super) fn reset_election_timer(&mut self, now: u64) {
+        let spread = self.rng.next_u64() % ELECTION_SPREAD_MS;
+        self.election_at = now + ELECTION_MS + spread;
+    }
+
+    /// Asks the voters for their votes, or with `pre_vote` whether they would give them.
+    pub(super) fn campaign(&mut self, now: u64, pre_vote: bool, forced: bool) {
+        self.leader = None;
+        self.votes = BTreeMap::from([(self.id, true)]);
+        let term = if pre_vote {
+            self.role = Role::PreCandidate;
+            self.term + 1
+        } else {
+            self.role = Role::Candidate;
+            self.term += 1;
+            self.voted_for = Some(self.id);
+            self.persist_meta(now);
+            self.hold_until_synced = true;
+            self.term
+        };
+        let (last_index, last_term) = (self.last(), self.last_term());
+        let voters = self.members().voters.iter().map(|voter| voter.id);
+        let others: Vec<u64> = voters.filter(|id| *id != self.id).collect();
+        for to in others {
+            self.send(to, RaftMessage::VoteRequest { term, last_index, last_term, pre_vote, forced });
+        }
+        self.hold_until_synced = false;
+        self.count_votes(now);
+    }
+
+    pub(super) fn on_vote_response(&mut self, now: u64, from: u64, term: u64, pre_vote: bool, granted: bool) {
+        if !pre_vote || !granted {
+            self.observe_term(now, term);
+        }
+        let waited = if pre_vote { Role::PreCandidate } else { Role::Candidate };
+        let asked = if pre_vote { self.term + 1 } else { self.term };
+        if self.role == waited && (term == asked || !granted) {
+            self.votes.insert(from, granted);
+            self.count_votes(now);
+        }
+    }
+
+    pub(super) fn count_votes(&mut self, now: u64) {
+        let granted = self.members().voters.iter().filter(|voter| self.votes.get(&voter.id) == Some(&true)).count();
+        if granted < self.quorum() {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.campaign(now, false, false),
+            // our own vote counts only once it is on disk
+            Role::Candidate if self.held_outputs.is_empty() => self.become_leader(now),
+            _ => {}
+        }
+    }
+
+    fn become_leader(&mut self, now: u64) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        self.transfer_until = None;
+        self.reads.clear();
+        self.peers.clear();
+        self.follow_members(now);
+        self.outputs.push(RaftOutput::BecameLeader { term: self.term });
+        self.append_own(now, What::Blank);
+        self.send_heartbeats(now);
+    }
+
+    pub(super) fn step_down(&mut self, now: u64) {
+        if self.role == Role::Leader {
+            for read in std::mem::take(&mut self.reads) {
+                self.deny(read.ticket, Denial::NotLeader);
+            }
+            self.outputs.push(RaftOutput::SteppedDown);
+            self.leader = None;
+        }
+        self.role = Role::Follower;
+        self.reset_election_timer(now);
+    }
+
+    /// A newer term ends what this member was in the old one.
+    pub(super) fn observe_term(&mut self, now: u64, term: u64) {
+        if term > self.term {
+            self.step_down(now);
+            self.leader = None;
+            self.term = term;
+            self.voted_for = None;
+            self.persist_meta(now);
+        }
+    }
+
+    /// `their_last` is term and index of the candidate's last entry.
+    pub(super) fn on_vote_request(
+        &mut self,
+        now: u64,
+        from: u64,
+        term: u64,
+        their_last: (u64, u64),
+        pre_vote: bool,
+        forced: bool,
+    ) {
+        // a live leader is not unseated by a node that merely lost sight of it
+        let led = self.role == Role::Leader || (self.leader.is_some() && now < self.heard_leader + ELECTION_MS);
+        if led && !forced {
+            return;
+        }
+        if !pre_vote {
+            self.observe_term(now, term);
+        }
+        let own_last = (self.last_term(), self.last());
+        let unbound = self.voted_for.is_none_or(|voted_for| voted_for == from);
+        let free = if pre_vote { term > self.term } else { term == self.term && unbound };
+        let granted = free && their_last >= own_last && !self.disk_late(now);
+        let voted = granted && !pre_vote;
+        if voted && self.voted_for.is_none() {
+            self.voted_for = Some(from);
+            self.persist_meta(now);
+        }
+        if voted {
+            self.reset_election_timer(now);
+        }
+        // a vote leaves only behind the sync that keeps it
+        self.hold_until_synced = voted;
+        let term = if pre_vote && granted { term } else { self.term };
+        self.send(from, RaftMessage::VoteResponse { term, pre_vote, granted });
+        self.hold_until_synced = false;
+    }
+
+    /// Takes `from` as this term's leader; false when its term is over.
+    pub(super) fn accept_leader(&mut self, now: u64, from: u64, term: u64) -> bool {
+        self.observe_term(now, term);
+        if term < self.term {
+            return false;
+        }
+        if self.role != Role::Follower {
+            self.step_down(now);
+        }
+        self.leader = Some(from);
+        self.heard_leader = now;
+        self.reset_election_timer(now);
+        true
+    }
+
+    /// Asks the best peer to be elected in this leader's place (Raft thesis 3.10).
+    pub(super) fn transfer_leadership(&mut self, now: u64) {
+        if self.role == Role::Leader {
+            self.transfer_until = Some(now + ELECTION_MS);
+            self.try_transfer(now);
+        }
+    }
+
+    pub(super) fn try_transfer(&mut self, now: u64) {
+        let last = self.last();
+        let ready = |id: &u64| {
+            let peer = self.peers.get(id);
+            peer.is_some_and(|p| p.match_index == last && now.saturating_sub(p.last_heard) <= ELECTION_MS)
+        };
+        if let Some(to) = self.members().voters.iter().map(|voter| voter.id).find(ready) {
+            self.send(to, RaftMessage::TimeoutNow { term: self.term });
+        }
+    }
+
+    pub(super) fn on_timeout_now(&mut self, now: u64, term: u64) {
+        if term == self.term && self.is_voter(self.id) && !self.disk_late(now) {
+            self.campaign(now, false, true);
+        }
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/raft/log.rs
@@ -0,0 +1,95 @@
+//! The replicated log in memory, what of it is on disk, and what waits until it is.
+
+use super::{Raft, RaftOutput};
+use crate::constants::DISK_BOUND_MS;
+use crate::state::disk::DiskOp;
+use crate::state::entry::{Entry, What};
+
+/// What may be said only once a write is on disk.
+pub(super) struct HeldOutputs {
+    pub(super) sync_ticket: u64,
+    /// ms. When the write was handed out.
+    pub(super) since: u64,
+    /// The log's last index that is on disk with this write.
+    pub(super) last: u64,
+    pub(super) outputs: Vec<RaftOutput>,
+}
+
+impl Raft {
+    /// Index of the log's last entry.
+    pub fn last(&self) -> u64 {
+        self.log.back().map_or(self.base_index, |entry| entry.index)
+    }
+
+    /// Term of the log's last entry: with its index, how new the log is.
+    pub fn last_term(&self) -> u64 {
+        self.log.back().map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Entries in memory: those after the newest snapshot.
+    pub fn log_len(&self) -> usize {
+        self.log.len()
+    }
+
+    pub(super) fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        if index < self.base_index {
+            return None;
+        }
+        self.log.get((index - self.base_index - 1) as usize).map(|entry| entry.term)
+    }
+
+    pub(super) fn truncate_from(&mut self, from: u64) {
+        assert!(from > self.commit, "a committed entry may not be replaced");
+        self.log.truncate((from - self.base_index - 1) as usize);
+        self.member_log.retain(|(index, _)| *index < from);
+        for held in &mut self.held_outputs {
+            held.last = held.last.min(from - 1);
+        }
+        self.synced_index = self.synced_index.min(from - 1);
+    }
+
+    pub(super) fn push(&mut self, entry: Entry) {
+        if let What::Members(members) = &entry.what {
+            self.member_log.push((entry.index, members.clone()));
+        }
+        self.log.push_back(entry);
+    }
+
+    /// Appends an entry of this leader's term.
+    pub(super) fn append_own(&mut self, now: u64, what: What) -> u64 {
+        let index = self.last() + 1;
+        let entry = Entry { index, term: self.term, what };
+        self.push(entry.clone());
+        self.persist(now, vec![DiskOp::Append { entries: vec![entry] }]);
+        index
+    }
+
+    pub(super) fn persist(&mut self, now: u64, ops: Vec<DiskOp>) {
+        self.sync_ticket += 1;
+        let (sync_ticket, last) = (self.sync_ticket, self.last());
+        self.held_outputs.push_back(HeldOutputs { sync_ticket, since: now, last, outputs: vec![] });
+        self.outputs.push(RaftOutput::Persist { sync_ticket, ops });
+    }
+
+    pub(super) fn persist_meta(&mut self, now: u64) {
+        let op = DiskOp::Meta { term: self.term, voted: self.voted_for };
+        self.persist(now, vec![op]);
+    }
+
+    /// Everything handed out up to this ticket is on disk: what waited for it may be said.
+    pub(super) fn on_synced(&mut self, sync_ticket: u64) {
+        while self.held_outputs.front().is_some_and(|held| held.sync_ticket <= sync_ticket) {
+            let held = self.held_outputs.pop_front().expect("just seen");
+            self.synced_index = self.synced_index.max(held.last).min(self.last());
+            self.outputs.extend(held.outputs);
+        }
+    }
+
+    /// A disk that has not answered within its bound: no vote, no yes, no lead.
+    pub fn disk_late(&self, now: u64) -> bool {
+        self.held_outputs.front().is_some_and(|held| now.saturating_sub(held.since) > DISK_BOUND_MS)
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/raft/membership.rs
@@ -0,0 +1,115 @@
+//! The members of the group and their single-server changes (Raft thesis 4.1 and 4.2).
+
+use super::replication::Peer;
+use super::{Change, Denial, Raft, RaftOutput};
+use crate::constants::*;
+use crate::state::entry::{Members, What};
+
+impl Raft {
+    /// The members by the log: a change holds from the moment it is appended.
+    pub fn members(&self) -> &Members {
+        &self.member_log.last().expect("the base is always there").1
+    }
+
+    /// The members as agreed: a change under way is not among them yet.
+    pub fn agreed_members(&self) -> Members {
+        self.members_at(self.commit)
+    }
+
+    pub(super) fn members_at(&self, index: u64) -> Members {
+        let newest = self.member_log.iter().rev().find(|(since, _)| *since <= index);
+        newest.map_or(Members::default(), |(_, members)| members.clone())
+    }
+
+    pub(super) fn is_voter(&self, id: u64) -> bool {
+        self.members().voters.iter().any(|member| member.id == id)
+    }
+
+    /// Voters that make a majority.
+    pub(super) fn quorum(&self) -> usize {
+        self.members().voters.len() / 2 + 1
+    }
+
+    /// Is this peer live, and near enough to the end of the log to vote?
+    pub fn caught_up(&self, now: u64, id: u64) -> bool {
+        self.peers.get(&id).is_some_and(|peer| {
+            let near = peer.match_index > 0 && peer.match_index + PROMOTE_LAG >= self.last();
+            near && now.saturating_sub(peer.last_heard) <= ELECTION_MS
+        })
+    }
+
+    /// Begins to replicate to new members and forgets those that left.
+    pub(super) fn follow_members(&mut self, now: u64) {
+        let next_index = self.last() + 1;
+        let ids: Vec<u64> = self.members().all().map(|member| member.id).filter(|id| *id != self.id).collect();
+        self.peers.retain(|id, _| ids.contains(id));
+        for id in ids {
+            self.peers.entry(id).or_insert_with(|| Peer::new(next_index, now));
+        }
+    }
+
+    pub(super) fn change(&mut self, now: u64, ticket: u64, change: Change) {
+        if !self.ready_to_lead() {
+            return self.deny(ticket, Denial::NotLeader);
+        }
+        // one change at a time: the last one must be committed
+        if self.member_log.last().is_some_and(|(index, _)| *index > self.commit) {
+            return self.deny(ticket, Denial::Busy);
+        }
+        match self.changed(now, change) {
+            Ok(members) => {
+                let index = self.append_own(now, What::Members(members));
+                self.follow_members(now);
+                self.outputs.push(RaftOutput::Accepted { ticket, index });
+                self.broadcast(now);
+            }
+            Err(why) => self.deny(ticket, Denial::Unsafe(why)),
+        }
+    }
+
+    /// The members after `change`, or why it would endanger the group.
+    fn changed(&self, now: u64, change: Change) -> Result<Members, String> {
+        let mut members = self.members().clone();
+        match change {
+            Change::AddLearner(member) => {
+                if members.all().any(|known| known.id == member.id) {
+                    return Err("it is a member already".into());
+                }
+                members.learners.push(member);
+            }
+            Change::Promote(id) => {
+                let Some(at) = members.learners.iter().position(|learner| learner.id == id) else {
+                    return Err("it is not a learner".into());
+                };
+                // a voter that is far behind would weaken the group it joins
+                if !self.caught_up(now, id) {
+                    return Err("it has not caught up yet".into());
+                }
+                let learner = members.learners.remove(at);
+                members.voters.push(learner);
+            }
+            Change::Readdress(member) => {
+                let mut known = members.voters.iter_mut().chain(&mut members.learners);
+                known.find(|known| known.id == member.id).ok_or("it is not a member")?.addr = member.addr;
+            }
+            Change::Remove(id) => {
+                if !members.all().any(|member| member.id == id) {
+                    return Err("it is not a member".into());
+                }
+                members.learners.retain(|member| member.id != id);
+                members.voters.retain(|member| member.id != id);
+                let live = members.voters.iter().filter(|voter| self.is_live(now, voter.id)).count();
+                if live < members.voters.len() / 2 + 1 {
+                    return Err("the voters left would have no live quorum".into());
+                }
+            }
+        }
+        Ok(members)
+    }
+
+    /// Has this leader heard the member within an election time?
+    fn is_live(&self, now: u64, id: u64) -> bool {
+        let heard = self.peers.get(&id).is_some_and(|peer| now.saturating_sub(peer.last_heard) <= ELECTION_MS);
+        id == self.id || heard
+    }
+}
--- /dev/null
+++ b/hutbook/src/coordination/raft/snapshot.rs
@@ -0,0 +1,120 @@
+//! Snapshots: taken from the state, sent in chunks, installed (Raft thesis, chapter 5).
+
+use super::{Raft, RaftMessage, RaftOutput};
+use crate::constants::*;
+use crate::state::disk::DiskOp;
+use crate::state::entry::{Members, Snapshot};
+use std::sync::Arc;
+
+impl Raft {
+    /// Keeps the state up to `index` as a snapshot and lets the log before it go.
+    pub fn compact(&mut self, now: u64, index: u64, data: Vec<u8>) -> Vec<RaftOutput> {
+        if index <= self.base_index || index > self.applied {
+            return vec![];
+        }
+        let term = self.term_at(index).expect("applied entries are in the log");
+        let members = self.members_at(index);
+        let snapshot = Arc::new(Snapshot { index, term, members, data });
+        while self.log.front().is_some_and(|entry| entry.index <= index) {
+            self.log.pop_front();
+        }
+        self.install_base(snapshot.clone());
+        self.persist(now, vec![DiskOp::Snapshot { snapshot, clear: false }]);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The log begins after this snapshot from now on.
+    pub(super) fn install_base(&mut self, snapshot: Arc<Snapshot>) {
+        self.base_index = snapshot.index;
+        self.base_term = snapshot.term;
+        self.member_log.retain(|(index, _)| *index > snapshot.index);
+        self.member_log.insert(0, (snapshot.index, snapshot.members.clone()));
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Sends the chunk that comes after what the peer has acknowledged.
+    pub(super) fn send_snapshot_chunk(&mut self, to: u64) {
+        let Some(snapshot) = self.snapshot.clone() else { return };
+        let peer = self.peers.get_mut(&to).expect("only members are sent to");
+        let progress = peer.snapshot_progress.filter(|(index, _)| *index == snapshot.index);
+        let offset = progress.map_or(0, |(_, received)| received);
+        peer.snapshot_progress = Some((snapshot.index, offset));
+        let end = (offset as usize + SNAPSHOT_CHUNK_BYTES).min(snapshot.data.len());
+        let msg = RaftMessage::SnapshotChunk {
+            term: self.term,
+            index: snapshot.index,
+            index_term: snapshot.term,
+            members: snapshot.members.clone(),
+            offset,
+            total: snapshot.data.len() as u64,
+            bytes: snapshot.data[offset as usize..end].to_vec(),
+        };
+        self.send(to, msg);
+    }
+
+    /// The peer has the first `received` bytes of the snapshot at `index`: on with the next chunk.
+    pub(super) fn on_snapshot_chunk_ack(&mut self, now: u64, from: u64, index: u64, received: u64) {
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        peer.last_heard = now;
+        if peer.snapshot_progress.is_some_and(|(sending, _)| sending == index) {
+            peer.snapshot_progress = Some((index, received));
+            peer.chunk_sent_at = 0;
+            self.replicate_to(now, from);
+        }
+    }
+
+    /// Takes a chunk in order; with the last one the snapshot replaces state and log.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn on_snapshot_chunk(
+        &mut self,
+        now: u64,
+        from: u64,
+        position: (u64, u64),
+        members: Members,
+        offset: u64,
+        total: u64,
+        bytes: Vec<u8>,
+    ) {
+        if self.disk_late(now) {
+            return;
+        }
+        let (index, term) = position;
+        // what it covers is here already: say so and go on with the log
+        if index <= self.commit {
+            let index = self.commit.min(self.synced_index);
+            return self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
+        }
+        let mut data = match self.incoming_snapshot.take() {
+            Some((incoming, data)) if incoming == index => data,
+            _ => vec![],
+        };
+        if data.len() as u64 == offset {
+            data.extend_from_slice(&bytes);
+        }
+        let received = data.len() as u64;
+        if received < total {
+            self.incoming_snapshot = Some((index, data));
+            return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received });
+        }
+        self.install_snapshot(now, Arc::new(Snapshot { index, term, members, data }));
+        self.hold_until_synced = true;
+        self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
+        self.hold_until_synced = false;
+    }
+
+    /// Replaces log and state by a whole snapshot from the leader.
+    fn install_snapshot(&mut self, now: u64, snapshot: Arc<Snapshot>) {
+        let index = snapshot.index;
+        self.log.clear();
+        self.member_log.clear();
+        self.install_base(snapshot.clone());
+        self.synced_index = index;
+        self.commit = index;
+        self.applied = index;
+        for held in &mut self.held_outputs {
+            held.last = index;
+        }
+        self.persist(now, vec![DiskOp::Snapshot { snapshot: snapshot.clone(), clear: true }]);
+        self.outputs.push(RaftOutput::Restore(snapshot));
+    }
+}
