--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -131,7 +131,14 @@
         Some(_) => return Err(Said::no(422, "bad_change_id", "a change id is a name")),
         None => format!("{:016x}", draw()),
     };
-    Ok(ControlRequest::PutConfig { base, change, text: a.body.clone(), config: Box::new(c), number: 0, words: 0 })
+    Ok(ControlRequest::PutConfig {
+        base_version: base,
+        change,
+        text: a.body.clone(),
+        config: Box::new(c),
+        number: 0,
+        content_digest: 0,
+    })
 }
 
 fn list(name: String, body: &str) -> Result<ControlRequest, Said> {
--- a/scramble/src/fleet/callers.rs
+++ b/scramble/src/fleet/callers.rs
@@ -83,12 +83,12 @@
         let config = Box::new(config::read(text).expect("a good config"));
         self.plan();
         let t = self.operate(ControlRequest::PutConfig {
-            base,
+            base_version: base,
             change: change.into(),
             text: text.into(),
             config,
             number: 0,
-            words: 0,
+            content_digest: 0,
         });
         self.note_config(change, &t);
         t
@@ -113,12 +113,12 @@
         let out: std::rc::Rc<std::cell::RefCell<Vec<Option<ControlResponse>>>> = Default::default();
         for change in [a, b] {
             let ask = ControlRequest::PutConfig {
-                base,
+                base_version: base,
                 change: change.into(),
                 text: text.into(),
                 config: Box::new(config.clone()),
                 number: 0,
-                words: 0,
+                content_digest: 0,
             };
             let (o, w, change) = (out.clone(), self.clone(), change.to_string());
             self.spawn("outside", async move {
