--- a/hutbook/src/coordination/raft/fingerprint.rs
+++ b/hutbook/src/coordination/raft/fingerprint.rs
@@ -1,6 +1,8 @@
 //! What a model checker needs to see of a node: its log, and a digest of everything that decides what it does next.
 
-use super::{HeldOutputs, Peer, Raft};
+use super::log::HeldOutputs;
+use super::replication::Peer;
+use super::Raft;
 use crate::constants::*;
 use crate::state::entry::Entry;
 use std::hash::{Hash, Hasher};
@@ -13,7 +15,7 @@
 
     /// Index and term of the last entry that the snapshot covers; zeros where there is none.
     pub fn snapshot_position(&self) -> (u64, u64) {
-        (self.base, self.base_term)
+        (self.base_index, self.base_term)
     }
 
     /// Feeds `hasher` with all that decides how this node goes on from `now`.
@@ -23,8 +25,8 @@
     /// count. The timer of the next election is left out as well, and the random numbers that it is drawn from: a
     /// checker lets elections come when it likes.
     pub fn fingerprint(&self, now: u64, hasher: &mut impl Hasher) {
-        (self.id, self.term, self.voted, self.role as u8, self.leader).hash(hasher);
-        (self.base, self.base_term, self.commit, self.applied, self.synced_index).hash(hasher);
+        (self.id, self.term, self.voted_for, self.role as u8, self.leader).hash(hasher);
+        (self.base_index, self.base_term, self.commit, self.applied, self.synced_index).hash(hasher);
         (&self.log, &self.snapshot, &self.member_log).hash(hasher);
         (&self.votes, self.round, &self.reads, &self.incoming_snapshot).hash(hasher);
         let led = self.leader.is_some() && now < self.heard_leader + ELECTION_MS;
@@ -45,15 +47,16 @@
 
 impl HeldOutputs {
     fn fingerprint(&self, now: u64, hasher: &mut impl Hasher) {
-        (self.last, age(now, self.since, DISK_BOUND_MS), &self.outs).hash(hasher);
+        (self.last, age(now, self.since, DISK_BOUND_MS), &self.outputs).hash(hasher);
     }
 }
 
 impl Peer {
     fn fingerprint(&self, now: u64, hasher: &mut impl Hasher) {
-        (self.next, self.matched, self.round, age(now, self.heard, ELECTION_MS)).hash(hasher);
-        (self.probe.map(|at| age(now, at, HEARTBEAT_MS)), self.piece).hash(hasher);
-        age(now, self.piece_at, SNAPSHOT_CHUNK_RETRY_MS).hash(hasher);
+        (self.next_index, self.match_index, self.acknowledged_round, age(now, self.last_heard, ELECTION_MS))
+            .hash(hasher);
+        (self.probing_since.map(|at| age(now, at, HEARTBEAT_MS)), self.snapshot_progress).hash(hasher);
+        age(now, self.chunk_sent_at, SNAPSHOT_CHUNK_RETRY_MS).hash(hasher);
     }
 }
 
--- a/scramble/src/model/trace.rs
+++ b/scramble/src/model/trace.rs
@@ -82,8 +82,8 @@
 
 fn content(message: &RaftMessage) -> String {
     match message {
-        RaftMessage::AppendRequest { term, prev, prev_term, entries: list, commit, round } => format!(
-            "AppendRequest term {term}, after {prev} of term {prev_term}: {}, committed {commit}, round {round}",
+        RaftMessage::AppendRequest { term, previous_index, previous_term, entries: list, commit, round } => format!(
+            "AppendRequest term {term}, after {previous_index} of term {previous_term}: {}, committed {commit}, round {round}",
             entries(list.iter())
         ),
         RaftMessage::SnapshotChunk { term, index, index_term, .. } => {
