--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -225,8 +225,11 @@
 pub const DECISIONS_KEPT: usize = 64;
 /// machines. Whose names are kept, with the id of each of their lives: far more than a fleet has.
 pub const NAMES_KEPT: usize = 1_024;
-/// change ids. Remembered so that a repeated change gets its first verdict.
-pub const CHANGES_KEPT: usize = 256;
+/// configurations. Accepted ones that are remembered, to know them when they come again: a year
+/// and a half at 120 a day, in some 2 MB of the snapshot.
+pub const ACCEPTED_CONFIGS_KEPT: usize = 65_536;
+/// changes. Refused ones that name a version which does not exist yet; more get no clear answer.
+pub const REFUSED_CONFIGS_KEPT: usize = 256;
 /// events. Kept for edges that are a little behind; older ones get a whole capture.
 pub const FEED_EVENTS: usize = 2_048;
 /// ms. Connecting to a server that takes work passed through: a few round trips; a dead one says nothing.
--- a/hutbook/src/coordination/control/messages.rs
+++ b/hutbook/src/coordination/control/messages.rs
@@ -103,6 +103,8 @@
         /// A store machine by its name.
         #[n(21)] RetireNamed(#[n(0)] String),
         #[n(22)] RetirementNamed(#[n(0)] String),
+        /// The outcome of a change whose document can't be worked out here: another version is in force.
+        #[n(23)] ConfigOutcome { #[n(0)] base_version: u64, #[n(1)] change: String, #[n(2)] number: u64, #[n(3)] content_digest: u64 },
         #[n(19)] Thought { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
     }
     /// What a directory says of one server, with the revision of its cold time that this may
@@ -137,10 +139,13 @@
         #[n(8)] NotLeader(#[n(0)] Option<Member>),
         #[n(9)] Lost,
         #[n(10)] Busy,
+        /// What became of it can't be known any more, or not now: neither done nor refused.
+        #[n(11)] Unclear(#[n(0)] String),
     }
     pub(super) enum ControlCommand {
         #[n(0)] Found(#[n(0)] u64),
         #[n(1)] Config { #[n(0)] base_version: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64, #[cbor(n(5), default)] content_digest: u64 },
+        #[n(16)] DecideConfig { #[n(0)] base_version: u64, #[n(1)] change: String, #[n(2)] number: u64, #[n(3)] content_digest: u64 },
         #[n(2)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
         #[n(3)] Leave(#[n(0)] String),
         #[n(4)] Remove(#[n(0)] String),
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -13,6 +13,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use configuration::{text_digest, ChangeIdentity, TextDigest};
 pub use core_membership::{founder_id, founders, founding_cluster};
 pub use messages::*;
 pub use scaling::ponder;
@@ -22,10 +23,11 @@
 use super::replica::{LeaderContext, LeaderTask, Plan, StateMachine};
 use super::scaler::{Sample, Scene};
 use super::shares::Ledger;
-use super::view::{hash, Event, View};
+use super::view::{Event, View};
 use crate::constants::*;
 use crate::state::entry::{to_bytes, Member, Members};
 use crate::state::journal::Journal;
+use configuration::{document_digest, ChangeOutcomes};
 use directory::Sight;
 use leases::Merged;
 use messages::ControlCommand;
@@ -41,14 +43,15 @@
         #[n(0)] view: View,
         /// (revision, text, change id), oldest first.
         #[n(1)] configs: VecDeque<(u64, String, String)>,
-        /// Verdict on each change id: the revision it made, or the one it lost to; and its document's digest.
-        #[n(2)] changes: VecDeque<(String, bool, u64, u64)>,
+        /// Of an earlier version: (change id, accepted, revision, digest of its document).
+        #[n(2)] old_changes: Vec<(String, bool, u64, u64)>,
         #[n(3)] samples: VecDeque<Sample>,
         #[n(4)] decisions: VecDeque<RecordedDecision>,
         #[n(5)] retired: Vec<u64>,
         /// Names of store machines and the id of each of their lives, oldest first.
         #[cbor(n(6), default)] names: Vec<(String, u64)>,
         #[cbor(n(7), default)] retired_names: Vec<String>,
+        #[cbor(n(8), default)] change_outcomes: ChangeOutcomes,
     }
 }
 
@@ -243,11 +246,19 @@
                 ControlCommand::Dismiss(id)
             }
             ControlRequest::PutConfig { base_version, change, text, config, number, content_digest } => {
-                let content_digest = if content_digest == 0 { hash(&text) } else { content_digest };
-                if let Some(t) = self.changed(&change, content_digest) {
-                    return Plan::Reply(t);
+                let content_digest = if content_digest == 0 { document_digest(&text) } else { content_digest };
+                let identity = ChangeIdentity { base_version, number, change, content_digest };
+                if let Some(first) = self.known_outcome(&identity) {
+                    return Plan::Reply(first);
                 }
-                ControlCommand::Config { base_version, change, text, config, number, content_digest }
+                ControlCommand::Config { base_version, change: identity.change, text, config, number, content_digest }
+            }
+            ControlRequest::ConfigOutcome { base_version, change, number, content_digest } => {
+                let identity = ChangeIdentity { base_version, number, change, content_digest };
+                if let Some(first) = self.known_outcome(&identity) {
+                    return Plan::Reply(first);
+                }
+                ControlCommand::DecideConfig { base_version, change: identity.change, number, content_digest }
             }
             ControlRequest::List { name, group, addr, cell } => ControlCommand::List { name, group, addr, cell },
             ControlRequest::Leave(n) => ControlCommand::Leave(n),
@@ -317,7 +328,11 @@
                 ControlResponse::Agreed(index)
             }
             ControlCommand::Config { base_version, change, text, config, number, content_digest } => {
-                self.put_config(index, base_version, change, text, *config, number, content_digest)
+                let change = ChangeIdentity { base_version, number, change, content_digest };
+                self.put_config(index, change, text, *config)
+            }
+            ControlCommand::DecideConfig { base_version, change, number, content_digest } => {
+                self.decide_without_document(&ChangeIdentity { base_version, number, change, content_digest })
             }
             ControlCommand::List { name, group, addr, cell } => self.list(index, name, group, addr, cell),
             ControlCommand::Leave(n) => self.leave(index, &n),
@@ -408,6 +423,7 @@
 
     fn restore(&mut self, data: &[u8]) {
         self.state = minicbor::decode(data).unwrap_or_default();
+        self.take_over_old_changes();
         // what came before the capture can only be fed whole
         self.journal = Journal::new(FEED_EVENTS, self.state.view.rev);
     }
--- a/hutbook/src/coordination/control/tests.rs
+++ b/hutbook/src/coordination/control/tests.rs
@@ -4,6 +4,10 @@
 use crate::state::config::Config;
 use std::collections::BTreeMap;
 
+fn unnumbered(base_version: u64, change: &str) -> ChangeIdentity {
+    ChangeIdentity { base_version, number: 0, change: change.into(), content_digest: 1 }
+}
+
 #[test]
 fn what_was_decided_under_an_old_term_is_void() {
     // given a core, and a decision begun under term 1
@@ -80,7 +84,7 @@
         limits: Limits::default(),
         ways: BTreeMap::new(),
     };
-    c.put_config(1, 0, "a".into(), String::new(), config.clone(), 0, 1);
+    c.put_config(1, unnumbered(0, "a"), String::new(), config.clone());
     let listing = |i: u64| Listing {
         name: format!("s{i}"),
         group: "g".into(),
@@ -109,7 +113,7 @@
     c.decided(4, 1, d(6, 4), s());
     assert_eq!(used(&c), 4);
     // and a config again, or a server more, leaves it there
-    c.put_config(5, 1, "b".into(), String::new(), config, 0, 2);
+    c.put_config(5, unnumbered(1, "b"), String::new(), config);
     c.directory_agreed(6, put(6..7), vec![]);
     assert_eq!(used(&c), 4);
     // and a step up to all there are takes those to come as well
--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -3,7 +3,7 @@
 
 use super::field::draw;
 use super::http::{Asked, Out, Said};
-use super::reach::{Reach, Wired};
+use super::reach::{Reach, Speak};
 use crate::constants::*;
 use crate::coordination::control::{ControlRequest, ControlResponse};
 use crate::protocol::config;
@@ -18,7 +18,8 @@
     Patch(Patch),
 }
 
-/// Works a change out on the text of the config in force.
+/// Works a change out on the text of the config in force. Where that is another version than the
+/// one it builds on, the change is decided by its identity: `ControlRequest::ConfigOutcome`.
 pub type Apply = Box<dyn Fn(&str) -> Result<ControlRequest, Said> + Send>;
 
 pub struct Patch {
@@ -51,7 +52,7 @@
 }
 
 /// Asks the leader, wherever it is; `addrs` are the members this node knows.
-pub async fn answer(reach: Arc<Reach<Wired>>, addrs: Vec<String>, a: Asked, d: &dyn Dialect) -> Said {
+pub async fn answer<S: Speak>(reach: Arc<Reach<S>>, addrs: Vec<String>, a: Asked, d: &dyn Dialect) -> Said {
     let ask = match d.order(&a) {
         Ok(Order::Ask(x)) => x,
         Ok(Order::Patch(p)) => {
@@ -61,6 +62,11 @@
                     Ok(x) => x,
                     Err(s) => return s,
                 },
+                // there is none yet: an empty text is no version that a change could build on
+                Some(ControlResponse::Unknown(_)) => match (p.apply)("") {
+                    Ok(x) => x,
+                    Err(s) => return s,
+                },
                 Some(t) => return d.said(&a, t),
                 None => return no_leader(),
             }
@@ -173,6 +179,7 @@
         }
         ControlResponse::Refused { code, why } => Said::no(409, &code, why),
         ControlResponse::Unknown(why) => Said::no(404, "unknown", why),
+        ControlResponse::Unclear(why) => Said::no(503, "unclear", why).with("retry-after", "1"),
         _ => Said::no(503, "no_answer", "the core gave no answer to this").with("retry-after", "1"),
     }
 }
