--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -9,7 +9,6 @@
 use crate::protocol::config;
 use crate::protocol::findings::{is_name, Finding, Reader};
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 /// What one call of an operator comes to.
 pub enum Order {
@@ -52,7 +51,7 @@
 }
 
 /// Asks the leader, wherever it is; `addrs` are the members this node knows.
-pub async fn answer<S: Speak>(reach: Arc<Reach<S>>, addrs: Vec<String>, a: Asked, d: &dyn Dialect) -> Said {
+pub async fn answer<S: Speak>(reach: &Reach<S>, addrs: Vec<String>, a: Asked, d: &dyn Dialect) -> Said {
     let ask = match d.order(&a) {
         Ok(Order::Ask(x)) => x,
         Ok(Order::Patch(p)) => {
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -100,7 +100,7 @@
                 let ready = h.look(|x| x.leader().map(drop).ok_or("no leader is known".to_string()));
                 match common(&a, &c, ready, || metrics(&h, &p), || beliefs(&h, &my, &cell)).filter(|_| d.common(&a)) {
                     Some(s) => s,
-                    None => operators::answer(r, members(&h, &my, &first), a, &*d).await,
+                    None => operators::answer(&r, members(&h, &my, &first), a, &*d).await,
                 }
             }
         })
