--- a/hutbook/src/coordination/raft/election.rs
+++ b/hutbook/src/coordination/raft/election.rs
@@ -34,7 +34,6 @@
             self.term += 1;
             self.voted_for = Some(self.id);
             self.persist_meta(now);
-            self.hold_until_synced = true;
             self.term
         };
         let (last_index, last_term) = (self.last(), self.last_term());
@@ -43,7 +42,6 @@
         for to in others {
             self.send(to, RaftMessage::VoteRequest { term, last_index, last_term, pre_vote, forced });
         }
-        self.hold_until_synced = false;
         self.count_votes(now);
     }
 
@@ -66,7 +64,7 @@
         }
         match self.role {
             Role::PreCandidate => self.campaign(now, false, false),
-            // our own vote counts only once it is on disk
+            // its own vote and all of its log count only once they are on disk
             Role::Candidate if self.held_outputs.is_empty() => self.become_leader(now),
             _ => {}
         }
@@ -103,6 +101,7 @@
             self.leader = None;
             self.term = term;
             self.voted_for = None;
+            self.answered_round = 0;
             self.persist_meta(now);
         }
     }
@@ -137,11 +136,8 @@
         if voted {
             self.reset_election_timer(now);
         }
-        // a vote leaves only behind the sync that keeps it
-        self.hold_until_synced = voted;
         let term = if pre_vote && granted { term } else { self.term };
         self.send(from, RaftMessage::VoteResponse { term, pre_vote, granted });
-        self.hold_until_synced = false;
     }
 
     /// Takes `from` as this term's leader; false when its term is over.
--- a/hutbook/src/coordination/raft/log.rs
+++ b/hutbook/src/coordination/raft/log.rs
@@ -1,6 +1,6 @@
 //! The replicated log in memory, what of it is on disk, and what waits until it is.
 
-use super::{Raft, RaftOutput};
+use super::{Raft, RaftMessage, RaftOutput, Role};
 use crate::constants::DISK_BOUND_MS;
 use crate::state::disk::DiskOp;
 use crate::state::entry::{Entry, What};
@@ -10,8 +10,11 @@
     pub(super) sync_ticket: u64,
     /// ms. When the write was handed out.
     pub(super) since: u64,
-    /// The log's last index that is on disk with this write.
+    /// The log's last index and the term that are on disk with this write.
     pub(super) last: u64,
+    pub(super) term: u64,
+    /// False for a write that no promise rests on: a snapshot of what the log holds already.
+    pub(super) binds: bool,
     pub(super) outputs: Vec<RaftOutput>,
 }
 
@@ -45,10 +48,6 @@
         assert!(from > self.commit, "a committed entry may not be replaced");
         self.log.truncate((from - self.base_index - 1) as usize);
         self.member_log.retain(|(index, _)| *index < from);
-        for held in &mut self.held_outputs {
-            held.last = held.last.min(from - 1);
-        }
-        self.synced_index = self.synced_index.min(from - 1);
     }
 
     pub(super) fn push(&mut self, entry: Entry) {
@@ -69,8 +68,9 @@
 
     pub(super) fn persist(&mut self, now: u64, ops: Vec<DiskOp>) {
         self.sync_ticket += 1;
-        let (sync_ticket, last) = (self.sync_ticket, self.last());
-        self.held_outputs.push_back(HeldOutputs { sync_ticket, since: now, last, outputs: vec![] });
+        let (sync_ticket, last, term) = (self.sync_ticket, self.last(), self.term);
+        let binds = ops.iter().any(|op| !matches!(op, DiskOp::Snapshot { clear: false, .. }));
+        self.held_outputs.push_back(HeldOutputs { sync_ticket, since: now, last, term, binds, outputs: vec![] });
         self.outputs.push(RaftOutput::Persist { sync_ticket, ops });
     }
 
@@ -79,11 +79,26 @@
         self.persist(now, vec![op]);
     }
 
+    /// Sends a message, or holds it until what it promises is on disk.
+    ///
+    /// Writes are synced in the order they are handed out. So a promise (a vote, an acknowledged index)
+    /// goes behind the newest of them, and everything else behind the one that keeps the term it names.
+    /// A leader's term is on disk since before it led; its entries may be on the others' disks before
+    /// they are on its own (Raft thesis 10.2.1), and it counts its own copy only once that is synced.
+    pub(super) fn send(&mut self, to: u64, msg: RaftMessage) {
+        let waits = self.role != Role::Leader && (msg.is_promise() || self.synced_term < self.term);
+        let output = RaftOutput::Send { to, msg };
+        match self.held_outputs.iter_mut().rev().find(|held| held.binds) {
+            Some(held) if waits => held.outputs.push(output),
+            _ => self.outputs.push(output),
+        }
+    }
+
     /// Everything handed out up to this ticket is on disk: what waited for it may be said.
     pub(super) fn on_synced(&mut self, sync_ticket: u64) {
         while self.held_outputs.front().is_some_and(|held| held.sync_ticket <= sync_ticket) {
             let held = self.held_outputs.pop_front().expect("just seen");
-            self.synced_index = self.synced_index.max(held.last).min(self.last());
+            (self.synced_index, self.synced_term) = (held.last, held.term);
             self.outputs.extend(held.outputs);
         }
     }
--- a/hutbook/src/coordination/raft/messages.rs
+++ b/hutbook/src/coordination/raft/messages.rs
@@ -32,6 +32,20 @@
     }
 }
 
+impl RaftMessage {
+    /// Does it bind its sender to something that must outlive a loss of power?
+    pub(super) fn is_promise(&self) -> bool {
+        match self {
+            // a candidate has voted for itself
+            RaftMessage::VoteRequest { pre_vote, .. } => !pre_vote,
+            RaftMessage::VoteResponse { pre_vote, granted, .. } => *granted && !pre_vote,
+            // index 0 says only: I am here, in your term
+            RaftMessage::AppendResponse { success, index, .. } => *success && *index > 0,
+            _ => false,
+        }
+    }
+}
+
 /// What a step is given. Tickets are the caller's own numbers for what it asked.
 #[derive(Debug)]
 pub enum RaftInput {
--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -45,8 +45,10 @@
     /// Newest index known to be committed.
     pub commit: u64,
     applied: u64,
-    /// Newest index whose log is on this member's disk.
+    /// Where the log on this member's disk ends, and the term there. The disk's log equals the one in
+    /// memory up to there only while it leads: elected with everything synced, it replaces nothing.
     synced_index: u64,
+    synced_term: u64,
     /// Number of the newest write handed to the disk.
     sync_ticket: u64,
     held_outputs: VecDeque<HeldOutputs>,
@@ -63,13 +65,13 @@
     /// Number of this leader's newest round of heartbeats, and when it was sent.
     round: u64,
     round_sent: u64,
+    /// The leader's newest round that this follower has answered.
+    answered_round: u64,
     reads: VecDeque<PendingRead>,
     transfer_until: Option<u64>,
     /// Index and bytes so far of a snapshot that the leader is sending.
     incoming_snapshot: Option<(u64, Vec<u8>)>,
     outputs: Vec<RaftOutput>,
-    /// Sends of this step that may not pass the sync of `sync_ticket`.
-    hold_until_synced: bool,
 }
 
 impl Raft {
@@ -100,6 +102,7 @@
             commit: base_index,
             applied: base_index,
             synced_index: last,
+            synced_term: boot.term,
             sync_ticket: 0,
             held_outputs: VecDeque::new(),
             peers: BTreeMap::new(),
@@ -111,11 +114,11 @@
             probe_at: 0,
             round: 0,
             round_sent: 0,
+            answered_round: 0,
             reads: VecDeque::new(),
             transfer_until: None,
             incoming_snapshot: None,
             outputs: vec![],
-            hold_until_synced: false,
         };
         if let Some(snapshot) = snapshot {
             raft.outputs.push(RaftOutput::Restore(snapshot));
@@ -192,15 +195,6 @@
         }
     }
 
-    fn send(&mut self, to: u64, msg: RaftMessage) {
-        let output = RaftOutput::Send { to, msg };
-        // a promise made in this step may not leave before what it promises is synced
-        match self.held_outputs.back_mut() {
-            Some(held) if self.hold_until_synced => held.outputs.push(output),
-            _ => self.outputs.push(output),
-        }
-    }
-
     fn deny(&mut self, ticket: u64, why: Denial) {
         self.outputs.push(RaftOutput::Denied { ticket, why });
     }
--- a/hutbook/src/coordination/raft/replication.rs
+++ b/hutbook/src/coordination/raft/replication.rs
@@ -151,9 +151,19 @@
             self.persist(now, vec![DiskOp::Append { entries: fresh }]);
         }
         self.commit = self.commit.max(commit.min(index));
-        self.hold_until_synced = index > self.synced_index;
+        self.answer_round(from, round);
         self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round });
-        self.hold_until_synced = false;
+    }
+
+    /// Tells the leader at once, and once a round, that this follower is in its term, while a slow disk
+    /// holds back what it acknowledges: reads and the leader's quorum need contact, not copies.
+    fn answer_round(&mut self, leader: u64, round: u64) {
+        let news = round > self.answered_round;
+        self.answered_round = self.answered_round.max(round);
+        let writing = self.held_outputs.iter().any(|held| held.binds);
+        if news && writing && self.synced_term == self.term {
+            self.send(leader, RaftMessage::AppendResponse { term: self.term, success: true, index: 0, round });
+        }
     }
 
     /// Puts those of the leader's entries that the log lacks in place of what stands there.
--- a/hutbook/src/coordination/raft/snapshot.rs
+++ b/hutbook/src/coordination/raft/snapshot.rs
@@ -81,7 +81,7 @@
         let (index, term) = position;
         // what it covers is here already: say so and go on with the log
         if index <= self.commit {
-            let index = self.commit.min(self.synced_index);
+            let index = self.commit;
             return self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
         }
         let mut data = match self.incoming_snapshot.take() {
@@ -97,23 +97,18 @@
             return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received });
         }
         self.install_snapshot(now, Arc::new(Snapshot { index, term, members, data }));
-        self.hold_until_synced = true;
         self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
-        self.hold_until_synced = false;
     }
 
-    /// Replaces log and state by a whole snapshot from the leader.
+    /// Replaces log and state by a whole snapshot from the leader. Nothing of it is said before its sync:
+    /// see `send`.
     fn install_snapshot(&mut self, now: u64, snapshot: Arc<Snapshot>) {
         let index = snapshot.index;
         self.log.clear();
         self.member_log.clear();
         self.install_base(snapshot.clone());
-        self.synced_index = index;
         self.commit = index;
         self.applied = index;
-        for held in &mut self.held_outputs {
-            held.last = index;
-        }
         self.persist(now, vec![DiskOp::Snapshot { snapshot: snapshot.clone(), clear: true }]);
         self.outputs.push(RaftOutput::Restore(snapshot));
     }
--- /dev/null
+++ b/hutbook/tests/agreement.rs
@@ -0,0 +1,553 @@
+//! Several `Raft`s over a network and disks in memory: cuts each way, late and repeated messages,
+//! freezes, crashes that lose what was not synced. Everything by seed; nothing sleeps.
+
+use hutbook::coordination::raft::{Denial, Raft, RaftInput, RaftMessage, RaftOutput, Role};
+use hutbook::state::disk::{Boot, DiskOp};
+use hutbook::state::entry::{from_bytes, to_bytes, Member, What};
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// ms between the steps of the simulation.
+const STEP_MS: u64 = 5;
+/// ms. Longer than any election with its spread and a lost round.
+const ELECTED_MS: u64 = 3_000;
+/// ms. A leader without a majority has stopped by then: the election time and one step.
+const STOPPED_MS: u64 = 400 + 2 * STEP_MS;
+
+struct Node {
+    raft: Option<Raft>,
+    /// What a loss of power leaves.
+    disk: Boot,
+    /// Writes under way: when they are synced, and what they are.
+    writes: Vec<(u64, u64, Vec<DiskOp>)>,
+    frozen_until: u64,
+    applied: Vec<Vec<u8>>,
+    applied_index: u64,
+    /// Answers to reads and proposals, by ticket.
+    readable: BTreeSet<u64>,
+    denied: BTreeMap<u64, Denial>,
+    led_terms: Vec<u64>,
+}
+
+struct Flight {
+    due: u64,
+    from: u64,
+    to: u64,
+    msg: RaftMessage,
+}
+
+/// How a group lives: what a write takes and what befalls messages.
+struct World {
+    now: u64,
+    rng: ChaCha8Rng,
+    nodes: BTreeMap<u64, Node>,
+    flights: Vec<Flight>,
+    /// Directions that carry nothing.
+    cuts: BTreeSet<(u64, u64)>,
+    link_ms: u64,
+    sync_ms: u64,
+    /// Of a hundred messages: lost, repeated later, late.
+    lost: u64,
+    repeated: u64,
+    late: u64,
+    leaders: BTreeMap<u64, u64>,
+    history: BTreeMap<u64, (u64, Vec<u8>)>,
+    /// What was applied anywhere when a read was asked.
+    reads: BTreeMap<u64, u64>,
+    tickets: u64,
+}
+
+impl World {
+    fn new(size: u64, seed: u64) -> World {
+        let voters: Vec<Member> = (1..=size).map(|id| Member { id, addr: id.to_string() }).collect();
+        let boot = Boot::founding_with(&voters, None);
+        let mut world = World {
+            now: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            nodes: BTreeMap::new(),
+            flights: vec![],
+            cuts: BTreeSet::new(),
+            link_ms: 5,
+            sync_ms: 5,
+            lost: 0,
+            repeated: 0,
+            late: 0,
+            leaders: BTreeMap::new(),
+            history: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            tickets: 0,
+        };
+        for id in 1..=size {
+            world.nodes.insert(id, Node::new(boot.clone()));
+            world.start(id);
+        }
+        world
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.rng.next_u64() % below
+    }
+
+    fn start(&mut self, id: u64) {
+        let (now, seed) = (self.now, self.rng.next_u64());
+        let node = self.nodes.get_mut(&id).unwrap();
+        (node.applied, node.applied_index) = (vec![], 0);
+        node.raft = Some(Raft::new(id, node.disk.clone(), seed, now));
+        self.step(id, RaftInput::Tick);
+    }
+
+    /// Of the writes under way some first ones reached the disk, and the rest are gone.
+    fn crash(&mut self, id: u64) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        let writes = std::mem::take(&mut node.writes);
+        let kept = self.rng.next_u64() as usize % (writes.len() + 1);
+        for op in writes.iter().take(kept).flat_map(|write| &write.2) {
+            node.disk.take(op);
+        }
+        (node.raft, node.frozen_until) = (None, 0);
+    }
+
+    fn raft(&self, id: u64) -> &Raft {
+        self.nodes[&id].raft.as_ref().unwrap()
+    }
+
+    fn leads(&self, id: u64) -> bool {
+        self.nodes[&id].raft.as_ref().is_some_and(|raft| raft.role == Role::Leader)
+    }
+
+    /// The leader of the newest term.
+    fn leader(&self) -> Option<u64> {
+        let ids = self.nodes.keys().copied().filter(|id| self.leads(*id));
+        ids.max_by_key(|id| self.raft(*id).term)
+    }
+
+    fn step(&mut self, id: u64, input: RaftInput) {
+        let now = self.now;
+        let Some(raft) = self.nodes.get_mut(&id).unwrap().raft.as_mut() else { return };
+        for output in raft.step(now, input) {
+            self.carry_out(id, output);
+        }
+    }
+
+    fn carry_out(&mut self, id: u64, output: RaftOutput) {
+        let sync_at = self.now + self.sync_ms;
+        match output {
+            RaftOutput::Send { to, msg } => self.send(id, to, msg),
+            RaftOutput::Persist { sync_ticket, ops } => {
+                self.nodes.get_mut(&id).unwrap().writes.push((sync_at, sync_ticket, ops))
+            }
+            RaftOutput::Apply(entry) => {
+                let bytes = match entry.what {
+                    What::Command(bytes) => bytes,
+                    _ => vec![],
+                };
+                // state machine safety: nobody ever applies anything else at this index
+                let first = self.history.entry(entry.index).or_insert((entry.term, bytes.clone()));
+                assert_eq!(*first, (entry.term, bytes.clone()), "index {} applied twice, differently", entry.index);
+                let node = self.nodes.get_mut(&id).unwrap();
+                assert_eq!(node.applied_index + 1, entry.index);
+                node.applied_index = entry.index;
+                node.applied.push(bytes);
+            }
+            RaftOutput::Restore(snapshot) => {
+                let node = self.nodes.get_mut(&id).unwrap();
+                let applied: Vec<Vec<u8>> = from_bytes(&snapshot.data).unwrap();
+                (node.applied, node.applied_index) = (applied, snapshot.index);
+            }
+            RaftOutput::Accepted { .. } | RaftOutput::SteppedDown => {}
+            RaftOutput::Readable { ticket } => {
+                let node = self.nodes.get_mut(&id).unwrap();
+                assert!(node.applied_index >= self.reads[&ticket], "a stale read");
+                node.readable.insert(ticket);
+            }
+            RaftOutput::Denied { ticket, why } => {
+                self.nodes.get_mut(&id).unwrap().denied.insert(ticket, why);
+            }
+            RaftOutput::BecameLeader { term } => {
+                let first = *self.leaders.entry(term).or_insert(id);
+                assert_eq!(first, id, "two leaders in term {term}");
+                self.nodes.get_mut(&id).unwrap().led_terms.push(term);
+            }
+        }
+    }
+
+    /// A member may promise only what a loss of power would leave it.
+    fn check_promise(&self, id: u64, to: u64, msg: &RaftMessage) {
+        let disk = &self.nodes[&id].disk;
+        match msg {
+            RaftMessage::VoteResponse { term, pre_vote: false, granted: true } => {
+                let kept = disk.term > *term || (disk.term, disk.voted) == (*term, Some(to));
+                assert!(kept, "{id}: a vote in term {term} that is not on disk");
+            }
+            RaftMessage::VoteRequest { term, pre_vote: false, .. } => {
+                let kept = disk.term > *term || (disk.term, disk.voted) == (*term, Some(id));
+                assert!(kept, "{id}: its own vote in term {term} is not on disk");
+            }
+            RaftMessage::AppendResponse { term, success: true, index, .. } => {
+                assert!(disk.term >= *term, "a term that is not on disk");
+                let snapshot = disk.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+                let last = disk.entries.last().map_or(snapshot, |entry| entry.index.max(snapshot));
+                assert!(last >= *index, "{id} acknowledged {index}, its disk ends at {last}");
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: u64, to: u64, msg: RaftMessage) {
+        self.check_promise(from, to, &msg);
+        let base = self.now + self.link_ms;
+        if self.draw(100) < self.lost {
+            return;
+        }
+        let late = if self.draw(100) < self.late { self.draw(3_000) } else { 0 };
+        if self.draw(100) < self.repeated {
+            let due = base + self.draw(6_000);
+            self.flights.push(Flight { due, from, to, msg: msg.clone() });
+        }
+        self.flights.push(Flight { due: base + late, from, to, msg });
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            self.sync_disks();
+            self.deliver();
+            let tick = self.now.is_multiple_of(10);
+            for id in self.nodes.keys().copied().collect::<Vec<_>>() {
+                if tick && self.nodes[&id].frozen_until <= self.now {
+                    self.step(id, RaftInput::Tick);
+                }
+            }
+        }
+    }
+
+    fn sync_disks(&mut self) {
+        for id in self.nodes.keys().copied().collect::<Vec<_>>() {
+            let now = self.now;
+            let node = self.nodes.get_mut(&id).unwrap();
+            if node.frozen_until > now {
+                continue;
+            }
+            let done = node.writes.iter().take_while(|write| write.0 <= now).count();
+            let done: Vec<_> = node.writes.drain(..done).collect();
+            for op in done.iter().flat_map(|write| &write.2) {
+                node.disk.take(op);
+            }
+            if let Some((_, sync_ticket, _)) = done.last() {
+                self.step(id, RaftInput::Synced(*sync_ticket));
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let ready = |nodes: &BTreeMap<u64, Node>, to: u64| nodes[&to].frozen_until <= now;
+        let flights = std::mem::take(&mut self.flights);
+        let (mut due, later): (Vec<_>, Vec<_>) =
+            flights.into_iter().partition(|flight| flight.due <= now && ready(&self.nodes, flight.to));
+        self.flights = later;
+        due.sort_by_key(|flight| flight.due);
+        for Flight { from, to, msg, .. } in due {
+            if !self.cuts.contains(&(from, to)) {
+                self.step(to, RaftInput::Message { from, msg });
+            }
+        }
+    }
+
+    fn propose(&mut self, id: u64) -> u64 {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        self.step(id, RaftInput::Propose { ticket, bytes: ticket.to_be_bytes().to_vec() });
+        ticket
+    }
+
+    fn read(&mut self, id: u64) -> u64 {
+        self.tickets += 1;
+        let newest = self.nodes.values().map(|node| node.applied_index).max().unwrap_or(0);
+        self.reads.insert(self.tickets, newest);
+        self.step(id, RaftInput::Read { ticket: self.tickets });
+        self.tickets
+    }
+
+    fn compact(&mut self, id: u64) {
+        let now = self.now;
+        let node = self.nodes.get_mut(&id).unwrap();
+        let (index, data) = (node.applied_index, to_bytes(&node.applied));
+        let Some(raft) = node.raft.as_mut() else { return };
+        for output in raft.compact(now, index, data) {
+            self.carry_out(id, output);
+        }
+    }
+
+    /// Nothing from `from` reaches `to` any more.
+    fn cut(&mut self, from: u64, to: u64) {
+        self.cuts.insert((from, to));
+    }
+
+    fn others(&self, id: u64) -> Vec<u64> {
+        self.nodes.keys().copied().filter(|other| *other != id).collect()
+    }
+
+    /// The leader once there is one and it has agreed something in its term.
+    fn settled(&mut self) -> u64 {
+        self.run(ELECTED_MS);
+        let leader = self.leader().expect("a leader");
+        self.propose(leader);
+        self.run(200);
+        leader
+    }
+}
+
+impl Node {
+    fn new(disk: Boot) -> Node {
+        Node {
+            raft: None,
+            disk,
+            writes: vec![],
+            frozen_until: 0,
+            applied: vec![],
+            applied_index: 0,
+            readable: BTreeSet::new(),
+            denied: BTreeMap::new(),
+            led_terms: vec![],
+        }
+    }
+}
+
+#[rstest]
+#[case::both_ways(true, true)]
+#[case::it_can_only_send(false, true)]
+#[case::it_can_only_receive(true, false)]
+fn a_leader_without_a_majority_stops_within_its_election_time(#[case] mute: bool, #[case] deaf: bool) {
+    for seed in 0..20 {
+        // given a leader
+        let mut world = World::new(3, seed);
+        let old = world.settled();
+        // when it is cut off, one way or both, and is asked at that moment
+        for other in world.others(old) {
+            if mute {
+                world.cut(old, other);
+            }
+            if deaf {
+                world.cut(other, old);
+            }
+        }
+        let (read, order) = (world.read(old), world.propose(old));
+        world.run(STOPPED_MS + world.link_ms);
+        // then it has stopped, read nothing, and agreed nothing
+        assert!(!world.leads(old), "seed {seed}");
+        let node = &world.nodes[&old];
+        assert_eq!(node.denied.get(&read), Some(&Denial::NotLeader), "seed {seed}");
+        assert!(!node.readable.contains(&read));
+        let bytes = order.to_be_bytes().to_vec();
+        assert!(!node.applied.contains(&bytes));
+        // and what comes later is refused at once
+        let late = world.read(old);
+        assert_eq!(world.nodes[&old].denied.get(&late), Some(&Denial::NotLeader));
+        // and the others have another leader, undisturbed until the cut ends and after it
+        world.run(ELECTED_MS);
+        let new = world.leader().expect("a new leader");
+        assert_ne!(new, old);
+        let term = world.raft(new).term;
+        world.run(20_000);
+        world.cuts.clear();
+        world.run(ELECTED_MS);
+        assert_eq!((world.leader(), world.raft(new).term), (Some(new), term), "seed {seed}");
+    }
+}
+
+#[rstest]
+#[case::that_can_only_send(false, true)]
+#[case::that_can_only_receive(true, false)]
+fn a_follower_cut_one_way_disturbs_nobody(#[case] mute: bool, #[case] deaf: bool) {
+    for seed in 0..20 {
+        // given a leader and a follower that is cut off one way for twenty seconds
+        let mut world = World::new(3, seed);
+        let leader = world.settled();
+        let term = world.raft(leader).term;
+        let follower = world.others(leader)[0];
+        for other in world.others(follower) {
+            if mute {
+                world.cut(follower, other);
+            }
+            if deaf {
+                world.cut(other, follower);
+            }
+        }
+        world.run(20_000);
+        // then the leader leads on, in its term, and after the cut too
+        let order = world.propose(leader);
+        world.cuts.clear();
+        world.run(ELECTED_MS);
+        assert_eq!((world.leader(), world.raft(leader).term), (Some(leader), term), "seed {seed}");
+        let bytes = order.to_be_bytes().to_vec();
+        assert!(world.nodes.values().all(|node| node.applied.contains(&bytes)), "seed {seed}");
+    }
+}
+
+#[test]
+fn late_answers_do_not_keep_a_cut_off_leader_leading() {
+    // given a leader whose peers' answers of the last seconds are still on their way
+    let mut world = World::new(3, 1);
+    let old = world.settled();
+    let (term, round) = (world.raft(old).term, 1);
+    for other in world.others(old) {
+        world.cut(other, old);
+    }
+    // when one of an old round comes every 50 ms, long after its peers were last in contact
+    for _ in 0..20 {
+        let from = world.others(old)[0];
+        let msg = RaftMessage::AppendResponse { term, success: true, index: 1, round };
+        world.step(old, RaftInput::Message { from, msg });
+        world.run(50);
+    }
+    // then it does not lead any more
+    assert!(!world.leads(old));
+}
+
+#[rstest]
+#[case::a_new_read_first(true)]
+#[case::answers_of_before_first(false)]
+fn a_frozen_leader_that_wakes_answers_nothing_on_what_it_knew(#[case] read_first: bool) {
+    for seed in 0..20 {
+        // given a leader with a read and a heartbeat under way, frozen before their answers are taken in
+        let mut world = World::new(3, seed);
+        let old = world.settled();
+        let before = world.read(old);
+        world.run(STEP_MS);
+        world.nodes.get_mut(&old).unwrap().frozen_until = world.now + 20_000;
+        world.run(ELECTED_MS);
+        let new = world.nodes.keys().copied().find(|id| *id != old && world.leads(*id)).expect("a new leader");
+        world.propose(new);
+        world.run(20_000 - ELECTED_MS - STEP_MS);
+        // when it wakes
+        if read_first {
+            let late = world.read(old);
+            world.run(ELECTED_MS);
+            assert_eq!(world.nodes[&old].denied.get(&late), Some(&Denial::NotLeader), "seed {seed}");
+        }
+        world.run(ELECTED_MS);
+        // then the read of before is not answered by what it knew then
+        assert_eq!(world.nodes[&old].denied.get(&before), Some(&Denial::NotLeader), "seed {seed}");
+        assert_eq!(world.leader(), Some(new), "seed {seed}");
+    }
+}
+
+#[test]
+fn leadership_is_handed_over_without_a_gap_in_terms_and_without_loss() {
+    for seed in 0..20 {
+        let mut world = World::new(3, seed);
+        let old = world.settled();
+        let term = world.raft(old).term;
+        // when the leader hands over and is asked for something at the same moment
+        world.step(old, RaftInput::TransferLeadership);
+        let order = world.propose(old);
+        world.run(200);
+        // then another leads in the next term, and the order was surely not taken
+        let new = world.leader().expect("a leader");
+        assert_ne!(new, old, "seed {seed}");
+        assert_eq!(world.raft(new).term, term + 1);
+        assert_eq!(world.nodes[&old].denied.get(&order), Some(&Denial::Busy));
+    }
+}
+
+#[test]
+fn a_transfer_to_nobody_who_is_ready_ends_in_its_time() {
+    // given a leader whose only live peer lacks the newest entry for ever
+    let mut world = World::new(3, 3);
+    let leader = world.settled();
+    let others = world.others(leader);
+    world.crash(others[0]);
+    world.sync_ms = 100_000;
+    world.propose(leader);
+    world.step(leader, RaftInput::TransferLeadership);
+    world.run(300);
+    // then nobody else has begun an election
+    assert!(world.leads(leader));
+    let term = world.raft(leader).term;
+    assert_eq!(world.raft(others[1]).term, term);
+    // and it takes proposals again afterwards
+    world.run(200);
+    let order = world.propose(leader);
+    assert_eq!(world.nodes[&leader].denied.get(&order), None);
+}
+
+/// One random life of a group: returns how often some member became leader and what was applied.
+fn random_life(size: u64, seed: u64) -> (usize, u64) {
+    let mut world = World::new(size, seed);
+    (world.lost, world.repeated, world.late) = (5, 5, 5);
+    world.sync_ms = 5 + world.draw(200);
+    world.link_ms = 1 + world.draw(40);
+    for _ in 0..150 {
+        let id = 1 + world.draw(size);
+        match world.draw(12) {
+            0 => {
+                let other = 1 + world.draw(size);
+                world.cut(id, other);
+            }
+            1 | 2 => world.cuts.clear(),
+            3 => world.crash(id),
+            4 => {
+                for id in 1..=size {
+                    if world.nodes[&id].raft.is_none() {
+                        world.start(id);
+                    }
+                }
+            }
+            5 => {
+                let until = world.now + world.draw(3_000);
+                world.nodes.get_mut(&id).unwrap().frozen_until = until;
+            }
+            6 if world.draw(4) == 0 => world.compact(id),
+            7 => world.step(id, RaftInput::TransferLeadership),
+            8 => {
+                world.read(id);
+            }
+            _ => {
+                for id in 1..=size {
+                    world.propose(id);
+                }
+            }
+        }
+        let ms = world.draw(300);
+        world.run(ms);
+    }
+    // once all is well again, everybody has everything
+    world.cuts.clear();
+    (world.lost, world.repeated, world.late) = (0, 0, 0);
+    for id in 1..=size {
+        world.nodes.get_mut(&id).unwrap().frozen_until = 0;
+        if world.nodes[&id].raft.is_none() {
+            world.start(id);
+        }
+    }
+    world.run(10_000);
+    let leader = world.leader().expect("a leader once all is well");
+    let order = world.propose(leader);
+    world.run(2_000);
+    let bytes = order.to_be_bytes().to_vec();
+    let history: Vec<Vec<u8>> = world.history.values().map(|(_, bytes)| bytes.clone()).collect();
+    for (id, node) in &world.nodes {
+        assert!(node.applied.contains(&bytes), "seed {seed}: {id} has not caught up");
+        assert_eq!(node.applied, history, "seed {seed}: {id}");
+    }
+    (world.leaders.len(), history.len() as u64)
+}
+
+#[rstest]
+#[case::of_three(3, 0..60)]
+#[case::of_five(5, 1_000..1_040)]
+fn a_random_life_breaks_no_promise(#[case] size: u64, #[case] seeds: std::ops::Range<u64>) {
+    let (mut elections, mut entries) = (0, 0);
+    for seed in seeds.clone() {
+        let life = random_life(size, seed);
+        (elections, entries) = (elections + life.0, entries + life.1);
+    }
+    // the lives were eventful: each had several leaders and agreed something
+    let lives = seeds.end - seeds.start;
+    assert!(elections as u64 > 3 * lives, "{elections} elections");
+    assert!(entries > 10 * lives, "{entries} entries");
+}
