--- a/hutbook/src/coordination/raft/election.rs
+++ b/hutbook/src/coordination/raft/election.rs
@@ -167,7 +167,7 @@
         let last = self.last();
         let ready = |id: &u64| {
             let peer = self.peers.get(id);
-            peer.is_some_and(|p| p.match_index == last && now.saturating_sub(p.last_heard) <= ELECTION_MS)
+            peer.is_some_and(|p| p.match_index == last && now.saturating_sub(p.last_contact) <= ELECTION_MS)
         };
         if let Some(to) = self.members().voters.iter().map(|voter| voter.id).find(ready) {
             self.send(to, RaftMessage::TimeoutNow { term: self.term });
--- a/hutbook/src/coordination/raft/membership.rs
+++ b/hutbook/src/coordination/raft/membership.rs
@@ -34,7 +34,7 @@
     pub fn caught_up(&self, now: u64, id: u64) -> bool {
         self.peers.get(&id).is_some_and(|peer| {
             let near = peer.match_index > 0 && peer.match_index + PROMOTE_LAG >= self.last();
-            near && now.saturating_sub(peer.last_heard) <= ELECTION_MS
+            near && now.saturating_sub(peer.last_contact) <= ELECTION_MS
         })
     }
 
@@ -109,7 +109,7 @@
 
     /// Has this leader heard the member within an election time?
     fn is_live(&self, now: u64, id: u64) -> bool {
-        let heard = self.peers.get(&id).is_some_and(|peer| now.saturating_sub(peer.last_heard) <= ELECTION_MS);
+        let heard = self.peers.get(&id).is_some_and(|peer| now.saturating_sub(peer.last_contact) <= ELECTION_MS);
         id == self.id || heard
     }
 }
--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -62,9 +62,10 @@
     heard_leader: u64,
     heartbeat_at: u64,
     probe_at: u64,
-    /// Number of this leader's newest round of heartbeats, and when it was sent.
+    /// Number of this leader's newest round of heartbeats.
     round: u64,
-    round_sent: u64,
+    /// The rounds of the last election time, in order: number, and when it was sent.
+    rounds_sent: VecDeque<(u64, u64)>,
     /// The leader's newest round that this follower has answered.
     answered_round: u64,
     reads: VecDeque<PendingRead>,
@@ -113,7 +114,7 @@
             heartbeat_at: 0,
             probe_at: 0,
             round: 0,
-            round_sent: 0,
+            rounds_sent: VecDeque::new(),
             answered_round: 0,
             reads: VecDeque::new(),
             transfer_until: None,
@@ -134,6 +135,7 @@
 
     /// Takes one input; the outputs are to be carried out in order.
     pub fn step(&mut self, now: u64, input: RaftInput) -> Vec<RaftOutput> {
+        self.check_quorum(now);
         match input {
             RaftInput::Tick => self.tick(now),
             RaftInput::Message { from, msg } => self.handle_message(now, from, msg),
@@ -187,7 +189,7 @@
             }
             RaftMessage::SnapshotChunkAck { term, index, received } => {
                 self.observe_term(now, term);
-                if self.role == Role::Leader {
+                if self.role == Role::Leader && term == self.term {
                     self.on_snapshot_chunk_ack(now, from, index, received);
                 }
             }
--- a/hutbook/src/coordination/raft/replication.rs
+++ b/hutbook/src/coordination/raft/replication.rs
@@ -13,8 +13,9 @@
     pub(super) match_index: u64,
     /// Newest round of heartbeats that the peer has answered.
     pub(super) acknowledged_round: u64,
-    /// ms. When any answer of the peer last came.
-    pub(super) last_heard: u64,
+    /// ms. When the newest round that the peer has answered was sent: it was in this leader's term
+    /// since then. The time at which an answer comes says nothing; it may have been long on its way.
+    pub(super) last_contact: u64,
     /// Set while it isn't known where the peer's log ends: when it was last asked.
     /// One append at a time then, or refusals of many would each bring the log again.
     pub(super) probing_since: Option<u64>,
@@ -30,7 +31,7 @@
             next_index,
             match_index: 0,
             acknowledged_round: 0,
-            last_heard: now,
+            last_contact: now,
             probing_since: None,
             snapshot_progress: None,
             chunk_sent_at: 0,
@@ -48,9 +49,9 @@
 }
 
 impl Raft {
-    /// Every peer's last word to this leader: id, matched index, time heard.
+    /// Every peer's last word to this leader: id, matched index, time of the last contact.
     pub fn peer_status(&self) -> Vec<(u64, u64, u64)> {
-        self.peers.iter().map(|(id, peer)| (*id, peer.match_index, peer.last_heard)).collect()
+        self.peers.iter().map(|(id, peer)| (*id, peer.match_index, peer.last_contact)).collect()
     }
 
     /// The value that a quorum of voters has reached: `of_peer` for the others and `own` for this node.
@@ -61,10 +62,21 @@
         values.get(self.quorum() - 1).copied().unwrap_or(0)
     }
 
-    /// A leader whose disk or whose quorum has gone quiet stops leading; others send heartbeats.
+    /// A leader without contact to a majority for an election time stops leading (Raft thesis 6.2).
+    ///
+    /// Contact is counted from when a round was sent, so the others have waited no longer for it than
+    /// this leader has, and elect nobody before. Looked at before each input: one that was frozen
+    /// believes nothing that lay in its queues.
+    pub(super) fn check_quorum(&mut self, now: u64) {
+        let contact = self.quorum_value(now, |peer| peer.last_contact);
+        if self.role == Role::Leader && now.saturating_sub(contact) > ELECTION_MS {
+            self.step_down(now);
+        }
+    }
+
+    /// Heartbeats, the end of a transfer, and a look at the disk: a leader whose disk has gone stops.
     pub(super) fn tick_leader(&mut self, now: u64) {
-        let heard = self.quorum_value(now, |peer| peer.last_heard);
-        if self.disk_late(now) || now.saturating_sub(heard) > ELECTION_MS {
+        if self.disk_late(now) {
             return self.step_down(now);
         }
         if self.transfer_until.is_some_and(|until| now > until) {
@@ -83,8 +95,24 @@
     pub(super) fn send_heartbeats(&mut self, now: u64) {
         self.heartbeat_at = now + HEARTBEAT_MS;
         self.round += 1;
-        self.round_sent = now;
-        self.broadcast(now);
+        self.rounds_sent.push_back((self.round, now));
+        while self.rounds_sent.front().is_some_and(|(_, sent)| now.saturating_sub(*sent) > ELECTION_MS) {
+            self.rounds_sent.pop_front();
+        }
+        let ids: Vec<u64> = self.peers.keys().copied().collect();
+        for id in ids {
+            // whoever gets no entries now still has to answer the round
+            if !self.replicate_to(now, id) {
+                self.send_append(id, vec![]);
+            }
+        }
+    }
+
+    /// When a round was sent; None when that is longer ago than an election time.
+    fn round_sent(&self, round: u64) -> Option<u64> {
+        let (oldest, _) = self.rounds_sent.front()?;
+        let position = round.checked_sub(*oldest)?;
+        self.rounds_sent.get(position as usize).map(|(_, sent)| *sent)
     }
 
     pub(super) fn broadcast(&mut self, now: u64) {
@@ -95,21 +123,22 @@
     }
 
     /// Sends the peer what it lacks next: entries, a chunk of the snapshot, or a bare heartbeat.
-    pub(super) fn replicate_to(&mut self, now: u64, to: u64) {
+    /// True when that carried the round.
+    pub(super) fn replicate_to(&mut self, now: u64, to: u64) -> bool {
         let (last, base_index) = (self.last(), self.base_index);
-        let Some(peer) = self.peers.get_mut(&to) else { return };
+        let Some(peer) = self.peers.get_mut(&to) else { return false };
         // a silent peer gets bare heartbeats, not the log or the snapshot again and again
-        let quiet = now.saturating_sub(peer.last_heard) > ELECTION_MS;
+        let quiet = now.saturating_sub(peer.last_contact) > ELECTION_MS;
         if peer.next_index <= base_index && !quiet {
             // one chunk at a time: every new entry comes by here, and would bring another copy of it
             if now >= peer.chunk_sent_at + SNAPSHOT_CHUNK_RETRY_MS {
                 peer.chunk_sent_at = now;
                 self.send_snapshot_chunk(to);
             }
-            return;
+            return false;
         }
         if peer.probing_since.is_some_and(|since| now < since + HEARTBEAT_MS) {
-            return;
+            return false;
         }
         let previous_index = (peer.next_index - 1).max(base_index);
         let mut entries = vec![];
@@ -120,6 +149,16 @@
                 None => peer.next_index = (previous_index + entries.len() as u64 + 1).min(last + 1),
             }
         }
+        self.send_append_after(to, previous_index, entries);
+        true
+    }
+
+    fn send_append(&mut self, to: u64, entries: Vec<Entry>) {
+        let next_index = self.peers.get(&to).map_or(1, |peer| peer.next_index);
+        self.send_append_after(to, (next_index - 1).max(self.base_index), entries);
+    }
+
+    fn send_append_after(&mut self, to: u64, previous_index: u64, entries: Vec<Entry>) {
         let previous_term = self.term_at(previous_index).unwrap_or(0);
         let (term, commit, round) = (self.term, self.commit, self.round);
         self.send(to, RaftMessage::AppendRequest { term, previous_index, previous_term, entries, commit, round });
@@ -186,8 +225,9 @@
 
     pub(super) fn on_append_response(&mut self, now: u64, from: u64, success: bool, index: u64, round: u64) {
         let last = self.last();
+        let contact = self.round_sent(round);
         let Some(peer) = self.peers.get_mut(&from) else { return };
-        peer.last_heard = now;
+        peer.last_contact = contact.map_or(peer.last_contact, |sent| peer.last_contact.max(sent));
         peer.acknowledged_round = peer.acknowledged_round.max(round);
         if success {
             peer.match_index = peer.match_index.max(index);
@@ -276,7 +316,7 @@
         }
         // one round serves every read that waits; a lost round is asked again by the heartbeat
         let waits = self.reads.back().is_some_and(|read| read.round > self.round);
-        if waits && (confirmed == self.round || now > self.round_sent + HEARTBEAT_MS) {
+        if waits && (confirmed == self.round || now >= self.heartbeat_at) {
             self.send_heartbeats(now);
             if self.peers.is_empty() {
                 self.advance(now);
--- a/hutbook/src/coordination/raft/snapshot.rs
+++ b/hutbook/src/coordination/raft/snapshot.rs
@@ -55,7 +55,6 @@
     /// The peer has the first `received` bytes of the snapshot at `index`: on with the next chunk.
     pub(super) fn on_snapshot_chunk_ack(&mut self, now: u64, from: u64, index: u64, received: u64) {
         let Some(peer) = self.peers.get_mut(&from) else { return };
-        peer.last_heard = now;
         if peer.snapshot_progress.is_some_and(|(sending, _)| sending == index) {
             peer.snapshot_progress = Some((index, received));
             peer.chunk_sent_at = 0;
