--- a/hutbook/src/coordination/raft/election.rs
+++ b/hutbook/src/coordination/raft/election.rs
@@ -16,6 +16,14 @@
     Leader,
 }
 
+/// A leader's handing over to another voter.
+pub(super) struct Transfer {
+    /// ms. When it is given up.
+    pub(super) until: u64,
+    /// Who has been told; nobody until somebody has the whole log.
+    target: Option<u64>,
+}
+
 impl Raft {
     pub(super) fn reset_election_timer(&mut self, now: u64) {
         let spread = self.rng.next_u64() % ELECTION_SPREAD_MS;
@@ -73,7 +81,7 @@
     fn become_leader(&mut self, now: u64) {
         self.role = Role::Leader;
         self.leader = Some(self.id);
-        self.transfer_until = None;
+        self.transfer = None;
         self.reads.clear();
         self.peers.clear();
         self.follow_members(now);
@@ -89,6 +97,7 @@
             }
             self.outputs.push(RaftOutput::SteppedDown);
             self.leader = None;
+            self.transfer = None;
         }
         self.role = Role::Follower;
         self.reset_election_timer(now);
@@ -117,7 +126,7 @@
         forced: bool,
     ) {
         // a live leader is not unseated by a node that merely lost sight of it
-        let led = self.role == Role::Leader || (self.leader.is_some() && now < self.heard_leader + ELECTION_MS);
+        let led = self.role == Role::Leader || self.hears_leader(now);
         if led && !forced {
             return;
         }
@@ -156,27 +165,42 @@
     }
 
     /// Asks the best peer to be elected in this leader's place (Raft thesis 3.10).
+    ///
+    /// Until then, or until an election time is over, this leader takes no orders: the log of the one
+    /// that is asked stays as long as its own.
     pub(super) fn transfer_leadership(&mut self, now: u64) {
-        if self.role == Role::Leader {
-            self.transfer_until = Some(now + ELECTION_MS);
+        if self.role == Role::Leader && self.transfer.is_none() {
+            self.transfer = Some(Transfer { until: now + ELECTION_MS, target: None });
             self.try_transfer(now);
         }
     }
 
+    /// Tells the target that its time has come, once it has the whole log. Nobody else is told
+    /// afterwards: two candidates would split the vote.
     pub(super) fn try_transfer(&mut self, now: u64) {
+        let Some(target) = self.transfer.as_ref().map(|transfer| transfer.target) else { return };
         let last = self.last();
-        let ready = |id: &u64| {
-            let peer = self.peers.get(id);
-            peer.is_some_and(|p| p.match_index == last && now.saturating_sub(p.last_contact) <= ELECTION_MS)
-        };
-        if let Some(to) = self.members().voters.iter().map(|voter| voter.id).find(ready) {
-            self.send(to, RaftMessage::TimeoutNow { term: self.term });
-        }
+        let candidates = self.members().voters.iter().map(|voter| voter.id);
+        let candidates = candidates.filter(|id| target.is_none_or(|target| target == *id));
+        let peers = candidates.filter_map(|id| Some((id, self.peers.get(&id)?)));
+        let ready = peers.filter(|(_, peer)| peer.match_index == last && peer.is_live(now));
+        let Some(to) = ready.max_by_key(|(_, peer)| peer.last_contact).map(|(id, _)| id) else { return };
+        if let Some(transfer) = &mut self.transfer {
+            transfer.target = Some(to);
+        }
+        self.send(to, RaftMessage::TimeoutNow { term: self.term });
     }
 
-    pub(super) fn on_timeout_now(&mut self, now: u64, term: u64) {
-        if term == self.term && self.is_voter(self.id) && !self.disk_late(now) {
+    /// An election without pre-vote and against a live leader: by that leader's own word alone.
+    pub(super) fn on_timeout_now(&mut self, now: u64, from: u64, term: u64) {
+        let by_leader = term == self.term && self.leader == Some(from) && self.hears_leader(now);
+        if by_leader && self.is_voter(self.id) && !self.disk_late(now) {
             self.campaign(now, false, true);
         }
     }
+
+    /// Has this follower heard its leader within an election time?
+    fn hears_leader(&self, now: u64) -> bool {
+        self.leader.is_some() && now < self.heard_leader + ELECTION_MS
+    }
 }
--- a/hutbook/src/coordination/raft/membership.rs
+++ b/hutbook/src/coordination/raft/membership.rs
@@ -34,7 +34,7 @@
     pub fn caught_up(&self, now: u64, id: u64) -> bool {
         self.peers.get(&id).is_some_and(|peer| {
             let near = peer.match_index > 0 && peer.match_index + PROMOTE_LAG >= self.last();
-            near && now.saturating_sub(peer.last_contact) <= ELECTION_MS
+            near && peer.is_live(now)
         })
     }
 
@@ -52,8 +52,8 @@
         if !self.ready_to_lead() {
             return self.deny(ticket, Denial::NotLeader);
         }
-        // one change at a time: the last one must be committed
-        if self.member_log.last().is_some_and(|(index, _)| *index > self.commit) {
+        // one change at a time: the last one must be committed; and none while leadership is handed over
+        if self.transfer.is_some() || self.member_log.last().is_some_and(|(index, _)| *index > self.commit) {
             return self.deny(ticket, Denial::Busy);
         }
         match self.changed(now, change) {
@@ -107,9 +107,8 @@
         Ok(members)
     }
 
-    /// Has this leader heard the member within an election time?
+    /// Was this leader in contact with the member within an election time?
     fn is_live(&self, now: u64, id: u64) -> bool {
-        let heard = self.peers.get(&id).is_some_and(|peer| now.saturating_sub(peer.last_contact) <= ELECTION_MS);
-        id == self.id || heard
+        id == self.id || self.peers.get(&id).is_some_and(|peer| peer.is_live(now))
     }
 }
--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::state::disk::Boot;
 use crate::state::entry::{Entry, Members, Snapshot, What};
+use election::Transfer;
 use log::HeldOutputs;
 use rand_chacha::ChaCha8Rng;
 use rand_core::SeedableRng;
@@ -69,7 +70,7 @@
     /// The leader's newest round that this follower has answered.
     answered_round: u64,
     reads: VecDeque<PendingRead>,
-    transfer_until: Option<u64>,
+    transfer: Option<Transfer>,
     /// Index and bytes so far of a snapshot that the leader is sending.
     incoming_snapshot: Option<(u64, Vec<u8>)>,
     outputs: Vec<RaftOutput>,
@@ -117,7 +118,7 @@
             rounds_sent: VecDeque::new(),
             answered_round: 0,
             reads: VecDeque::new(),
-            transfer_until: None,
+            transfer: None,
             incoming_snapshot: None,
             outputs: vec![],
         };
@@ -153,6 +154,8 @@
         if self.role == Role::Leader {
             self.tick_leader(now);
         } else if now >= self.election_at {
+            // whoever asked here for the leader is not sent to one that has gone
+            self.leader = None;
             self.reset_election_timer(now);
             if self.is_voter(self.id) && !self.disk_late(now) {
                 self.campaign(now, true, false);
@@ -193,7 +196,7 @@
                     self.on_snapshot_chunk_ack(now, from, index, received);
                 }
             }
-            RaftMessage::TimeoutNow { term } => self.on_timeout_now(now, term),
+            RaftMessage::TimeoutNow { term } => self.on_timeout_now(now, from, term),
         }
     }
 
--- a/hutbook/src/coordination/raft/replication.rs
+++ b/hutbook/src/coordination/raft/replication.rs
@@ -37,6 +37,11 @@
             chunk_sent_at: 0,
         }
     }
+
+    /// Was it in contact within an election time?
+    pub(super) fn is_live(&self, now: u64) -> bool {
+        now.saturating_sub(self.last_contact) <= ELECTION_MS
+    }
 }
 
 /// A read that waits for a majority to confirm this leader (read-index, Raft thesis 6.4).
@@ -79,8 +84,8 @@
         if self.disk_late(now) {
             return self.step_down(now);
         }
-        if self.transfer_until.is_some_and(|until| now > until) {
-            self.transfer_until = None;
+        if self.transfer.as_ref().is_some_and(|transfer| now > transfer.until) {
+            self.transfer = None;
         }
         if now >= self.heartbeat_at {
             self.send_heartbeats(now);
@@ -247,9 +252,7 @@
                 self.replicate_to(now, from);
             }
         }
-        if self.transfer_until.is_some() {
-            self.try_transfer(now);
-        }
+        self.try_transfer(now);
     }
 
     /// A leader may answer only once an entry of its own term is committed (Raft thesis 6.4).
@@ -262,7 +265,7 @@
             return self.deny(ticket, Denial::NotLeader);
         }
         let open = self.last() - self.commit;
-        if self.transfer_until.is_some() || open > OPEN_PROPOSALS || self.disk_late(now) {
+        if self.transfer.is_some() || open > OPEN_PROPOSALS || self.disk_late(now) {
             return self.deny(ticket, Denial::Busy);
         }
         let index = self.append_own(now, what);
--- a/hutbook/src/coordination/raft/tests.rs
+++ b/hutbook/src/coordination/raft/tests.rs
@@ -297,10 +297,12 @@
     let order = raft.step(now + 3, RaftInput::Propose { ticket: 2, bytes: vec![] });
     assert!(order.contains(&RaftOutput::Denied { ticket: 2, why: Denial::Busy }));
     // and leads on, once its time for it is over
-    let last = appended_by(2);
-    raft.step(now + ELECTION_MS, last);
-    raft.step(now + ELECTION_MS + 2, RaftInput::Tick);
-    let order = raft.step(now + ELECTION_MS + 3, RaftInput::Propose { ticket: 3, bytes: vec![] });
+    for at in (now + 4..now + ELECTION_MS + 20).step_by(10) {
+        raft.step(at, RaftInput::Tick);
+        let answer = appended(&raft, 3);
+        raft.step(at, answer);
+    }
+    let order = raft.step(now + ELECTION_MS + 20, RaftInput::Propose { ticket: 3, bytes: vec![] });
     assert!(order.iter().any(|output| matches!(output, RaftOutput::Accepted { ticket: 3, .. })), "{order:?}");
 }
 
