--- a/hutbook/src/coordination/raft/election.rs
+++ b/hutbook/src/coordination/raft/election.rs
@@ -17,11 +17,12 @@
 }
 
 /// A leader's handing over to another voter.
+#[derive(Clone)]
 pub(super) struct Transfer {
     /// ms. When it is given up.
     pub(super) until: u64,
     /// Who has been told; nobody until somebody has the whole log.
-    target: Option<u64>,
+    pub(super) target: Option<u64>,
 }
 
 impl Raft {
--- a/hutbook/src/coordination/raft/fingerprint.rs
+++ b/hutbook/src/coordination/raft/fingerprint.rs
@@ -1,5 +1,6 @@
 //! What a model checker needs to see of a node: its log, and a digest of everything that decides what it does next.
 
+use super::election::Transfer;
 use super::log::HeldOutputs;
 use super::replication::Peer;
 use super::Raft;
@@ -26,14 +27,17 @@
     /// checker lets elections come when it likes.
     pub fn fingerprint(&self, now: u64, hasher: &mut impl Hasher) {
         (self.id, self.term, self.voted_for, self.role as u8, self.leader).hash(hasher);
-        (self.base_index, self.base_term, self.commit, self.applied, self.synced_index).hash(hasher);
+        (self.base_index, self.base_term, self.commit, self.applied, self.synced_index, self.synced_term).hash(hasher);
         (&self.log, &self.snapshot, &self.member_log).hash(hasher);
         (&self.votes, self.round, &self.reads, &self.incoming_snapshot).hash(hasher);
         let led = self.leader.is_some() && now < self.heard_leader + ELECTION_MS;
         (led, self.heartbeat_at.saturating_sub(now), self.probe_at.saturating_sub(now)).hash(hasher);
         let lease_left = (self.heard_leader + ELECTION_MS).saturating_sub(now);
-        (lease_left, age(now, self.round_sent, HEARTBEAT_MS)).hash(hasher);
-        self.transfer_until.map(|until| (until + 1).saturating_sub(now)).hash(hasher);
+        (lease_left, self.answered_round).hash(hasher);
+        self.transfer.as_ref().map(|transfer| transfer.fingerprint(now)).hash(hasher);
+        for (round, sent) in &self.rounds_sent {
+            (round, age(now, *sent, ELECTION_MS)).hash(hasher);
+        }
         self.held_outputs.len().hash(hasher);
         for held in &self.held_outputs {
             held.fingerprint(now, hasher);
@@ -45,15 +49,21 @@
     }
 }
 
+impl Transfer {
+    fn fingerprint(&self, now: u64) -> (u64, Option<u64>) {
+        ((self.until + 1).saturating_sub(now), self.target)
+    }
+}
+
 impl HeldOutputs {
     fn fingerprint(&self, now: u64, hasher: &mut impl Hasher) {
-        (self.last, age(now, self.since, DISK_BOUND_MS), &self.outputs).hash(hasher);
+        (self.last, self.term, self.binds, age(now, self.since, DISK_BOUND_MS), &self.outputs).hash(hasher);
     }
 }
 
 impl Peer {
     fn fingerprint(&self, now: u64, hasher: &mut impl Hasher) {
-        (self.next_index, self.match_index, self.acknowledged_round, age(now, self.last_heard, ELECTION_MS))
+        (self.next_index, self.match_index, self.acknowledged_round, age(now, self.last_contact, ELECTION_MS))
             .hash(hasher);
         (self.probing_since.map(|at| age(now, at, HEARTBEAT_MS)), self.snapshot_progress).hash(hasher);
         age(now, self.chunk_sent_at, SNAPSHOT_CHUNK_RETRY_MS).hash(hasher);
--- /dev/null
+++ b/hutbook/tests/late_snapshots.rs
@@ -0,0 +1,47 @@
+//! A snapshot that comes when its receiver has more than it covers.
+
+use hutbook::coordination::raft::{Raft, RaftInput, RaftMessage, RaftOutput};
+use hutbook::state::disk::Boot;
+use hutbook::state::entry::{Entry, Member, Members, What};
+
+/// A voter's log of five entries on disk, none of which it knows to be committed.
+fn five_entries() -> Boot {
+    let founders = [1, 2, 3].map(|id| Member { id, addr: String::new() });
+    let mut boot = Boot::founding_with(&founders, None);
+    boot.term = 2;
+    boot.entries.extend((2..=5).map(|index| Entry { index, term: 2, what: What::Command(vec![index as u8]) }));
+    boot
+}
+
+fn snapshot_to(index: u64) -> RaftInput {
+    let members = Members { voters: [1, 2, 3].map(|id| Member { id, addr: String::new() }).into(), learners: vec![] };
+    let msg = RaftMessage::SnapshotChunk {
+        term: 2,
+        index,
+        index_term: 2,
+        members,
+        offset: 0,
+        total: 1,
+        bytes: vec![0],
+    };
+    RaftInput::Message { from: 1, msg }
+}
+
+#[test]
+fn entries_after_a_snapshot_that_the_log_holds_already_are_kept() {
+    // given a follower that has acknowledged five entries, and does not know yet that four are committed
+    let mut raft = Raft::new(3, five_entries(), 1, 0);
+    // when the leader, which had not heard of that, sends it a snapshot of four
+    let outputs = raft.step(10, snapshot_to(4));
+    // then the fifth, which the leader may have counted as committed by now, is still there
+    assert_eq!(raft.last(), 5, "an acknowledged entry is gone");
+    // and on disk
+    let mut disk = five_entries();
+    for output in outputs {
+        if let RaftOutput::Persist { ops, .. } = output {
+            ops.iter().for_each(|op| disk.take(op));
+        }
+    }
+    assert_eq!(disk.entries.last().map(|e| e.index), Some(5), "an acknowledged entry is gone from the disk");
+    assert_eq!(raft.commit, 4);
+}
--- a/scramble/src/model/invariant.rs
+++ b/scramble/src/model/invariant.rs
@@ -20,7 +20,7 @@
     LeaderCompleteness,
     /// No two replicas apply different entries at one index, and each has the state that they lead to.
     StateMachineSafety,
-    /// A committed entry is on the disks of a majority at that moment.
+    /// A committed entry is on the disks of a majority, when it is committed and ever after.
     CommittedOnMajority,
     /// What a vote or a yes says is on the disk of its sender when it is sent.
     PromiseOnDisk,
@@ -234,6 +234,29 @@
     orders.into_iter().try_for_each(|order| history.refused(order))
 }
 
+/// The newest committed entry, and with it those before, stays on the disks of a majority of the newest voters agreed.
+pub fn check_kept(state: &State) -> Result<(), Violation> {
+    let committed = state.history().committed();
+    let Some(entry) = committed.last().map(|c| &c.entry) else { return Ok(()) };
+    let memberships = committed.iter().rev().filter_map(|c| match &c.entry.what {
+        What::Members(members) => Some(members),
+        _ => None,
+    });
+    let Some(members) = memberships.into_iter().next() else { return Ok(()) };
+    let holds = |id: u64| state.node(id as NodeId).on_disk(entry.index, entry.term);
+    let holders = members.voters.iter().filter(|m| holds(m.id)).count();
+    if holders < majority(members.voters.len()) {
+        let detail = format!(
+            "index {} of term {} was committed and is on the disks of {holders} of {} voters",
+            entry.index,
+            entry.term,
+            members.voters.len()
+        );
+        return broken(Invariant::CommittedOnMajority, detail);
+    }
+    Ok(())
+}
+
 /// A vote, a yes or a candidacy may leave only when its sender's disk has it.
 pub fn check_promise(node: &Node, to: u64, message: &RaftMessage) -> Result<(), Violation> {
     let disk = (node.disk.term, node.disk.voted);
--- a/scramble/src/model/scenario.rs
+++ b/scramble/src/model/scenario.rs
@@ -179,6 +179,22 @@
     }
 }
 
+/// A follower that has just been sent more entries than the snapshot that it will be sent covers: node 3 has missed
+/// one, its refusal is under way, and two more orders have come.
+pub fn snapshot_behind_the_log() -> Scenario {
+    let mut setup = elected();
+    setup.push(Setup::Do(Action::Cut { from: 1, to: 3 }));
+    setup.extend([Setup::Do(Action::Order(1)), Setup::Settle]);
+    setup.push(Setup::Do(Action::Heal { from: 1, to: 3 }));
+    setup.extend([Action::Heartbeat(1), Action::Take(0), Action::Take(0)].map(Setup::Do));
+    setup.extend([Action::Order(1), Action::Order(1)].map(Setup::Do));
+    Scenario {
+        setup,
+        budget: Budget { heartbeats: 1, compactions: 1, delays: 2, losses: 1, ..Budget::NOTHING },
+        ..Scenario::new("snapshot behind the log", 3, 0)
+    }
+}
+
 /// A node is added and promoted, and one leaves.
 pub fn membership() -> Scenario {
     Scenario {
@@ -215,6 +231,7 @@
         orders(),
         contested_orders(),
         snapshots(),
+        snapshot_behind_the_log(),
         membership(),
         transfer(),
         five_voters(),
--- a/scramble/src/model/state.rs
+++ b/scramble/src/model/state.rs
@@ -195,6 +195,7 @@
         let mut next = self.clone();
         next.budget.spend(action);
         next.act(rules, action)?;
+        invariant::check_kept(&next)?;
         Ok(next)
     }
 
