--- a/hutbook/src/coordination/raft/snapshot.rs
+++ b/hutbook/src/coordination/raft/snapshot.rs
@@ -78,8 +78,10 @@
             return;
         }
         let (index, term) = position;
-        // what it covers is here already: say so and go on with the log
-        if index <= self.commit {
+        // what it covers is here already: say so and go on with the log. What comes after it in the log stays, for
+        // the leader may have counted it (Raft thesis, figure 5.3, step 6)
+        if index <= self.commit || self.term_at(index) == Some(term) {
+            self.commit = self.commit.max(index);
             let index = self.commit;
             return self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
         }
