--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::state::disk::Boot;
 use crate::state::entry::{Entry, Members, Snapshot, What};
+use election::Transfer;
 use log::HeldOutputs;
 use rand_chacha::ChaCha8Rng;
 use rand_core::SeedableRng;
@@ -45,8 +46,10 @@
     /// Newest index known to be committed.
     pub commit: u64,
     applied: u64,
-    /// Newest index whose log is on this member's disk.
+    /// Where the log on this member's disk ends, and the term there. The disk's log equals the one in
+    /// memory up to there only while it leads: elected with everything synced, it replaces nothing.
     synced_index: u64,
+    synced_term: u64,
     /// Number of the newest write handed to the disk.
     sync_ticket: u64,
     held_outputs: VecDeque<HeldOutputs>,
@@ -60,16 +63,17 @@
     heard_leader: u64,
     heartbeat_at: u64,
     probe_at: u64,
-    /// Number of this leader's newest round of heartbeats, and when it was sent.
+    /// Number of this leader's newest round of heartbeats.
     round: u64,
-    round_sent: u64,
+    /// The rounds of the last election time, in order: number, and when it was sent.
+    rounds_sent: VecDeque<(u64, u64)>,
+    /// The leader's newest round that this follower has answered.
+    answered_round: u64,
     reads: VecDeque<PendingRead>,
-    transfer_until: Option<u64>,
+    transfer: Option<Transfer>,
     /// Index and bytes so far of a snapshot that the leader is sending.
     incoming_snapshot: Option<(u64, Vec<u8>)>,
     outputs: Vec<RaftOutput>,
-    /// Sends of this step that may not pass the sync of `sync_ticket`.
-    hold_until_synced: bool,
 }
 
 impl Raft {
@@ -100,6 +104,7 @@
             commit: base_index,
             applied: base_index,
             synced_index: last,
+            synced_term: boot.term,
             sync_ticket: 0,
             held_outputs: VecDeque::new(),
             peers: BTreeMap::new(),
@@ -110,12 +115,12 @@
             heartbeat_at: 0,
             probe_at: 0,
             round: 0,
-            round_sent: 0,
+            rounds_sent: VecDeque::new(),
+            answered_round: 0,
             reads: VecDeque::new(),
-            transfer_until: None,
+            transfer: None,
             incoming_snapshot: None,
             outputs: vec![],
-            hold_until_synced: false,
         };
         if let Some(snapshot) = snapshot {
             raft.outputs.push(RaftOutput::Restore(snapshot));
@@ -131,6 +136,7 @@
 
     /// Takes one input; the outputs are to be carried out in order.
     pub fn step(&mut self, now: u64, input: RaftInput) -> Vec<RaftOutput> {
+        self.check_quorum(now);
         match input {
             RaftInput::Tick => self.tick(now),
             RaftInput::Message { from, msg } => self.handle_message(now, from, msg),
@@ -148,6 +154,8 @@
         if self.role == Role::Leader {
             self.tick_leader(now);
         } else if now >= self.election_at {
+            // whoever asked here for the leader is not sent to one that has gone
+            self.leader = None;
             self.reset_election_timer(now);
             if self.is_voter(self.id) && !self.disk_late(now) {
                 self.campaign(now, true, false);
@@ -184,20 +192,11 @@
             }
             RaftMessage::SnapshotChunkAck { term, index, received } => {
                 self.observe_term(now, term);
-                if self.role == Role::Leader {
+                if self.role == Role::Leader && term == self.term {
                     self.on_snapshot_chunk_ack(now, from, index, received);
                 }
             }
-            RaftMessage::TimeoutNow { term } => self.on_timeout_now(now, term),
-        }
-    }
-
-    fn send(&mut self, to: u64, msg: RaftMessage) {
-        let output = RaftOutput::Send { to, msg };
-        // a promise made in this step may not leave before what it promises is synced
-        match self.held_outputs.back_mut() {
-            Some(held) if self.hold_until_synced => held.outputs.push(output),
-            _ => self.outputs.push(output),
+            RaftMessage::TimeoutNow { term } => self.on_timeout_now(now, from, term),
         }
     }
 
