--- a/hutbook/src/coordination/raft/log.rs
+++ b/hutbook/src/coordination/raft/log.rs
@@ -6,6 +6,7 @@
 use crate::state::entry::{Entry, What};
 
 /// What may be said only once a write is on disk.
+#[derive(Clone)]
 pub(super) struct HeldOutputs {
     pub(super) sync_ticket: u64,
     /// ms. When the write was handed out.
--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -6,6 +6,7 @@
 //! where they are used.
 
 mod election;
+mod fingerprint;
 mod log;
 mod membership;
 mod messages;
@@ -28,6 +29,7 @@
 use std::sync::Arc;
 
 /// One member of a group. Times are ms on the driver's clock.
+#[derive(Clone)]
 pub struct Raft {
     pub id: u64,
     pub term: u64,
