--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -8,6 +8,7 @@
 pub mod hut;
 pub mod lexicon;
 pub mod logs;
+pub mod open_calls;
 pub mod operators;
 pub mod passing;
 pub mod post;
--- a/hutbook/src/transport/post.rs
+++ b/hutbook/src/transport/post.rs
@@ -1,19 +1,20 @@
-//! Sessions between our own processes: one thread carries them all.
+//! Connections between our own processes: one thread carries them all.
 //!
-//! One-way letters are dropped where a session is down, as a network would;
-//! a call whose session breaks ends at once with nothing.
+//! One-way messages are dropped where a connection is down, as a network would;
+//! a call whose connection ends has no answer from then on, and may have run.
 
+use super::open_calls::{ConnectionId, Matched, OpenCalls};
 use crate::constants::*;
 use crate::protocol::wire::{frame_len, pack, unpack, Body, Letter};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 /// How an incoming letter is answered.
 pub struct Reply {
@@ -67,7 +68,14 @@
 }
 
 pub type Handler = Arc<dyn Fn(Letter, Reply) + Send + Sync>;
-type Open = Arc<Mutex<HashMap<u64, (String, oneshot::Sender<Body>)>>>;
+
+/// A frame on its way to the connection that will carry it.
+struct Outgoing {
+    to: String,
+    /// The call that it opens; 0 where no answer is waited for.
+    call: u64,
+    frame: Vec<u8>,
+}
 
 pub struct Post {
     pub me: u64,
@@ -77,13 +85,12 @@
     /// Frames refused: malformed, oversized, foreign or of another version.
     pub refused: Arc<AtomicU64>,
     pub traffic: Arc<Traffic>,
-    next: AtomicU64,
-    open: Open,
-    out: mpsc::Sender<(String, Vec<u8>)>,
+    calls: Arc<OpenCalls>,
+    out: mpsc::Sender<Outgoing>,
 }
 
 impl Post {
-    fn new(me: u64, cluster: u64, at: SocketAddr) -> (Arc<Post>, mpsc::Receiver<(String, Vec<u8>)>) {
+    fn new(me: u64, cluster: u64, at: SocketAddr) -> (Arc<Post>, mpsc::Receiver<Outgoing>) {
         let (out, rx) = mpsc::channel(OUTBOX * 4);
         let post = Arc::new(Post {
             me,
@@ -91,8 +98,7 @@
             cluster: Arc::new(AtomicU64::new(cluster)),
             refused: Arc::default(),
             traffic: Arc::default(),
-            next: AtomicU64::new(1),
-            open: Open::default(),
+            calls: Arc::default(),
             out,
         });
         (post, rx)
@@ -142,82 +148,69 @@
 
     pub fn send(&self, to: &str, body: Body) {
         // full means the network thread is behind: dropped, as a network would
-        let _ = self.out.try_send((to.to_string(), self.letter(0, body)));
+        let _ = self.out.try_send(Outgoing { to: to.to_string(), call: 0, frame: self.letter(0, body) });
     }
 
-    /// Asks and waits; None when the session broke or no answer came in time.
+    /// Asks and waits; None when the connection ended or no answer came in time, and then it may have run.
     pub async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body> {
-        let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = oneshot::channel();
-        {
-            let mut o = self.open.lock().unwrap_or_else(|e| e.into_inner());
-            if o.len() >= OPEN_CALLS {
-                return None;
-            }
-            o.insert(id, (to.to_string(), tx));
-        }
-        let sent = self.out.try_send((to.to_string(), self.letter(id, body))).is_ok();
-        let r = match sent {
-            true => actix_rt::time::timeout(Duration::from_millis(ms), rx).await.ok().and_then(|r| r.ok()),
-            false => None,
-        };
-        self.open.lock().unwrap_or_else(|e| e.into_inner()).remove(&id);
-        r
-    }
-
-    fn answer(&self, l: Letter) {
-        let tx = self.open.lock().unwrap_or_else(|e| e.into_inner()).remove(&l.id);
-        if let Some((_, tx)) = tx {
-            // nobody waits any more: too late is as good as lost
-            let _ = tx.send(l.body);
-        }
+        let mut call = self.calls.open()?;
+        let frame = self.letter(call.id, body);
+        self.out.try_send(Outgoing { to: to.to_string(), call: call.id, frame }).ok()?;
+        actix_rt::time::timeout(Duration::from_millis(ms), call.answer()).await.ok().flatten()
     }
+}
 
-    /// Calls over a session that broke won't be answered.
-    fn broke(&self, to: &str) {
-        self.open.lock().unwrap_or_else(|e| e.into_inner()).retain(|_, (a, _)| a != to);
-    }
+/// The way to the connection to one address.
+struct Connection {
+    id: ConnectionId,
+    frames: mpsc::Sender<Vec<u8>>,
 }
 
-/// Sends each frame over the session to its address, opening sessions as needed.
-async fn carry(p: Arc<Post>, mut rx: mpsc::Receiver<(String, Vec<u8>)>) {
-    let mut to: HashMap<String, mpsc::Sender<Vec<u8>>> = HashMap::new();
-    while let Some((addr, frame)) = rx.recv().await {
-        if to.get(&addr).is_none_or(|t| t.is_closed()) {
+/// Sends each frame over the connection to its address, opening connections as needed.
+async fn carry(p: Arc<Post>, mut rx: mpsc::Receiver<Outgoing>) {
+    let mut connections: HashMap<String, Connection> = HashMap::new();
+    let mut opened: ConnectionId = 0;
+    while let Some(Outgoing { to, call, frame }) = rx.recv().await {
+        if connections.get(&to).is_none_or(|c| c.frames.is_closed()) {
+            opened += 1;
             let (tx, frames) = mpsc::channel(OUTBOX);
-            actix_rt::spawn(session(p.clone(), addr.clone(), frames));
-            to.insert(addr.clone(), tx);
+            actix_rt::spawn(connection(p.clone(), to.clone(), opened, frames));
+            connections.insert(to.clone(), Connection { id: opened, frames: tx });
+        }
+        let c = &connections[&to];
+        p.calls.bind(call, c.id);
+        // full: the peer doesn't keep up; its protocol sends again
+        if c.frames.try_send(frame).is_err() {
+            p.calls.unsent(call);
         }
-        // full: the partner doesn't keep up; its protocol sends again
-        let _ = to[&addr].try_send(frame);
     }
 }
 
-async fn session(p: Arc<Post>, addr: String, mut frames: mpsc::Receiver<Vec<u8>>) {
+/// One connection that this process opened, until it ends.
+async fn connection(p: Arc<Post>, addr: String, id: ConnectionId, mut frames: mpsc::Receiver<Vec<u8>>) {
     let connect = actix_rt::time::timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(&addr));
-    let s = match connect.await {
-        Ok(Ok(s)) => s,
-        _ => {
-            // what waited for it is dropped with the channel
-            frames.close();
-            p.broke(&addr);
-            return;
-        }
-    };
-    tune(&s);
-    let (mut r, w) = s.into_split();
-    let (q, read) = (p.clone(), addr.clone());
-    let reader = actix_rt::spawn(async move {
-        while let Some(l) = next(&mut r, &q, &read).await {
-            q.answer(l);
+    if let Ok(Ok(s)) = connect.await {
+        tune(&s);
+        let (r, w) = s.into_split();
+        tokio::select! {
+            _ = write(w, &mut frames, &p.traffic) => {}
+            _ = take_answers(r, &p, &addr, id) => {}
         }
-    });
-    tokio::select! {
-        _ = write(w, &mut frames, &p.traffic) => {}
-        _ = reader => {}
     }
+    // what waited for it is dropped with the channel
     frames.close();
-    p.broke(&addr);
+    p.calls.ended(id);
+}
+
+/// Hands answers to their callers until the connection is over, or brings one that isn't its own.
+async fn take_answers(mut r: OwnedReadHalf, p: &Post, addr: &str, id: ConnectionId) {
+    while let Some(l) = next(&mut r, p, addr).await {
+        if p.calls.answer(id, l.id, l.body) == Matched::Elsewhere {
+            p.refused.fetch_add(1, Ordering::Relaxed);
+            log::warn!("session with {addr} closed: it answered a call that went elsewhere");
+            return;
+        }
+    }
 }
 
 /// What was written and isn't taken within a moment ends the session: behind a silent cut it would be
@@ -264,18 +257,25 @@
             actix_rt::time::sleep(Duration::from_millis(TICK_MS)).await;
             continue;
         };
-        let (p, h) = (p.clone(), handler.clone());
-        actix_rt::spawn(async move {
-            tune(&s);
-            let (mut r, w) = s.into_split();
-            let (tx, mut frames) = mpsc::channel(OUTBOX);
-            let q = p.clone();
-            actix_rt::spawn(async move { write(w, &mut frames, &q.traffic).await });
-            let who = from.to_string();
-            while let Some(l) = next(&mut r, &p, &who).await {
-                let reply = Reply { id: l.id, cluster: p.cluster.clone(), me: p.me, tx: tx.clone() };
-                h(l, reply);
-            }
-        });
+        actix_rt::spawn(serve(s, from, p.clone(), handler.clone()));
+    }
+}
+
+/// One connection that another process opened, until it ends. Nothing is read after a frame that
+/// can't be, or while its answers can't go out.
+async fn serve(s: TcpStream, from: SocketAddr, p: Arc<Post>, handler: Handler) {
+    tune(&s);
+    let (mut r, w) = s.into_split();
+    let (tx, mut frames) = mpsc::channel(OUTBOX);
+    let who = from.to_string();
+    let read = async {
+        while let Some(l) = next(&mut r, &p, &who).await {
+            let reply = Reply { id: l.id, cluster: p.cluster.clone(), me: p.me, tx: tx.clone() };
+            handler(l, reply);
+        }
+    };
+    tokio::select! {
+        _ = read => {}
+        _ = write(w, &mut frames, &p.traffic) => {}
     }
 }
--- /dev/null
+++ b/hutbook/tests/post.rs
@@ -0,0 +1,188 @@
+//! Calls between our own processes, against peers that answer wrongly, late or in halves.
+
+use hutbook::protocol::wire::{frame_len, pack, unpack, Body, Letter};
+use hutbook::transport::post::{Handler, Post};
+use std::future::Future;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{mpsc, Arc, Mutex};
+use std::time::Duration;
+
+/// ms. Longer than any answer here takes on a busy machine.
+const SOON_MS: u64 = 5_000;
+const CLUSTER: u64 = 9;
+
+fn run<T>(f: impl Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(f)
+}
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let l = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = l.local_addr().expect("it is bound");
+    (l, at)
+}
+
+/// A process that calls others and is called by nobody.
+fn caller() -> Arc<Post> {
+    let nobody: Handler = Arc::new(|_, _| {});
+    Post::start(1, CLUSTER, None, "127.0.0.1:1".parse().expect("an address"), nobody).expect("a thread")
+}
+
+fn accept(l: &TcpListener) -> TcpStream {
+    let (s, _) = l.accept().expect("it is connected to");
+    s.set_read_timeout(Some(Duration::from_millis(SOON_MS))).expect("a time-out");
+    s
+}
+
+fn read_letter(s: &mut TcpStream) -> Letter {
+    let mut head = [0; 4];
+    s.read_exact(&mut head).expect("a frame's head");
+    let mut frame = vec![0; frame_len(head).expect("a length")];
+    s.read_exact(&mut frame).expect("a whole frame");
+    unpack(&frame, CLUSTER).expect("a letter")
+}
+
+fn answer(id: u64, text: &str) -> Vec<u8> {
+    pack(&Letter { cluster: CLUSTER, from: 2, id, body: Body::Away(text.into()) })
+}
+
+fn question() -> Body {
+    Body::Away("?".into())
+}
+
+/// The frame with bytes after its message that its length counts in.
+fn with_surplus(mut frame: Vec<u8>) -> Vec<u8> {
+    frame.push(0);
+    let length = frame.len() as u32 - 4;
+    frame[..4].copy_from_slice(&length.to_be_bytes());
+    frame
+}
+
+/// The peer has closed it, with or without a reset.
+fn is_closed(s: &mut TcpStream) -> bool {
+    match s.read(&mut [0; 64]) {
+        Ok(n) => n == 0,
+        Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+    }
+}
+
+#[test]
+fn an_answer_over_another_connection_is_nobodys() {
+    // given two peers, and a call that waits at each
+    let ((first, first_at), (second, second_at)) = (listen(), listen());
+    let (tell_id, id_told) = mpsc::channel();
+    let (tell_forged, forged) = mpsc::channel();
+    std::thread::spawn(move || {
+        let mut s = accept(&first);
+        let id = read_letter(&mut s).id;
+        tell_id.send(id).expect("the second peer waits");
+        forged.recv().expect("the second peer has answered");
+        s.write_all(&answer(id, "right")).expect("it is open");
+    });
+    // when the second answers with the number of the call to the first
+    let closed = std::thread::spawn(move || {
+        let mut s = accept(&second);
+        read_letter(&mut s);
+        let id = id_told.recv().expect("the first peer was asked");
+        s.write_all(&answer(id, "wrong")).expect("it is open");
+        let closed = is_closed(&mut s);
+        tell_forged.send(()).expect("the first peer waits");
+        closed
+    });
+    let post = caller();
+    let (a, b) = (first_at.to_string(), second_at.to_string());
+    let (right, none) = run(async {
+        let calls = (post.call(&a, question(), SOON_MS), post.call(&b, question(), SOON_MS));
+        futures_util::future::join(calls.0, calls.1).await
+    });
+    // then the first call has the first's answer, and the connection to the second is used no more
+    assert_eq!(right, Some(Body::Away("right".into())));
+    assert_eq!(none, None);
+    assert!(closed.join().expect("the second peer ran"));
+}
+
+#[test]
+fn a_frame_with_surplus_bytes_is_refused_and_its_connection_closed() {
+    // given a peer whose answer has a byte too many
+    let (l, at) = listen();
+    let peer = std::thread::spawn(move || {
+        let mut s = accept(&l);
+        let id = read_letter(&mut s).id;
+        s.write_all(&with_surplus(answer(id, "surplus"))).expect("it is open");
+        let closed = is_closed(&mut s);
+        // when it is asked again
+        let mut s = accept(&l);
+        let id = read_letter(&mut s).id;
+        s.write_all(&answer(id, "clean")).expect("it is open");
+        closed
+    });
+    let post = caller();
+    let at = at.to_string();
+    let (none, clean) =
+        run(async { (post.call(&at, question(), SOON_MS).await, post.call(&at, question(), SOON_MS).await) });
+    // then nothing of it is believed, and the next call has a connection of its own
+    assert_eq!(none, None);
+    assert_eq!(clean, Some(Body::Away("clean".into())));
+    assert_eq!(peer.join().ok(), Some(true));
+}
+
+#[test]
+fn a_late_answer_is_not_taken_for_the_next_one() {
+    // given a peer that answers the first call only after the second has come
+    let (l, at) = listen();
+    std::thread::spawn(move || {
+        let mut s = accept(&l);
+        let (first, second) = (read_letter(&mut s).id, read_letter(&mut s).id);
+        s.write_all(&answer(first, "late")).expect("it is open");
+        s.write_all(&answer(second, "own")).expect("it is open");
+    });
+    let post = caller();
+    let at = at.to_string();
+    // when the first has been given up
+    let (first, second) =
+        run(async { (post.call(&at, question(), 50).await, post.call(&at, question(), SOON_MS).await) });
+    // then each is answered with its own or with nothing
+    assert_eq!((first, second), (None, Some(Body::Away("own".into()))));
+}
+
+#[test]
+fn two_lives_of_one_process_number_their_calls_apart() {
+    // given a peer that notes how the first call of a connection is numbered
+    let (l, at) = listen();
+    let peer = std::thread::spawn(move || {
+        [(); 2].map(|()| {
+            let mut s = accept(&l);
+            let id = read_letter(&mut s).id;
+            s.write_all(&answer(id, "heard")).expect("it is open");
+            id
+        })
+    });
+    // when a process calls it, and is started again
+    for _ in 0..2 {
+        let post = caller();
+        assert!(run(post.call(&at.to_string(), question(), SOON_MS)).is_some());
+    }
+    // then no number of the one life can be met in the other
+    let [first, second] = peer.join().expect("the peer ran");
+    assert!(first.abs_diff(second) > u64::from(u32::MAX), "{first} and {second}");
+}
+
+#[test]
+fn a_connection_that_brought_a_bad_frame_is_closed_both_ways_at_once() {
+    // given a process that holds the answer to a good frame back
+    let held = Arc::new(Mutex::new(vec![]));
+    let hold = held.clone();
+    let handler: Handler = Arc::new(move |_, reply| hold.lock().expect("nobody panicked").push(reply));
+    let (l, at) = listen();
+    drop(l);
+    let _post = Post::start(1, CLUSTER, Some(at), at, handler).expect("the port is free");
+    let mut s = TcpStream::connect(at).expect("it listens");
+    s.set_read_timeout(Some(Duration::from_millis(SOON_MS))).expect("a time-out");
+    // when half of another message follows
+    s.write_all(&answer(7, "good")).expect("it is open");
+    s.write_all(&answer(8, "bad")[..9]).expect("it is open");
+    s.write_all(&[255; 64]).expect("it is open");
+    // then the connection is over, though an answer is still owed
+    assert!(is_closed(&mut s));
+    assert_eq!(held.lock().expect("nobody panicked").len(), 1);
+}
