--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -237,7 +237,7 @@
 pub const PASS_KEEP_ROOM_MS: u64 = 400;
 /// ms. Longest that an idle session is used again, whatever the server says.
 pub const PASS_KEEP_MOST_MS: u64 = 10_000;
-/// answers. Surplus ones of other jobs that are read past before a session is given up.
+/// answers. Surplus ones of other jobs that are read past to find a job's own; its connection is closed after it.
 pub const PASS_SURPLUS: usize = 3;
 /// ms. A job that may run once only uses an idle session that was used this lately: servers close
 /// those that have been idle for longer, and what is written into a closing one may have run.
--- a/hutbook/src/transport/sessions.rs
+++ b/hutbook/src/transport/sessions.rs
@@ -10,10 +10,12 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION};
 use actix_http::{Method, RequestHead, RequestHeadType, StatusCode, Uri};
-use bytes::{Bytes, BytesMut};
-use futures_util::{FutureExt, SinkExt, StreamExt};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -76,6 +78,8 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     body: Body,
+    /// Its connection has brought nothing but its own job's bytes.
+    clean: bool,
     session: Option<Counted>,
     keep_ms: u64,
     now: Box<dyn Fn() -> u64>,
@@ -114,6 +118,11 @@
                 {
                     let mut m = self.0.borrow_mut();
                     let p = m.entry(server.to_string()).or_default();
+                    // an idle one that this job can't use gives way to one that it can
+                    if p.open >= most.max(1) && !p.idle.is_empty() {
+                        drop(p.idle.remove(0));
+                        p.open = p.open.saturating_sub(1);
+                    }
                     if p.open >= most.max(1) {
                         return Err(unsent);
                     }
@@ -133,9 +142,9 @@
         let wait = Duration::from_millis(s.wait_ms);
         let whole = exchange(framed, s);
         match actix_rt::time::timeout(wait, whole).await {
-            Ok(Ok((status, headers, body))) => {
+            Ok(Ok(Exchanged { status, headers, body, clean })) => {
                 let keep_ms = keep_for(&headers);
-                Ok(Answer { status, headers, body, session: Some(counted), keep_ms, now: Box::new(now) })
+                Ok(Answer { status, headers, body, clean, session: Some(counted), keep_ms, now: Box::new(now) })
             }
             _ => Err(Broke { sent: true }),
         }
@@ -146,10 +155,8 @@
         let mut m = self.0.borrow_mut();
         let p = m.get_mut(server)?;
         // the one used last is the likeliest to be open still
-        while let Some(mut i) = p.idle.pop_if(|i| !fresh || now < i.since + PASS_ONCE_IDLE_MS) {
-            // closed, or bytes that belong to no job: never used again
-            let quiet = i.framed.next().now_or_never().is_none() && i.framed.is_read_buf_empty();
-            if quiet && now < i.until {
+        while let Some(i) = p.idle.pop_if(|i| !fresh || now < i.since + PASS_ONCE_IDLE_MS) {
+            if now < i.until && is_quiet(&i.framed) {
                 return Some(i.framed);
             }
             p.open = p.open.saturating_sub(1);
@@ -186,7 +193,22 @@
     ms.map_or(PASS_KEEP_MS, |ms| ms.saturating_sub(PASS_KEEP_ROOM_MS).min(PASS_KEEP_MOST_MS))
 }
 
-type Exchanged = (StatusCode, HeaderMap, Body);
+/// Open still, and without a byte that belongs to no job. The system itself is asked: what the
+/// runtime knows of a socket is as old as its last look, and a busy or frozen process looks late.
+fn is_quiet(framed: &Framed<TcpStream, ClientCodec>) -> bool {
+    let socket = socket2::SockRef::from(framed.io_ref());
+    let waiting = socket.peek(&mut [MaybeUninit::uninit()]);
+    framed.is_read_buf_empty() && waiting.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+}
+
+/// The head of a job's own answer, and its body as far as it has come.
+struct Exchanged {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Body,
+    /// No other job's answer stood before it.
+    clean: bool,
+}
 
 async fn exchange(mut f: Framed<TcpStream, ClientCodec>, s: Sending) -> Result<Exchanged, ()> {
     let mut head = RequestHead::default();
@@ -200,7 +222,7 @@
     }
     SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(&mut f).await.map_err(drop)?;
     // a surplus answer may stand where ours is expected: its id shows that
-    for _ in 0..PASS_SURPLUS {
+    for surplus in 0..=PASS_SURPLUS {
         let head = f.next().await.ok_or(())?.map_err(drop)?;
         let own = head.headers().get(&s.job_name) == Some(&s.job);
         let kind = f.codec_ref().message_type();
@@ -211,7 +233,7 @@
             MessageType::Payload => Body::More(Box::new(f.into_map_codec(|c| c.into_payload_codec()))),
         };
         if own {
-            return Ok((head.status, head.headers, b));
+            return Ok(Exchanged { status: head.status, headers: head.headers, body: b, clean: surplus == 0 });
         }
         while let Body::More(p) = &mut b {
             match p.next().await {
@@ -256,25 +278,12 @@
         }
     }
 
-    /// The whole body, if it comes whole and within the bound.
-    pub async fn whole(&mut self, most: usize) -> Option<Bytes> {
-        let mut out = BytesMut::new();
-        loop {
-            match self.next().await {
-                Bite::Bytes(b) if out.len() + b.len() > most => return None,
-                Bite::Bytes(b) => out.extend_from_slice(&b),
-                Bite::End => return Some(out.freeze()),
-                Bite::Broken => return None,
-            }
-        }
-    }
-
     /// Back to the pool, if nothing speaks against it.
     fn finish(&mut self) {
         let Body::Done(Some(f)) = &mut self.body else { return };
         let closes = self.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-        // bytes after a whole answer belong to no job
-        let clean = f.is_read_buf_empty() && f.codec_ref().keep_alive();
+        // bytes after a whole answer belong to no job, like those of a surplus one before it
+        let clean = self.clean && f.is_read_buf_empty() && f.codec_ref().keep_alive();
         let Body::Done(Some(f)) = std::mem::replace(&mut self.body, Body::Done(None)) else { return };
         if let (Some(c), false, true) = (self.session.take(), closes, clean) {
             let now = (self.now)();
