--- a/hutbook/src/coordination/control/messages.rs
+++ b/hutbook/src/coordination/control/messages.rs
@@ -106,6 +106,11 @@
         /// The outcome of a change whose document can't be worked out here: another version is in force.
         #[n(23)] ConfigOutcome { #[n(0)] base_version: u64, #[n(1)] change: String, #[n(2)] number: u64, #[n(3)] content_digest: u64 },
         #[n(19)] Thought { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
+        /// The leader's term and clock, by which an order is fenced.
+        #[n(30)] Fence,
+        /// An order that is taken in this term alone, and before `until` (ms) on its leader's clock:
+        /// a copy of it that comes later does nothing.
+        #[n(31)] Fenced { #[n(0)] term: u64, #[n(1)] until: u64, #[n(2)] order: Box<ControlRequest> },
     }
     /// What a directory says of one server, with the revision of its cold time that this may
     /// end: 0 where it may not.
@@ -141,6 +146,7 @@
         #[n(10)] Busy,
         /// What became of it can't be known any more, or not now: neither done nor refused.
         #[n(11)] Unclear(#[n(0)] String),
+        #[n(20)] Fence { #[n(0)] term: u64, #[n(1)] at: u64 },
     }
     pub(super) enum ControlCommand {
         #[n(0)] Found(#[n(0)] u64),
@@ -172,3 +178,20 @@
         #[n(3)] pub outcome: String,
     }
 }
+
+impl ControlRequest {
+    /// Does a late copy of it undo a later order? Such an order goes to the leader fenced. Others
+    /// read, carry an identity or a term, or say again what is said anew all the time.
+    pub fn needs_fence(&self) -> bool {
+        matches!(
+            self,
+            ControlRequest::List { .. }
+                | ControlRequest::Leave(_)
+                | ControlRequest::Remove { .. }
+                | ControlRequest::Evacuate { .. }
+                | ControlRequest::Retire(_)
+                | ControlRequest::RetireNamed(_)
+                | ControlRequest::RemoveCore(_)
+        )
+    }
+}
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -215,6 +215,11 @@
     type Computation = Scene;
 
     fn plan(&mut self, st: LeaderContext, ask: &ControlRequest) -> Plan<ControlResponse> {
+        if let ControlRequest::Fenced { term, until, order } = ask {
+            // whoever sent it has stopped waiting, and its operator may have said the opposite since
+            let late = st.term != *term || st.now >= *until;
+            return if late { Plan::Reply(ControlResponse::Busy) } else { self.plan(st, order) };
+        }
         let cmd = match ask.clone() {
             ControlRequest::CheckIn(c) => match self.group_news(&c) {
                 Some(is) => {
@@ -292,6 +297,8 @@
         match ask {
             ControlRequest::Renew(r) => self.grant(st, r),
             ControlRequest::CheckIn(c) => self.check_in(st, c),
+            ControlRequest::Fence => ControlResponse::Fence { term: st.term, at: st.now },
+            ControlRequest::Fenced { order, .. } => self.answer(st, *order),
             ControlRequest::Join(..) => {
                 let d =
                     Duty { cluster: self.state.view.cluster, cores: self.members.voters.clone(), ..Duty::default() };
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -57,7 +57,7 @@
     Again,
 }
 
-/// Every ask of ours may be repeated: each carries what makes a second one harmless.
+/// What an answer means for the next try.
 fn word(b: &Body) -> Word {
     let to = |m: &Option<Member>| m.as_ref().map_or(Word::Again, |m| Word::Go(m.addr.clone()));
     match b {
@@ -84,8 +84,14 @@
         *self.hint.lock().unwrap_or_else(|e| e.into_inner()) = h;
     }
 
-    /// Asks until somebody answers or the time is over; `each` bounds one try.
+    /// Asks until somebody answers or the time is over; `each` bounds one try. None: it may have run.
+    /// For what may be said twice; an order that may not goes by `order`.
     pub async fn ask(&self, addrs: &[String], body: Body, ms: u64, each: u64) -> Option<Body> {
+        self.ask_whoever_leads(addrs, body, ms, each).await.map(|(_, b)| b)
+    }
+
+    /// The same, with the address that answered.
+    async fn ask_whoever_leads(&self, addrs: &[String], body: Body, ms: u64, each: u64) -> Option<(String, Body)> {
         let end = self.way.now() + ms;
         let mut turn = 0;
         let mut next = self.hint.lock().unwrap_or_else(|e| e.into_inner()).clone();
@@ -104,24 +110,77 @@
             let b = self.way.call(&to, body.clone(), each.min(end - now)).await;
             match b.as_ref().map(word) {
                 Some(Word::Answer) => {
-                    self.set_hint(Some(to));
-                    return b;
+                    self.set_hint(Some(to.clone()));
+                    return b.map(|b| (to, b));
                 }
                 Some(Word::Go(a)) if a != to => next = Some(a),
                 _ => {
                     self.set_hint(None);
-                    self.way.nap(HUNT_MS).await;
+                    self.pause(end).await;
                 }
             }
         }
     }
 
+    /// Between two tries, and never beyond the last one's time.
+    async fn pause(&self, end: u64) {
+        let left = end.saturating_sub(self.way.now());
+        self.way.nap(left.min(HUNT_MS)).await;
+    }
+
+    /// Asks the core. None: nobody answered in time, and it may have run.
     pub async fn core(&self, addrs: &[String], ask: ControlRequest, ms: u64, each: u64) -> Option<ControlResponse> {
+        if ask.needs_fence() {
+            return self.order(addrs, ask, ms, each).await;
+        }
         match self.ask(addrs, Body::Core(Box::new(ask)), ms, each).await {
             Some(Body::CoreSaid(t)) => Some(*t),
             _ => None,
         }
     }
+
+    /// Gives an order of which no copy acts once this has returned. Each copy is fenced by its
+    /// leader's term and clock, and the next one is sent, or the caller told, after its fence.
+    async fn order(&self, addrs: &[String], order: ControlRequest, ms: u64, each: u64) -> Option<ControlResponse> {
+        let end = self.way.now() + ms;
+        let mut may_have_run = false;
+        loop {
+            let left = end.saturating_sub(self.way.now());
+            let fence = Body::Core(Box::new(ControlRequest::Fence));
+            let (leader, said) = self.ask_whoever_leads(addrs, fence, left, each).await?;
+            let Body::CoreSaid(said) = said else { return None };
+            let ControlResponse::Fence { term, at } = *said else { return None };
+            let sent = self.way.now();
+            let window = each.min(end.saturating_sub(sent + DRIFT_MS));
+            if window == 0 {
+                return None;
+            }
+            let fenced = ControlRequest::Fenced { term, until: at + window, order: Box::new(order.clone()) };
+            match self.say(&leader, fenced, window).await {
+                None | Some(ControlResponse::Lost) => {
+                    may_have_run = true;
+                    self.set_hint(None);
+                    let over = sent + window + DRIFT_MS;
+                    self.way.nap(over.saturating_sub(self.way.now())).await;
+                }
+                // it has not run there, and this copy never will
+                Some(ControlResponse::NotLeader(_) | ControlResponse::Busy) => self.pause(end).await,
+                Some(ControlResponse::Refused { .. } | ControlResponse::Unknown(_)) if may_have_run => {
+                    let why = "an earlier copy of this order may have been carried out";
+                    return Some(ControlResponse::Unclear(why.into()));
+                }
+                answer => return answer,
+            }
+        }
+    }
+
+    /// One call to one member of the core.
+    async fn say(&self, to: &str, ask: ControlRequest, ms: u64) -> Option<ControlResponse> {
+        match self.way.call(to, Body::Core(Box::new(ask)), ms).await {
+            Some(Body::CoreSaid(t)) => Some(*t),
+            _ => None,
+        }
+    }
 }
 
 /// The store groups as an edge reaches them: one remembered leader each.
--- /dev/null
+++ b/hutbook/tests/reach.rs
@@ -0,0 +1,192 @@
+//! Orders on their way to the core's leader: what is lost, late or sent again.
+
+use hutbook::constants::*;
+use hutbook::coordination::control::{ControlRequest, ControlResponse, Core};
+use hutbook::coordination::replica::{LeaderContext, Plan, StateMachine};
+use hutbook::protocol::wire::Body;
+use hutbook::transport::reach::{Reach, Speak};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+const ZONE: &str = "glen";
+const SERVER: &str = "tool01";
+
+/// What the network does with one call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fate {
+    Answered,
+    /// It comes, and its answer is lost.
+    AnswerLost,
+    /// It comes when the test says so.
+    Late,
+}
+
+/// A core of one and the network before it, on a clock that only waiting moves.
+struct Inner {
+    now: u64,
+    term: u64,
+    index: u64,
+    core: Core,
+    /// Of the next calls that change something; then they are answered.
+    fates: Vec<Fate>,
+    late: Vec<ControlRequest>,
+}
+
+#[derive(Clone)]
+struct Network(Rc<RefCell<Inner>>);
+
+impl Network {
+    fn new() -> Network {
+        let mut core = Core::new();
+        core.became_leader(LeaderContext { now: 0, term: 1 });
+        let inner = Inner { now: 1_000, term: 1, index: 0, core, fates: vec![], late: vec![] };
+        Network(Rc::new(RefCell::new(inner)))
+    }
+
+    fn fates(&self, next: &[Fate]) {
+        self.0.borrow_mut().fates = next.to_vec();
+    }
+
+    /// What the leader does with a request as it comes.
+    fn take(&self, ask: ControlRequest) -> ControlResponse {
+        let mut n = self.0.borrow_mut();
+        let (st, term) = (LeaderContext { now: n.now, term: n.term }, n.term);
+        match n.core.plan(st, &ask) {
+            Plan::Reply(r) => r,
+            Plan::Read => n.core.answer(st, ask),
+            Plan::Propose(bytes) => {
+                n.index += 1;
+                let index = n.index;
+                n.core.apply(index, term, &bytes)
+            }
+            Plan::Change(_) => ControlResponse::Busy,
+        }
+    }
+
+    /// What was late comes now.
+    fn late_ones_come(&self) -> usize {
+        let late = std::mem::take(&mut self.0.borrow_mut().late);
+        let n = late.len();
+        late.into_iter().for_each(|ask| drop(self.take(ask)));
+        n
+    }
+
+    fn evacuated(&self) -> bool {
+        self.0.borrow().core.view().out.contains_key(ZONE)
+    }
+
+    fn listed(&self) -> bool {
+        self.0.borrow().core.view().servers.contains_key(SERVER)
+    }
+
+    /// One call of an operator, and how long it took.
+    fn order(&self, ask: ControlRequest) -> (Option<ControlResponse>, u64) {
+        let start = self.now();
+        let reach = Reach::new(self.clone());
+        let addrs = ["a".to_string(), "b".to_string()];
+        let call = reach.core(&addrs, ask, OPERATOR_MS, CALL_MS);
+        let r = futures_util::FutureExt::now_or_never(call).expect("only the clock is waited for");
+        (r, self.now() - start)
+    }
+}
+
+impl Speak for Network {
+    fn now(&self) -> u64 {
+        self.0.borrow().now
+    }
+
+    async fn nap(&self, ms: u64) {
+        self.0.borrow_mut().now += ms;
+    }
+
+    async fn call(&self, _: &str, body: Body, ms: u64) -> Option<Body> {
+        let Body::Core(ask) = body else { return None };
+        let reads = matches!(*ask, ControlRequest::Fence);
+        let fate = match &mut self.0.borrow_mut().fates {
+            f if reads || f.is_empty() => Fate::Answered,
+            f => f.remove(0),
+        };
+        if fate == Fate::Late {
+            self.0.borrow_mut().late.push(*ask);
+            self.nap(ms).await;
+            return None;
+        }
+        let r = self.take(*ask);
+        if fate == Fate::AnswerLost {
+            self.nap(ms).await;
+            return None;
+        }
+        self.nap(1).await;
+        Some(Body::CoreSaid(Box::new(r)))
+    }
+}
+
+fn evacuate(out: bool) -> ControlRequest {
+    ControlRequest::Evacuate { cell: ZONE.into(), out }
+}
+
+fn list(name: &str, zone: &str) -> ControlRequest {
+    ControlRequest::List { name: name.into(), group: "tool".into(), addr: "10.0.0.1:80".into(), cell: zone.into() }
+}
+
+/// A core that knows one server in the zone, and one in another.
+fn with_servers() -> Network {
+    let n = Network::new();
+    for (name, zone) in [(SERVER, ZONE), ("tool02", "ben")] {
+        assert!(matches!(n.order(list(name, zone)), (Some(ControlResponse::Agreed(_)), _)));
+    }
+    n
+}
+
+#[test]
+fn a_late_copy_of_an_order_does_not_undo_a_later_one() {
+    // given an evacuation whose first copy is held up, and which is acknowledged by its second
+    let n = with_servers();
+    n.fates(&[Fate::Late]);
+    assert!(matches!(n.order(evacuate(true)).0, Some(ControlResponse::Agreed(_))));
+    assert!(n.evacuated());
+    // when it is taken back, and then the first copy comes
+    assert!(matches!(n.order(evacuate(false)).0, Some(ControlResponse::Agreed(_))));
+    assert_eq!(n.late_ones_come(), 1);
+    // then it does nothing
+    assert!(!n.evacuated());
+}
+
+#[test]
+fn nothing_of_an_order_acts_after_its_call_has_been_answered() {
+    // given an order of which every copy is held up
+    let n = with_servers();
+    n.fates(&[Fate::Late; 100]);
+    // when its call ends, without a clear answer and in its time
+    let (answer, took) = n.order(evacuate(true));
+    assert_eq!(answer, None);
+    assert!(took <= OPERATOR_MS, "{took} ms");
+    // then whatever comes of it later does nothing
+    assert!(n.late_ones_come() > 1);
+    assert!(!n.evacuated());
+}
+
+#[test]
+fn an_order_that_may_have_run_is_not_told_as_refused() {
+    // given an order that is carried out and whose answer is lost
+    let n = with_servers();
+    n.fates(&[Fate::AnswerLost]);
+    // when its second copy finds nothing to do
+    let (answer, _) = n.order(ControlRequest::Remove { name: SERVER.into(), anyway: true });
+    // then nobody says that it was refused
+    assert!(!n.listed());
+    assert!(matches!(answer, None | Some(ControlResponse::Unclear(_))), "{answer:?}");
+}
+
+#[test]
+fn a_fence_of_an_earlier_term_lets_nothing_through() {
+    // given an order held up, and another leader meanwhile
+    let n = with_servers();
+    let Some(ControlResponse::Fence { term, at }) = n.order(ControlRequest::Fence).0 else { panic!("no fence") };
+    let fenced = |term| ControlRequest::Fenced { term, until: at + CALL_MS, order: Box::new(evacuate(true)) };
+    // when it comes, then it has not run, and one of this term runs
+    assert_eq!(n.take(fenced(term + 1)), ControlResponse::Busy);
+    assert!(!n.evacuated());
+    assert!(matches!(n.take(fenced(term)), ControlResponse::Agreed(_)));
+    assert!(n.evacuated());
+}
