--- a/hutbook/src/transport/field.rs
+++ b/hutbook/src/transport/field.rs
@@ -1,6 +1,7 @@
 //! The ground a trailhead stands on: real time, the store over the wire, back ends over HTTP.
 
-use super::http::{call, client, gated_call, gauge, was_sent, Broke, Gated};
+use super::dispatch::NoAnswer;
+use super::http::{call, client, gated_call, gauge, was_sent, Gated};
 use super::hut::Clock;
 use super::reach::{Stores, Wired};
 use super::serve::{Bit, Ground, ModelCall, Stream, ToolCall};
@@ -48,7 +49,7 @@
         self.stores.ask(&self.edge.view(), program, ask).await
     }
 
-    async fn model(&self, c: ModelCall) -> Result<Result<Sse, u16>, Broke> {
+    async fn model(&self, c: ModelCall) -> Result<Result<Sse, u16>, NoAnswer> {
         let mut talk = jzon::array![];
         if !c.prefix.is_empty() {
             let _ = talk.push(jzon::object! { role: "system", content: c.prefix.as_str() });
@@ -70,8 +71,8 @@
         let sent = actix_rt::time::timeout(Duration::from_millis(c.run_ms), r.send_body(body)).await;
         let a = match sent {
             Ok(Ok(a)) => a,
-            Ok(Err(e)) => return Err(Broke { sent: was_sent(&e) && !shut.get() }),
-            Err(_) => return Err(Broke { sent: true }),
+            Ok(Err(e)) => return Err(NoAnswer { sent: was_sent(&e) && !shut.get() }),
+            Err(_) => return Err(NoAnswer { sent: true }),
         };
         if a.status().as_u16() != 200 {
             return Ok(Err(a.status().as_u16()));
@@ -81,7 +82,7 @@
         Ok(Ok(Sse { body, held: vec![], usage: None, clock: self.clock, end }))
     }
 
-    async fn tool(&self, c: ToolCall) -> Result<(u16, String), Broke> {
+    async fn tool(&self, c: ToolCall) -> Result<(u16, String), NoAnswer> {
         let rev = c.rev.to_string();
         let h = [("content-type", "application/json"), ("idempotency-key", c.key.as_str()), (REVISION, rev.as_str())];
         let url = format!("http://{}{}", c.addr, c.path);
--- a/hutbook/src/transport/front.rs
+++ b/hutbook/src/transport/front.rs
@@ -1,10 +1,9 @@
 //! Where work passed through comes in: raw requests, answers given as they are.
 
+use super::dispatch::{Gate, NoAnswer};
 use super::field::Field;
-use super::http::Broke;
 use super::lexicon::Lexicon;
 use super::passing::{pass, Incoming, OutBody, Outgoing, PassAnswer, PassGround};
-use super::serve::Gate;
 use super::sessions::{Answer, Bite, Sending, Sessions};
 use crate::constants::*;
 use crate::coordination::pass::Spotted;
@@ -25,7 +24,7 @@
 impl PassGround for Arc<Field> {
     type Answer = Answer;
 
-    async fn send(&self, to: &Spotted, s: Sending, gate: Gate) -> Result<Answer, Broke> {
+    async fn send(&self, to: &Spotted, s: Sending, gate: Gate) -> Result<Answer, NoAnswer> {
         let c = self.clock;
         let all = SESSIONS.with(Sessions::clone);
         all.send(&to.server, &to.addr, to.sessions, s, move || c.now(), &*gate).await
--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 by library, for callers and operators; and the one client for back ends.
 
+use super::dispatch::{Gate, NoAnswer};
 use crate::constants::*;
 use actix_http::body::{BodySize, BodyStream, BoxBody, MessageBody};
 use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode};
@@ -292,12 +293,12 @@
 pub struct Gated {
     bytes: Option<Bytes>,
     len: u64,
-    gate: super::serve::Gate,
+    gate: Gate,
     shut: Rc<Cell<bool>>,
 }
 
 impl Gated {
-    pub fn new(body: String, gate: super::serve::Gate) -> (Gated, Rc<Cell<bool>>) {
+    pub fn new(body: String, gate: Gate) -> (Gated, Rc<Cell<bool>>) {
         let shut = Rc::new(Cell::new(false));
         let b = Bytes::from(body);
         (Gated { len: b.len() as u64, bytes: Some(b), gate, shut: shut.clone() }, shut)
@@ -327,7 +328,7 @@
     headers: &[(&str, &str)],
     body: String,
     ms: u64,
-) -> Result<(u16, String, BTreeMap<String, String>), Broke> {
+) -> Result<(u16, String, BTreeMap<String, String>), NoAnswer> {
     gated_call(method, url, headers, body, ms, Box::new(|| true)).await
 }
 
@@ -338,9 +339,9 @@
     headers: &[(&str, &str)],
     body: String,
     ms: u64,
-    gate: super::serve::Gate,
-) -> Result<(u16, String, BTreeMap<String, String>), Broke> {
-    let m = method.parse().map_err(|_| Broke { sent: false })?;
+    gate: Gate,
+) -> Result<(u16, String, BTreeMap<String, String>), NoAnswer> {
+    let m = method.parse().map_err(|_| NoAnswer { sent: false })?;
     let mut r = client().request(m, url);
     for (k, v) in headers {
         r = r.insert_header((*k, *v));
@@ -348,19 +349,12 @@
     let whole = async {
         let (body, shut) = Gated::new(body, gate);
         let sent = r.send_body(body).await;
-        let mut a = sent.map_err(|e| Broke { sent: was_sent(&e) && !shut.get() })?;
-        let b = a.body().limit(BODY_BYTES).await.map_err(|_| Broke { sent: true })?;
+        let mut a = sent.map_err(|e| NoAnswer { sent: was_sent(&e) && !shut.get() })?;
+        let b = a.body().limit(BODY_BYTES).await.map_err(|_| NoAnswer { sent: true })?;
         let h = a.headers().iter().map(|(k, v)| (k.to_string(), v.to_str().unwrap_or("").to_string())).collect();
         Ok((a.status().as_u16(), String::from_utf8_lossy(&b).into_owned(), h))
     };
-    actix_rt::time::timeout(Duration::from_millis(ms), whole).await.unwrap_or(Err(Broke { sent: true }))
-}
-
-/// A back end that gave no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Broke {
-    /// False only where it is certain that nothing went out.
-    pub sent: bool,
+    actix_rt::time::timeout(Duration::from_millis(ms), whole).await.unwrap_or(Err(NoAnswer { sent: true }))
 }
 
 pub fn was_sent(e: &awc::error::SendRequestError) -> bool {
--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -2,6 +2,7 @@
 pub mod callers;
 pub mod daemon;
 pub mod directory;
+pub mod dispatch;
 pub mod field;
 pub mod front;
 pub mod http;
--- a/hutbook/src/transport/passing.rs
+++ b/hutbook/src/transport/passing.rs
@@ -5,9 +5,9 @@
 //! two agreements: leave before its first byte goes to a server, and its end before its
 //! answer is whole.
 
-use super::http::Broke;
+use super::dispatch::{Gate, NoAnswer};
 use super::lexicon::Lexicon;
-use super::serve::{Gate, Ground};
+use super::serve::Ground;
 use super::sessions::{Bite, Sending};
 use crate::constants::*;
 use crate::coordination::control::OUTSIDE;
@@ -53,7 +53,7 @@
 #[allow(async_fn_in_trait)]
 pub trait PassGround: Ground {
     type Answer: PassAnswer;
-    async fn send(&self, to: &Spotted, s: Sending, gate: Gate) -> Result<Self::Answer, Broke>;
+    async fn send(&self, to: &Spotted, s: Sending, gate: Gate) -> Result<Self::Answer, NoAnswer>;
 }
 
 #[allow(async_fn_in_trait)]
@@ -231,9 +231,9 @@
     Failed,
 }
 
-fn judge<A: PassAnswer>(r: Result<A, Broke>, lex: &Lexicon) -> Went1<A> {
+fn judge<A: PassAnswer>(r: Result<A, NoAnswer>, lex: &Lexicon) -> Went1<A> {
     match r {
-        Err(Broke { sent: false }) => Went1::NotRun(Went::Badly),
+        Err(NoAnswer { sent: false }) => Went1::NotRun(Went::Badly),
         Err(_) => Went1::Failed,
         Ok(a) if a.status() == StatusCode::MISDIRECTED_REQUEST => Went1::NotRun(Went::Elsewhere),
         Ok(a) if a.headers().contains_key(lex.not_run) => Went1::NotRun(Went::TurnedAway),
@@ -290,11 +290,9 @@
         left -= 1;
         let start = g.now();
         let req = sending(&a, lex, &s, &at, body.clone(), None, start);
-        let (e2, g2, p) = (e.clone(), g.clone(), at.clone());
-        let gate: Gate = Box::new(move || e2.may_pass(g2.now(), &p.group, &p.server));
         // once it may have run, a once-only job is seen through whoever still listens
         let got = {
-            let sent = pin!(g.send(&at, req, gate));
+            let sent = pin!(offer(g, e, &at, req));
             match select(sent, pin!(to.closed())).await {
                 Either::Left((r, _)) => Some(r),
                 Either::Right((_, sent)) if s.want.once && s.turn.is_none() => Some(sent.await),
@@ -357,7 +355,7 @@
             }
         }
     };
-    log::info!("DBG {name}: been {:?} {}", s.want.been, why.unwrap_or("the user agent has gone"));
+    log::debug!("{name}: unserved after {:?}: {}", s.want.been, why.unwrap_or("the client has gone"));
     let out = match why {
         // what may have run can't be promised not to have
         Some(c) if sent_any.get() && s.want.once => own(502, c, None),
@@ -368,6 +366,18 @@
     end(g, e, &s, 0, String::new(), None).await
 }
 
+/// Sends a request to its place, if it may still go there as its bytes go out.
+async fn offer<G: PassGround + Clone + 'static>(
+    g: &G,
+    e: &Arc<Edge>,
+    at: &Spotted,
+    request: Sending,
+) -> Result<G::Answer, NoAnswer> {
+    let (edge, ground, place) = (e.clone(), g.clone(), at.clone());
+    let gate: Gate = Box::new(move || edge.may_pass(ground.now(), &place.group, &place.server));
+    g.send(at, request, gate).await
+}
+
 /// Leave is asked until it is given, refused, or out of time.
 async fn leave<G: PassGround>(g: &G, t: &TurnLeave, to: &Reply, until: u64) -> Option<StoreResponse> {
     loop {
@@ -644,9 +654,7 @@
         let p = e.pass().place(g.now(), group, &want)?;
         let start = g.now();
         let req = sending(a, lex, s, &p, body.clone(), Some(&id), start);
-        let (e2, g2, q) = (e.clone(), g.clone(), p.clone());
-        let gate: Gate = Box::new(move || e2.may_pass(g2.now(), &q.group, &q.server));
-        match judge(g.send(&p, req, gate).await, lex) {
+        match judge(offer(g, e, &p, req).await, lex) {
             Went1::Answer(x) if x.status().is_success() => return Some((p, x)),
             Went1::NotRun(how) => e.pass().left(g.now(), &p, g.now() - start, how),
             _ => e.pass().left(g.now(), &p, g.now() - start, Went::Badly),
--- a/hutbook/src/transport/serve.rs
+++ b/hutbook/src/transport/serve.rs
@@ -3,7 +3,7 @@
 //! What lies outside (time, the store, back ends) is a `Ground`, so that the very
 //! same functions run in the daemons and in the in-memory fleet.
 
-use super::http::Broke;
+use super::dispatch::{Gate, NoAnswer};
 use crate::constants::*;
 use crate::coordination::control::OUTSIDE;
 use crate::coordination::edge::{Edge, Seat};
@@ -15,9 +15,6 @@
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
-/// The very last look, taken as the bytes go out: connecting may take a while, and a process may sleep.
-pub type Gate = Box<dyn Fn() -> bool>;
-
 pub struct ModelCall {
     pub gate: Gate,
     /// Config revision this is dispatched under.
@@ -61,8 +58,8 @@
     async fn nap(&self, ms: u64);
     /// None when the store could not be reached, or its answer didn't come.
     async fn store(&self, program: &str, ask: StoreRequest) -> Option<StoreResponse>;
-    async fn model(&self, c: ModelCall) -> Result<Result<Self::Stream, u16>, Broke>;
-    async fn tool(&self, c: ToolCall) -> Result<(u16, String), Broke>;
+    async fn model(&self, c: ModelCall) -> Result<Result<Self::Stream, u16>, NoAnswer>;
+    async fn tool(&self, c: ToolCall) -> Result<(u16, String), NoAnswer>;
     /// Asks a back end for its load and since when its process runs; None when nothing comes.
     async fn look(&self, addr: &str) -> Option<Look>;
     /// Asks a back end what became of a key: None when it doesn't know or say.
@@ -387,7 +384,7 @@
         };
         let start = g.now();
         let got = g.model(c).await;
-        let unsent = matches!(got, Err(Broke { sent: false }));
+        let unsent = matches!(got, Err(NoAnswer { sent: false }));
         r.sent += u32::from(!unsent);
         let broke = got.is_err();
         let f = match got {
@@ -529,7 +526,7 @@
         };
         let start = g.now();
         let mut got = g.tool(c).await;
-        r.sent += u32::from(got != Err(Broke { sent: false }));
+        r.sent += u32::from(got != Err(NoAnswer { sent: false }));
         let how = match got {
             Ok((st, _)) if st < 500 => Left::Finished,
             Ok(_) => Left::Failed,
@@ -539,7 +536,7 @@
         e.pump(g.now(), &j.route.group);
         e.timed(g.now(), &caller, &j.route.group, g.now() - came);
         // the work may be done and only its answer lost: the back end may know
-        if got == Err(Broke { sent: true }) && j.route.lookup {
+        if got == Err(NoAnswer { sent: true }) && j.route.lookup {
             for _ in 0..LOOKUPS {
                 g.nap(LOOKUP_MS).await;
                 if let Some(x) = g.lookup(&addr, &j.key).await {
@@ -551,8 +548,8 @@
         let retry = match &got {
             Ok((st, _)) if *st < 500 => false,
             // a once-only one has been run by whoever answered, or may have been
-            Ok(_) | Err(Broke { sent: true }) => r.again(e, j, g.now()),
-            Err(Broke { sent: false }) => r.anew(g.now()),
+            Ok(_) | Err(NoAnswer { sent: true }) => r.again(e, j, g.now()),
+            Err(NoAnswer { sent: false }) => r.anew(g.now()),
         };
         if retry {
             avoid = Some(server);
@@ -561,9 +558,11 @@
         let end = match got {
             Ok((st, b)) if (200..300).contains(&st) => ended(Verdict::Done, "done", b, 0),
             Ok((st, b)) => ended(Verdict::Failed, &format!("back_end_{st}"), b, 0),
-            Err(Broke { sent: false }) => r.unserved("not_sent"),
-            Err(Broke { sent: true }) if j.route.once_only => ended(Verdict::InDoubt, "answer_lost", String::new(), 0),
-            Err(Broke { sent: true }) => ended(Verdict::Failed, "no_answer", String::new(), 0),
+            Err(NoAnswer { sent: false }) => r.unserved("not_sent"),
+            Err(NoAnswer { sent: true }) if j.route.once_only => {
+                ended(Verdict::InDoubt, "answer_lost", String::new(), 0)
+            }
+            Err(NoAnswer { sent: true }) => ended(Verdict::Failed, "no_answer", String::new(), 0),
         };
         return settle(g, e, j, &r, end, None, ear).await;
     }
--- a/hutbook/src/transport/sessions.rs
+++ b/hutbook/src/transport/sessions.rs
@@ -3,7 +3,7 @@
 //! The protocol itself is the library's codec; what is here decides which session a job
 //! may use. A session that gave anything but one whole answer of its own job is closed.
 
-use super::http::Broke;
+use super::dispatch::NoAnswer;
 use crate::constants::*;
 use actix_codec::Framed;
 use actix_http::body::BodySize;
@@ -110,8 +110,8 @@
         s: Sending,
         now: impl Fn() -> u64 + 'static,
         gate: &dyn Fn() -> bool,
-    ) -> Result<Answer, Broke> {
-        let unsent = Broke { sent: false };
+    ) -> Result<Answer, NoAnswer> {
+        let unsent = NoAnswer { sent: false };
         let (framed, counted) = match self.reuse(server, now(), s.fresh) {
             Some(f) => (f, Counted { all: self.clone(), server: server.into() }),
             None => {
@@ -146,7 +146,7 @@
                 let keep_ms = keep_for(&headers);
                 Ok(Answer { status, headers, body, clean, session: Some(counted), keep_ms, now: Box::new(now) })
             }
-            _ => Err(Broke { sent: true }),
+            _ => Err(NoAnswer { sent: true }),
         }
     }
 
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -5,9 +5,9 @@
 use hutbook::coordination::line::Look;
 use hutbook::coordination::store::StoreRequest;
 use hutbook::coordination::view::View;
-use hutbook::transport::http::Broke;
+use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::reach::{open_jobs, pump, renew, Reach, Speak, Stores};
-use hutbook::transport::serve::{look_around, Bit, Gate, Ground, ModelCall, Stream, ToolCall};
+use hutbook::transport::serve::{look_around, Bit, Ground, ModelCall, Stream, ToolCall};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -681,17 +681,17 @@
         server: &str,
         key: &str,
         work: F,
-    ) -> Result<T, Broke>
+    ) -> Result<T, NoAnswer>
     where
         F: FnOnce(u64, Back, Hold) -> T + 'static,
     {
         let Some(ms) = self.road(server) else {
             self.way.nap(CONNECT_MS).await;
-            return Err(Broke { sent: false });
+            return Err(NoAnswer { sent: false });
         };
         self.way.nap(ms).await;
         if !gate() {
-            return Err(Broke { sent: false });
+            return Err(NoAnswer { sent: false });
         }
         let (tx, rx) = oneshot::channel();
         let (w, server, key) = (self.way.world.clone(), server.to_string(), key.to_string());
@@ -701,7 +701,7 @@
                 let _ = tx.send(work(no, b, hold));
             }
         });
-        rx.await.map_err(|_| Broke { sent: false })
+        rx.await.map_err(|_| NoAnswer { sent: false })
     }
 }
 
@@ -808,7 +808,7 @@
         self.stores.ask(&self.edge.view(), program, ask).await
     }
 
-    async fn model(&self, c: ModelCall) -> Result<Result<Brook, u16>, Broke> {
+    async fn model(&self, c: ModelCall) -> Result<Result<Brook, u16>, NoAnswer> {
         let (way, cap) = (self.way.clone(), c.cap);
         let flow = move |no: u64, b: Back, hold| {
             let over = u64::from(b.busy).div_ceil(u64::from(b.slots.max(1))).max(1);
@@ -830,7 +830,7 @@
         self.depart((&c.gate, c.rev), &c.addr, &c.key, flow).await.map(Ok)
     }
 
-    async fn tool(&self, c: ToolCall) -> Result<(u16, String), Broke> {
+    async fn tool(&self, c: ToolCall) -> Result<(u16, String), NoAnswer> {
         let (w, key) = (self.way.world.clone(), c.key.clone());
         let go = move |no: u64, b: Back, hold: Hold| {
             let (tx, rx) = oneshot::channel();
@@ -866,7 +866,7 @@
                 self.way.nap(ms).await;
                 Ok((200, b))
             }
-            _ => Err(Broke { sent: true }),
+            _ => Err(NoAnswer { sent: true }),
         }
     }
 
