--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -372,6 +372,27 @@
         self.core(&l, |r| of(r.raft.members())).or(self.store(&l, |r| of(r.raft.members()))).unwrap_or(0)
     }
 
+    /// Voters of a kind's group, as its newest leader has them now; 0 while nobody leads.
+    pub fn voters_now(&self, kind: &str) -> usize {
+        if self.leaders(kind).is_empty() {
+            return 0;
+        }
+        self.voters(kind)
+    }
+
+    /// Machines of this kind that vote, as their leader has it.
+    pub fn voter_names(&self, kind: &str) -> Vec<String> {
+        let l = self.leader(kind);
+        let of = |m: &hutbook::state::entry::Members| m.voters.iter().map(|v| v.id).collect::<Vec<_>>();
+        let ids = self.core(&l, |r| of(r.raft.members())).or(self.store(&l, |r| of(r.raft.members())));
+        let ids = ids.unwrap_or_default();
+        self.names(kind).into_iter().filter(|n| ids.contains(&self.id(n))).collect()
+    }
+
+    pub fn cell(&self, name: &str) -> String {
+        self.0.borrow().nodes[name].cell.clone()
+    }
+
     /// Servers that hold a place in a group, as the core's leader has them.
     pub fn placed(&self, group: &str) -> Vec<String> {
         self.view(&self.leader("refuge")).places[group].keys().cloned().collect()
