--- a/hutbook/src/coordination/control/core_membership.rs
+++ b/hutbook/src/coordination/control/core_membership.rs
@@ -33,8 +33,8 @@
         roster.drop_replaced_learner().or_else(|| match (roster.lost_voter(), roster.dismissed()) {
             (Some(lost), _) => roster.without_lost(lost),
             (None, Some(dismissed)) => Some(roster.without_dismissed(dismissed)),
-            (None, None) if roster.is_even() => roster.from_even(),
-            (None, None) => roster.from_odd(),
+            (None, None) if roster.is_even() => roster.even_step(),
+            (None, None) => roster.odd_step(),
         })
     }
 
@@ -155,7 +155,7 @@
 
     /// An even number of voters bears no more losses of machines than one voter fewer, and may bear no
     /// loss of a cell: it is only passed through.
-    fn from_even(&self) -> Option<Change> {
+    fn even_step(&self) -> Option<Change> {
         let (size, least) = (self.voters.len(), self.core.least_voters());
         let next = self.ready().first().copied();
         let fits = |learner: &&Member| size < least || self.bears_a_cell(&self.with(&[learner]));
@@ -167,7 +167,7 @@
         }
     }
 
-    fn from_odd(&self) -> Option<Change> {
+    fn odd_step(&self) -> Option<Change> {
         let size = self.voters.len();
         if size < self.core.least_voters() {
             return self.promote_ready();
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -420,6 +420,7 @@
         self.births.clear();
         self.idle.clear();
         self.cells.clear();
+        self.alive.clear();
         self.sights.clear();
         self.check_at = st.now + CHECK_MS;
     }
@@ -431,8 +432,9 @@
     fn tick(&mut self, st: LeaderContext, raft: &Raft) -> Vec<LeaderTask<Scene>> {
         let mut out = vec![];
         self.members = raft.members().clone();
-        self.alive = raft.peer_status().into_iter().filter(|h| st.now < h.2 + ELECTION_MS).map(|h| h.0).collect();
-        self.alive.insert(raft.id);
+        // heard in this term: a new leader knows of nobody
+        let caught_up = self.members.voters.iter().map(|m| m.id).filter(|id| raft.caught_up(st.now, *id));
+        self.alive = caught_up.chain([raft.id]).collect();
         self.ledger.sweep(st.now);
         for (server, (since, born, fell)) in std::mem::take(&mut self.births) {
             let cmd = ControlCommand::Born { term: st.term, server, since, born, fell };
--- a/hutbook/src/coordination/control/store_membership.rs
+++ b/hutbook/src/coordination/control/store_membership.rs
@@ -151,8 +151,13 @@
         }
         // a dead copy is replaced where a spare stands ready; the new one comes first
         if let Some(d) = dead {
+            let spare = spare?;
+            // the one that was to form the group has lost its disk, or never had the word: nobody has formed it
+            if s.actual.is_empty() && s.founder == d.id && replaced(d) {
+                is.founder = spare.me.id;
+            }
             is.wanted.retain(|m| m.id != d.id);
-            is.wanted.push(spare?.me.clone());
+            is.wanted.push(spare.me.clone());
             return Some((*g, is));
         }
         // a cell with most of the copies would take the group with it
@@ -187,6 +192,8 @@
     pub(super) fn group_news(&self, c: &CheckIn) -> Option<StoreGroup> {
         let (g, m) = c.leads.as_ref()?;
         let s = self.state.view.stores.get(g)?;
+        // only a member can speak for the group
+        s.wanted.iter().chain(&s.actual).find(|known| known.id == c.me.id)?;
         let mut actual: Vec<Member> = m.voters.clone();
         actual.sort();
         let mut wanted = s.wanted.clone();
--- a/hutbook/src/coordination/raft/membership.rs
+++ b/hutbook/src/coordination/raft/membership.rs
@@ -30,7 +30,8 @@
         self.members().voters.len() / 2 + 1
     }
 
-    /// Is this peer live, and near enough to the end of the log to vote?
+    /// Is this peer live, and near enough to the end of the log to vote? Its disk has answered this leader,
+    /// in this term: a leader that has just risen knows of nobody.
     pub fn caught_up(&self, now: u64, id: u64) -> bool {
         self.peers.get(&id).is_some_and(|peer| {
             let near = peer.match_index > 0 && peer.match_index + PROMOTE_LAG >= self.last();
@@ -87,6 +88,7 @@
                 }
                 let learner = members.learners.remove(at);
                 members.voters.push(learner);
+                self.check_quorum_of(now, &members)?;
             }
             Change::Readdress(member) => {
                 let mut known = members.voters.iter_mut().chain(&mut members.learners);
@@ -98,18 +100,19 @@
                 }
                 members.learners.retain(|member| member.id != id);
                 members.voters.retain(|member| member.id != id);
-                let live = members.voters.iter().filter(|voter| self.is_live(now, voter.id)).count();
-                if live < members.voters.len() / 2 + 1 {
-                    return Err("the voters left would have no live quorum".into());
+                if self.is_voter(id) {
+                    self.check_quorum_of(now, &members)?;
                 }
             }
         }
         Ok(members)
     }
 
-    /// Has this leader heard the member within an election time?
-    fn is_live(&self, now: u64, id: u64) -> bool {
-        let heard = self.peers.get(&id).is_some_and(|peer| now.saturating_sub(peer.last_heard) <= ELECTION_MS);
-        id == self.id || heard
+    /// A change holds from its append on: without a majority of the members after it that has what was
+    /// agreed and answers, it could never be committed, and nothing after it.
+    fn check_quorum_of(&self, now: u64, members: &Members) -> Result<(), String> {
+        let able = members.voters.iter().filter(|voter| voter.id == self.id || self.caught_up(now, voter.id)).count();
+        let quorum = members.voters.len() / 2 + 1;
+        (able >= quorum).then_some(()).ok_or("the voters left would have no live quorum".into())
     }
 }
--- a/hutbook/src/coordination/store.rs
+++ b/hutbook/src/coordination/store.rs
@@ -575,10 +575,13 @@
     fn became_leader(&mut self, st: LeaderContext) {
         self.base = Some((self.kept.clock, st.now));
         self.clock_at = st.now;
+        // an order from before this term may have been overtaken by one that another leader carried out
+        self.orders = Orders::default();
     }
 
     fn stepped_down(&mut self) {
         self.base = None;
+        self.orders = Orders::default();
     }
 
     fn tick(&mut self, st: LeaderContext, raft: &Raft) -> Vec<LeaderTask<()>> {
@@ -622,7 +625,8 @@
     let odd = m.voters.iter().filter(|v| !want(v.id));
     let odd = odd.max_by_key(|v| (lost(v.id), v.id != raft.id));
     let surplus = m.voters.len() > wanted.len();
-    if let Some(v) = odd.filter(|v| surplus || all_vote || ready.is_some() && lost(v.id)) {
+    let full = m.voters.len() >= wanted.len();
+    if let Some(v) = odd.filter(|v| surplus || all_vote || full && ready.is_some() && lost(v.id)) {
         return Some(Change::Remove(v.id));
     }
     if let Some(l) = ready.filter(|_| !surplus) {
--- /dev/null
+++ b/hutbook/tests/membership.rs
@@ -0,0 +1,187 @@
+//! Changes of a group's members, on one stepped `Raft` (thesis chapter 4): what a leader must refuse.
+
+use hutbook::constants::*;
+use hutbook::coordination::raft::{Change, Denial, Raft, RaftInput, RaftMessage, RaftOutput, Role};
+use hutbook::coordination::replica::{LeaderContext, StateMachine};
+use hutbook::coordination::store::{follow_orders, Store};
+use hutbook::state::disk::Boot;
+use hutbook::state::entry::{Entry, Member, Members, What};
+use rstest::rstest;
+
+fn member(id: u64) -> Member {
+    Member { id, addr: id.to_string() }
+}
+
+/// Member 1 of a group, as it leads, whose disk answers at once.
+struct Leader {
+    raft: Raft,
+    now: u64,
+}
+
+impl Leader {
+    /// Just elected by `votes` in a group of these voters and learners, with `entries` in its log.
+    fn elected(voters: &[u64], learners: &[u64], entries: u64, votes: &[u64]) -> Leader {
+        let all = |ids: &[u64]| ids.iter().map(|id| member(*id)).collect();
+        let members = What::Members(Members { voters: all(voters), learners: all(learners) });
+        let commands = (2..=entries).map(|index| Entry { index, term: 1, what: What::Command(vec![1]) });
+        let log = std::iter::once(Entry { index: 1, term: 1, what: members }).chain(commands).collect();
+        let raft = Raft::new(1, Boot { term: 1, entries: log, ..Boot::default() }, 1, 0);
+        let mut it = Leader { raft, now: ELECTION_MS + ELECTION_SPREAD_MS };
+        it.step(RaftInput::Tick);
+        for pre_vote in [true, false] {
+            for from in votes {
+                it.hear(*from, RaftMessage::VoteResponse { term: 2, pre_vote, granted: true });
+            }
+        }
+        assert_eq!(it.raft.role, Role::Leader);
+        it
+    }
+
+    fn step(&mut self, input: RaftInput) -> Vec<RaftOutput> {
+        let mut outputs = self.raft.step(self.now, input);
+        let tickets = outputs.iter().filter_map(|output| match output {
+            RaftOutput::Persist { sync_ticket, .. } => Some(*sync_ticket),
+            _ => None,
+        });
+        if let Some(ticket) = tickets.max() {
+            outputs.extend(self.step(RaftInput::Synced(ticket)));
+        }
+        outputs
+    }
+
+    fn hear(&mut self, from: u64, msg: RaftMessage) -> Vec<RaftOutput> {
+        self.step(RaftInput::Message { from, msg })
+    }
+
+    /// The peer has this leader's log up to `index` on its disk.
+    fn has(&mut self, from: u64, index: u64) {
+        let term = self.raft.term;
+        self.hear(from, RaftMessage::AppendResponse { term, success: true, index, round: 1 });
+    }
+
+    /// The peer has all of it.
+    fn has_all(&mut self, from: u64) {
+        let last = self.raft.last();
+        self.has(from, last);
+    }
+
+    /// Why the change was not taken; None when it was.
+    fn refuses(&mut self, change: Change) -> Option<Denial> {
+        let outputs = self.step(RaftInput::Change { ticket: 9, change });
+        outputs.into_iter().find_map(|output| match output {
+            RaftOutput::Denied { ticket: 9, why } => Some(why),
+            _ => None,
+        })
+    }
+}
+
+#[test]
+fn no_change_before_an_entry_of_its_own_term_is_committed() {
+    // given a leader that has just been elected (the flaw of single-server changes that was found in 2015)
+    let mut l = Leader::elected(&[1, 2, 3], &[], 4, &[2]);
+    assert_eq!(l.refuses(Change::Remove(3)), Some(Denial::NotLeader));
+    // when its first entry is on a majority's disks, then it may
+    l.has_all(2);
+    assert_eq!(l.raft.commit, l.raft.last());
+    assert_eq!(l.refuses(Change::AddLearner(member(4))), None);
+    // and not a second one while the first is under way
+    assert_eq!(l.refuses(Change::AddLearner(member(5))), Some(Denial::Busy));
+}
+
+#[test]
+fn nobody_goes_on_the_word_of_one_that_has_not_answered_this_leader() {
+    // given a leader elected by 2, that has never heard 3
+    let mut l = Leader::elected(&[1, 2, 3], &[], 4, &[2]);
+    l.has_all(2);
+    // when 2 is to go, then it is refused: 3 may be gone for good, and 1 alone would be no majority
+    assert!(matches!(l.refuses(Change::Remove(2)), Some(Denial::Unsafe(_))));
+    // and once 3 has all that is agreed, it may
+    l.has_all(3);
+    assert_eq!(l.refuses(Change::Remove(2)), None);
+}
+
+#[test]
+fn nobody_goes_while_what_it_holds_is_on_too_few_others() {
+    // given a voter that lives and is far behind
+    let mut l = Leader::elected(&[1, 2, 3], &[], 4 * PROMOTE_LAG, &[2]);
+    l.has_all(2);
+    l.has(3, 1);
+    // when the only other copy is to go, then it is refused
+    assert!(matches!(l.refuses(Change::Remove(2)), Some(Denial::Unsafe(_))));
+    // and the one that is behind may go
+    assert_eq!(l.refuses(Change::Remove(3)), None);
+}
+
+#[test]
+fn nobody_votes_where_too_few_live_to_agree_on_it() {
+    // given four voters of which one is silent, and a learner that has all
+    let mut l = Leader::elected(&[1, 2, 3], &[4], 4, &[2]);
+    l.has_all(2);
+    l.has_all(4);
+    l.has_all(2);
+    // when the learner is to vote beside the silent one, then three of four live: it may
+    assert_eq!(l.refuses(Change::Promote(4)), None);
+    // and beside two that are silent it may not: nothing could be agreed any more without it
+    let mut l = Leader::elected(&[1, 2, 3, 5, 6], &[4], 4, &[2, 3]);
+    [2, 3, 4].into_iter().for_each(|id| l.has_all(id));
+    l.now += ELECTION_MS - HEARTBEAT_MS;
+    [2, 4].into_iter().for_each(|id| l.has_all(id));
+    l.now += 2 * HEARTBEAT_MS;
+    assert!(matches!(l.refuses(Change::Promote(4)), Some(Denial::Unsafe(_))));
+}
+
+#[rstest]
+// a member that lives goes after its stand-in votes, a silent one before
+#[case(&[2, 3, 4], Change::Promote(4))]
+#[case(&[2, 4], Change::Remove(3))]
+fn one_vote_for_one_vote(#[case] live: &[u64], #[case] first: Change) {
+    // given a store group of three, one of which is to be replaced by a learner that has all
+    let mut l = Leader::elected(&[1, 2, 3], &[4], 4, &[2]);
+    live.iter().for_each(|id| l.has_all(*id));
+    l.now += ELECTION_MS / 2 + HEARTBEAT_MS;
+    live.iter().for_each(|id| l.has_all(*id));
+    l.now += ELECTION_MS / 2;
+    let wanted = [member(1), member(2), member(4)];
+    assert_eq!(follow_orders(&wanted, &l.raft, l.now), Some(first.clone()));
+    // when each step has been agreed, then the next one follows, and there are never five
+    let mut steps = 0;
+    while let Some(change) = follow_orders(&wanted, &l.raft, l.now) {
+        assert_eq!(l.refuses(change), None);
+        live.iter().for_each(|id| l.has_all(*id));
+        assert!((2..=4).contains(&l.raft.members().voters.len()));
+        steps += 1;
+    }
+    assert_eq!(steps, 2);
+    let mut ids: Vec<u64> = l.raft.agreed_members().voters.iter().map(|voter| voter.id).collect();
+    ids.sort();
+    assert_eq!(ids, [1, 2, 4]);
+}
+
+#[test]
+fn two_stand_ins_never_vote_before_one_of_those_lost_is_out() {
+    // given five, two of them silent and to be replaced; one stand-in has all, the other is not there yet
+    let mut l = Leader::elected(&[1, 2, 3, 5, 6], &[7, 8], 4, &[2, 3]);
+    let live = [2, 3, 7];
+    live.iter().for_each(|id| l.has_all(*id));
+    l.now += ELECTION_MS / 2 + HEARTBEAT_MS;
+    live.iter().for_each(|id| l.has_all(*id));
+    l.now += ELECTION_MS / 2;
+    let wanted = [member(1), member(2), member(3), member(7), member(8)];
+    // when the orders are followed as far as they go
+    while let Some(change) = follow_orders(&wanted, &l.raft, l.now) {
+        assert_eq!(l.refuses(change), None);
+        live.iter().for_each(|id| l.has_all(*id));
+    }
+    // then one more loss is borne: four of five live, not four of six
+    assert_eq!(l.raft.agreed_members().voters.len(), 5);
+}
+
+#[test]
+fn a_new_store_leader_follows_no_order_from_before_its_term() {
+    // given a store member that was told long ago whom the core wants
+    let mut s = Store::default();
+    s.orders.wanted = vec![member(1), member(2), member(3)];
+    // when it comes to lead, then that order may have been overtaken: it waits for the next
+    s.became_leader(LeaderContext { now: 1, term: 7 });
+    assert!(s.orders.wanted.is_empty());
+}
--- a/huts/src/bothy.rs
+++ b/huts/src/bothy.rs
@@ -108,7 +108,11 @@
         }
         let mut asked: Option<Duty> = None;
         loop {
-            let leads = self.slot.get().and_then(|(g, h)| h.look(|r| r.leads().then(|| (*g, r.raft.agreed_members()))));
+            let led = self
+                .slot
+                .get()
+                .and_then(|(g, h)| h.look(|r| r.leads().then(|| (r.raft.term, (*g, r.raft.agreed_members())))));
+            let (term, leads) = led.unzip();
             let mut open = None;
             if let (Some(d), Some((g, _))) = (asked.take(), &leads) {
                 open = open_jobs(&reach.way, &self.me.addr, *g, &d).await;
@@ -119,7 +123,7 @@
             if let Some(ControlResponse::Duty(d)) =
                 reach.core(&addrs, ControlRequest::CheckIn(c), OPERATOR_MS, CALL_MS).await
             {
-                self.obey(&d, &mut cores).await?;
+                self.obey(&d, &mut cores, term).await?;
                 asked = d.asks.then_some(d);
             }
             // slots stand empty for as long as the core doesn't know what is open
@@ -134,7 +138,9 @@
         daemon::with_room(held).await
     }
 
-    async fn obey(&self, d: &Duty, cores: &mut Vec<Member>) -> Result<(), String> {
+    /// `led`: the term in which this machine led its group when it asked. What the core wants of the members is
+    /// carried out by that leadership alone: an answer to an earlier one may have been overtaken.
+    async fn obey(&self, d: &Duty, cores: &mut Vec<Member>, led: Option<u64>) -> Result<(), String> {
         let learnt = self.on_disk(|disk| {
             if disk.cluster == 0 && d.cluster != 0 {
                 disk.set_cluster(d.cluster)?;
@@ -154,7 +160,9 @@
             (Some(g), None) => self.start(g, d.founder).await?,
             (Some(_), Some((_, h))) => {
                 let mut r = h.replica.lock().unwrap_or_else(|e| e.into_inner());
-                r.machine.orders.wanted.clone_from(&d.wanted);
+                if r.leads() && led == Some(r.raft.term) {
+                    r.machine.orders.wanted.clone_from(&d.wanted);
+                }
             }
             _ => {}
         }
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -629,6 +629,7 @@
             let w = way.world.0.borrow();
             check_in(&w.nodes[&name], &name).expect("a bothy")
         };
+        let led = way.world.store(&name, |r| r.leads().then_some(r.raft.term)).flatten();
         if let (Some(d), Some((g, _))) = (asked.take(), &c.leads) {
             c.open = open_jobs(&way, &name, *g, &d).await;
         }
@@ -636,7 +637,7 @@
         if let Some(ControlResponse::Duty(d)) =
             reach.core(&addrs, ControlRequest::CheckIn(c), OPERATOR_MS, CALL_MS).await
         {
-            way.world.0.borrow_mut().obey(&name, &d);
+            way.world.0.borrow_mut().obey(&name, &d, led);
             asked = d.asks.then_some(d);
         }
         way.nap(if asked.is_some() { ASKED_MS } else { CHECK_IN_MS }).await;
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -426,7 +426,8 @@
     }
 
     /// A bothy does as the core says: takes its group, forms it if it is the founder, follows orders.
-    fn obey(&mut self, name: &str, d: &Duty) {
+    /// `led`: the term in which it led its group when it asked.
+    fn obey(&mut self, name: &str, d: &Duty, led: Option<u64>) {
         let now = self.now;
         let seed = self.rng.next_u64();
         let n = self.nodes.get_mut(name).expect("known node");
@@ -444,7 +445,9 @@
                 n.part = Part::Store { group: Some(g), replica: Some(Box::new(r)), cores: d.cores.clone() };
                 self.store_fruit(name, f);
             }
-            (Some(_), Some(r)) => r.machine.orders.wanted.clone_from(&d.wanted),
+            (Some(_), Some(r)) if r.leads() && led == Some(r.raft.term) => {
+                r.machine.orders.wanted.clone_from(&d.wanted)
+            }
             _ => {}
         }
     }
