--- a/hutbook/src/coordination/raft/membership.rs
+++ b/hutbook/src/coordination/raft/membership.rs
@@ -1,7 +1,7 @@
 //! The members of the group and their single-server changes (Raft thesis 4.1 and 4.2).
 
 use super::replication::Peer;
-use super::{Change, Denial, Raft, RaftOutput};
+use super::{Change, Denial, Raft, RaftMessage, RaftOutput};
 use crate::constants::*;
 use crate::state::entry::{Members, What};
 
@@ -30,7 +30,8 @@
         self.members().voters.len() / 2 + 1
     }
 
-    /// Is this peer live, and near enough to the end of the log to vote?
+    /// Is this peer live, and near enough to the end of the log to vote? Its disk has answered this leader,
+    /// in this term: a leader that has just risen knows of nobody.
     pub fn caught_up(&self, now: u64, id: u64) -> bool {
         self.peers.get(&id).is_some_and(|peer| {
             let near = peer.match_index > 0 && peer.match_index + PROMOTE_LAG >= self.last();
@@ -67,6 +68,16 @@
         }
     }
 
+    /// A leader that has left the group asks the newest of those that stay to be elected at once, so that
+    /// nobody waits for an election (Raft thesis 4.2.2 and 3.10).
+    pub(super) fn hand_over(&mut self, now: u64) {
+        let stays = self.members().voters.iter().map(|voter| voter.id).filter(|id| self.caught_up(now, *id));
+        let newest = stays.max_by_key(|id| self.peers.get(id).map_or(0, |peer| peer.match_index));
+        if let Some(to) = newest {
+            self.send(to, RaftMessage::TimeoutNow { term: self.term });
+        }
+    }
+
     /// The members after `change`, or why it would endanger the group.
     fn changed(&self, now: u64, change: Change) -> Result<Members, String> {
         let mut members = self.members().clone();
@@ -87,6 +98,7 @@
                 }
                 let learner = members.learners.remove(at);
                 members.voters.push(learner);
+                self.check_quorum_of(now, &members)?;
             }
             Change::Readdress(member) => {
                 let mut known = members.voters.iter_mut().chain(&mut members.learners);
@@ -98,17 +110,19 @@
                 }
                 members.learners.retain(|member| member.id != id);
                 members.voters.retain(|member| member.id != id);
-                let live = members.voters.iter().filter(|voter| self.is_live(now, voter.id)).count();
-                if live < members.voters.len() / 2 + 1 {
-                    return Err("the voters left would have no live quorum".into());
+                if self.is_voter(id) {
+                    self.check_quorum_of(now, &members)?;
                 }
             }
         }
         Ok(members)
     }
 
-    /// Was this leader in contact with the member within an election time?
-    fn is_live(&self, now: u64, id: u64) -> bool {
-        id == self.id || self.peers.get(&id).is_some_and(|peer| peer.is_live(now))
+    /// A change holds from its append on: without a majority of the members after it that has what was
+    /// agreed and answers, it could never be committed, and nothing after it.
+    fn check_quorum_of(&self, now: u64, members: &Members) -> Result<(), String> {
+        let able = members.voters.iter().filter(|voter| voter.id == self.id || self.caught_up(now, voter.id)).count();
+        let quorum = members.voters.len() / 2 + 1;
+        (able >= quorum).then_some(()).ok_or("the voters left would have no live quorum".into())
     }
 }
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -5,9 +5,9 @@
 use hutbook::coordination::line::Look;
 use hutbook::coordination::store::StoreRequest;
 use hutbook::coordination::view::View;
-use hutbook::transport::http::Broke;
+use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::reach::{open_jobs, pump, renew, Reach, Speak, Stores};
-use hutbook::transport::serve::{look_around, Bit, Gate, Ground, ModelCall, Stream, ToolCall};
+use hutbook::transport::serve::{look_around, Bit, Ground, ModelCall, Stream, ToolCall};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -372,6 +372,27 @@
         self.core(&l, |r| of(r.raft.members())).or(self.store(&l, |r| of(r.raft.members()))).unwrap_or(0)
     }
 
+    /// Voters of a kind's group, as its newest leader has them now; 0 while nobody leads.
+    pub fn voters_now(&self, kind: &str) -> usize {
+        if self.leaders(kind).is_empty() {
+            return 0;
+        }
+        self.voters(kind)
+    }
+
+    /// Machines of this kind that vote, as their leader has it.
+    pub fn voter_names(&self, kind: &str) -> Vec<String> {
+        let l = self.leader(kind);
+        let of = |m: &hutbook::state::entry::Members| m.voters.iter().map(|v| v.id).collect::<Vec<_>>();
+        let ids = self.core(&l, |r| of(r.raft.members())).or(self.store(&l, |r| of(r.raft.members())));
+        let ids = ids.unwrap_or_default();
+        self.names(kind).into_iter().filter(|n| ids.contains(&self.id(n))).collect()
+    }
+
+    pub fn cell(&self, name: &str) -> String {
+        self.0.borrow().nodes[name].cell.clone()
+    }
+
     /// Servers that hold a place in a group, as the core's leader has them.
     pub fn placed(&self, group: &str) -> Vec<String> {
         self.view(&self.leader("refuge")).places[group].keys().cloned().collect()
@@ -608,6 +629,7 @@
             let w = way.world.0.borrow();
             check_in(&w.nodes[&name], &name).expect("a bothy")
         };
+        let led = way.world.store(&name, |r| r.leads().then_some(r.raft.term)).flatten();
         if let (Some(d), Some((g, _))) = (asked.take(), &c.leads) {
             c.open = open_jobs(&way, &name, *g, &d).await;
         }
@@ -615,7 +637,7 @@
         if let Some(ControlResponse::Duty(d)) =
             reach.core(&addrs, ControlRequest::CheckIn(c), OPERATOR_MS, CALL_MS).await
         {
-            way.world.0.borrow_mut().obey(&name, &d);
+            way.world.0.borrow_mut().obey(&name, &d, led);
             asked = d.asks.then_some(d);
         }
         way.nap(if asked.is_some() { ASKED_MS } else { CHECK_IN_MS }).await;
@@ -681,17 +703,17 @@
         server: &str,
         key: &str,
         work: F,
-    ) -> Result<T, Broke>
+    ) -> Result<T, NoAnswer>
     where
         F: FnOnce(u64, Back, Hold) -> T + 'static,
     {
         let Some(ms) = self.road(server) else {
             self.way.nap(CONNECT_MS).await;
-            return Err(Broke { sent: false });
+            return Err(NoAnswer { sent: false });
         };
         self.way.nap(ms).await;
         if !gate() {
-            return Err(Broke { sent: false });
+            return Err(NoAnswer { sent: false });
         }
         let (tx, rx) = oneshot::channel();
         let (w, server, key) = (self.way.world.clone(), server.to_string(), key.to_string());
@@ -701,7 +723,7 @@
                 let _ = tx.send(work(no, b, hold));
             }
         });
-        rx.await.map_err(|_| Broke { sent: false })
+        rx.await.map_err(|_| NoAnswer { sent: false })
     }
 }
 
@@ -808,7 +830,7 @@
         self.stores.ask(&self.edge.view(), program, ask).await
     }
 
-    async fn model(&self, c: ModelCall) -> Result<Result<Brook, u16>, Broke> {
+    async fn model(&self, c: ModelCall) -> Result<Result<Brook, u16>, NoAnswer> {
         let (way, cap) = (self.way.clone(), c.cap);
         let flow = move |no: u64, b: Back, hold| {
             let over = u64::from(b.busy).div_ceil(u64::from(b.slots.max(1))).max(1);
@@ -830,7 +852,7 @@
         self.depart((&c.gate, c.rev), &c.addr, &c.key, flow).await.map(Ok)
     }
 
-    async fn tool(&self, c: ToolCall) -> Result<(u16, String), Broke> {
+    async fn tool(&self, c: ToolCall) -> Result<(u16, String), NoAnswer> {
         let (w, key) = (self.way.world.clone(), c.key.clone());
         let go = move |no: u64, b: Back, hold: Hold| {
             let (tx, rx) = oneshot::channel();
@@ -866,7 +888,7 @@
                 self.way.nap(ms).await;
                 Ok((200, b))
             }
-            _ => Err(Broke { sent: true }),
+            _ => Err(NoAnswer { sent: true }),
         }
     }
 
