--- a/scramble/src/model/node.rs
+++ b/scramble/src/model/node.rs
@@ -33,6 +33,8 @@
     CommandsChangeOnTheWay,
     /// A yes arrives as if it said one entry more.
     YesesReachTooFar,
+    /// A candidate's log arrives as if it were the newest.
+    CandidatesLookNewer,
     /// Whatever is proposed, the caller is told that it did not run when leadership ends.
     LostIsToldAsRefused,
 }
--- a/scramble/src/model/state.rs
+++ b/scramble/src/model/state.rs
@@ -309,6 +309,7 @@
                 match (rules.fault, &mut msg) {
                     (Fault::CommandsChangeOnTheWay, _) if to == 3 => change_commands(&mut msg),
                     (Fault::YesesReachTooFar, RaftMessage::AppendResponse { success: true, index, .. }) => *index += 1,
+                    (Fault::CandidatesLookNewer, RaftMessage::VoteRequest { last_term, .. }) => *last_term = u64::MAX,
                     _ => {}
                 }
                 self.step(rules, to, Input::Message { from: from.into(), at: String::new(), msg })
--- a/scramble/tests/model.rs
+++ b/scramble/tests/model.rs
@@ -26,7 +26,10 @@
 #[case::orders(scenario::orders())]
 #[case::contested_orders(scenario::contested_orders())]
 #[case::snapshots(scenario::snapshots())]
+#[case::snapshot_behind_the_log(scenario::snapshot_behind_the_log())]
 #[case::membership(scenario::membership())]
+#[case::two_changes(scenario::two_changes())]
+#[case::older_entry(scenario::older_entry())]
 #[case::transfer(scenario::transfer())]
 #[case::five_voters(scenario::five_voters())]
 fn every_schedule_within_the_bounds_keeps_every_invariant(#[case] scenario: Scenario) {
@@ -53,6 +56,12 @@
     scenario::agreed_by_two(),
     Fault::NewestEntryIsForgotten,
     ELECTION,
+    Invariant::CommittedOnMajority
+)]
+#[case::logs_not_compared(
+    scenario::agreed_by_two(),
+    Fault::CandidatesLookNewer,
+    ELECTION,
     Invariant::LeaderCompleteness
 )]
 #[case::a_command_changed(scenario::orders(), Fault::CommandsChangeOnTheWay, ORDER, Invariant::LogMatching)]
