--- a/scramble/src/check.rs
+++ b/scramble/src/check.rs
@@ -247,11 +247,18 @@
 /// Every job accepted before a planned change, queued ones too, ends as it would have;
 /// judged wherever no failure touched its edge, its server, its store or the network.
 /// A core that is hurt may cost it its place, but never what is under way.
+/// A job lasts until its caller has gone and the last edge that held a request for it is done with it.
 fn dropped(s: &Saw) -> Judged {
     let m = runs_by_key(s);
+    let mut held: BTreeMap<&str, u64> = BTreeMap::new();
+    for (key, until) in s.requests.iter().filter_map(|r| Some((r.key.as_str(), r.until?))) {
+        let last = held.entry(key).or_default();
+        *last = until.max(*last);
+    }
     let mut out = Judged::default();
     for j in &s.jobs {
-        let (from, until) = span(j);
+        let (from, ended) = span(j);
+        let until = ended.max(held.get(j.key.as_str()).copied().unwrap_or(0));
         let Some(at) = s.planned.iter().find(|p| from < **p && **p <= until) else { continue };
         let ran = m.get(j.key.as_str()).map_or(&[][..], |v| v);
         let touched = |n: &str| {
@@ -358,7 +365,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::saw::{Belief, ProgramSeen};
+    use crate::saw::{Belief, ProgramSeen, RequestSeen};
 
     fn ran(at: u64, server: &str, key: &str, busy: u32, done: u64) -> Ran {
         Ran { at, server: server.into(), key: key.into(), busy, done, rev: 7 }
@@ -450,6 +457,19 @@
     #[case("planned change dropped work", |s: &mut Saw| s.jobs[0].cut = 1)]
     #[case("planned change dropped work", |s: &mut Saw| s.jobs[0].verdicts[0] = (5, "refused".into(), "overloaded".into()))]
     #[case("planned change dropped work", |s: &mut Saw| s.jobs[0].verdicts[0] = (5, "in_doubt".into(), "edge_lost".into()))]
+    // its edge failed, but only when it had long been done with the request
+    #[case("planned change dropped work", |s: &mut Saw| {
+        s.jobs[0].verdicts[0] = (5, "in_doubt".into(), "edge_lost".into());
+        s.jobs[0].edges = vec!["e1".into()];
+        s.requests.push(RequestSeen { key: "t1".into(), from: 0, until: Some(60) });
+        s.hurts.push((60 + HURT_MS, u64::MAX, "e1".into()));
+    })]
+    // a change that came while only the edge still held it is judged as well
+    #[case("planned change dropped work", |s: &mut Saw| {
+        s.jobs[0].verdicts[0] = (5, "in_doubt".into(), "edge_lost".into());
+        s.planned = vec![80];
+        s.requests.push(RequestSeen { key: "t1".into(), from: 0, until: Some(90) });
+    })]
     #[case("not looked at", |s: &mut Saw| s.programs.get_mut("p").unwrap().history = None)]
     #[case("not looked at", |s: &mut Saw| s.jobs[1].verdicts.clear())]
     #[case("not looked at", |s: &mut Saw| s.beliefs.iter_mut().for_each(|b| b.acts = false))]
--- a/scramble/src/fleet/callers.rs
+++ b/scramble/src/fleet/callers.rs
@@ -2,7 +2,7 @@
 
 use super::ground::{Meadow, World};
 use super::*;
-use crate::saw::{tokens, JobSeen, ProgramSeen, TurnSeen};
+use crate::saw::{tokens, JobSeen, ProgramSeen, RequestSeen, TurnSeen};
 use hutbook::coordination::store::{Ended, StoreRequest, Verdict};
 use hutbook::coordination::view::hash;
 use hutbook::protocol::config;
@@ -19,6 +19,32 @@
 const SILENCE_MS: u64 = 10_000;
 pub const CAP: u64 = 12;
 
+/// A request that an edge holds: dropped when the edge is done with it, or with the edge's process.
+struct HeldRequest {
+    world: World,
+    index: usize,
+}
+
+impl HeldRequest {
+    fn new(world: &World, key: &str) -> HeldRequest {
+        let mut inner = world.0.borrow_mut();
+        let request = RequestSeen { key: key.into(), from: inner.now, until: None };
+        inner.saw.requests.push(request);
+        HeldRequest { world: world.clone(), index: inner.saw.requests.len() - 1 }
+    }
+}
+
+impl Drop for HeldRequest {
+    fn drop(&mut self) {
+        let mut inner = self.world.0.borrow_mut();
+        let now = inner.now;
+        // the day's records may have been taken away already
+        if let Some(request) = inner.saw.requests.get_mut(self.index) {
+            request.until = Some(now);
+        }
+    }
+}
+
 impl World {
     pub(super) fn meadow(&self, edge: &str) -> Meadow {
         let way = self.way(edge);
@@ -340,8 +366,9 @@
         let turns = j.turn;
         let said = format!("{}?", j.key);
         let here = self.job_at(edge);
+        let held = HeldRequest::new(self, &j.key);
         self.spawn(edge, async move {
-            let _here = here;
+            let (_here, _held) = (here, held);
             if turns {
                 turn(&m, &m.edge.clone(), job, said, Ear::new(tx)).await;
             } else {
--- a/scramble/src/saw.rs
+++ b/scramble/src/saw.rs
@@ -46,6 +46,15 @@
     pub cap: u64,
 }
 
+/// One request of a job at one edge, from its arrival until the edge was done with it or died.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestSeen {
+    pub key: String,
+    pub from: u64,
+    /// None while the edge still holds it.
+    pub until: Option<u64>,
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ProgramSeen {
     pub allowance: u64,
@@ -74,6 +83,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Saw {
     pub jobs: Vec<JobSeen>,
+    /// Requests for jobs as edges held them: also those whose caller has gone.
+    pub requests: Vec<RequestSeen>,
     pub programs: BTreeMap<String, ProgramSeen>,
     pub runs: Vec<Ran>,
     /// server → (cell, slots, jobs for each further slot).
--- a/scramble/tests/stories.rs
+++ b/scramble/tests/stories.rs
@@ -1145,3 +1145,34 @@
     assert_eq!(h, ["a", "b", "c"]);
     assert_eq!(check(&saw), vec![]);
 }
+
+/// A caller that gives up leaves its request waiting at the edge, and the edge may die with it much later.
+#[rstest]
+fn an_edge_dies_long_after_its_caller_gave_up(#[values(1, 2, 3)] seed: u64) {
+    // given a core without a majority, so that a once-only call waits at its edges until its caller has gone
+    let w = World::new(seed);
+    w.raise();
+    w.furnish(CONFIG, 12, 8, "tiles");
+    let core: Vec<String> = w.names("refuge").into_iter().take(2).collect();
+    core.iter().for_each(|n| w.kill(n));
+    w.run(4_000);
+    w.callers(1, 100, Kind { name: "council", route: "", turns: 0, tool: Some(("archive", true)) });
+    w.run(24_000);
+    let base = w.config_rev();
+    w.put(base, "while it waits", CONFIG);
+    w.run(1_000);
+    assert_eq!(w.0.borrow().saw.jobs.len(), 1, "its caller has gone");
+    w.run(4_000);
+    // when the core is back, the call runs at last, and every edge loses power at that moment
+    core.iter().for_each(|n| w.start(n));
+    assert!(w.until(20_000, |w| !w.0.borrow().saw.runs.is_empty()), "it was never run");
+    let edges = w.names("trailhead");
+    edges.iter().for_each(|n| w.kill(n));
+    w.run(500);
+    edges.iter().for_each(|n| w.start(n));
+    // then it is in doubt because of its edge, and the change made while it waited isn't blamed for that
+    let saw = w.evening(180_000);
+    let told = &saw.jobs[0].verdicts;
+    assert!(told.iter().any(|v| v.1 == "in_doubt" && v.2 == "edge_lost"), "{told:?}");
+    assert_eq!(check(&saw), vec![]);
+}
