--- a/scramble/src/check.rs
+++ b/scramble/src/check.rs
@@ -3,6 +3,7 @@
 //! Each says what it found and when its point was exposed: a checker that had
 //! nothing to judge proves nothing, and what could not be looked at is a finding.
 
+use crate::linearize::check_day;
 use crate::saw::{JobSeen, Ran, Saw, TurnSeen, NETWORK};
 use hutbook::constants::RAMP_START;
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,7 +33,7 @@
 
 /// The never-list, in the brief's order; then what all of it rests on: a last word
 /// is the last, and everything was looked at.
-pub const LINES: [(&str, Checker); 15] = [
+pub const LINES: [(&str, Checker); 16] = [
     ("once-only run twice", once_twice),
     ("refused work ran", refused_ran),
     ("allowance passed", allowance),
@@ -48,6 +49,7 @@
     ("a last word changed", changed),
     ("not looked at", silent),
     ("a group stood still", still),
+    ("not linearizable", linearizable),
 ];
 
 /// How many of `LINES` are points of the brief.
@@ -362,10 +364,17 @@
     Judged { exposed: s.still.iter().map(|x| (x.0, x.1)).collect(), found }
 }
 
+/// Orders, reads and requests to the stores must be explained by one order of them, each in force at one
+/// moment between its call and its answer.
+fn linearizable(s: &Saw) -> Judged {
+    let spans = s.orders.iter().map(|o| (o.from, o.until.unwrap_or(u64::MAX)));
+    Judged { exposed: spans.collect(), found: check_day(s).1 }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::saw::{Belief, ProgramSeen, RequestSeen};
+    use crate::saw::{Belief, Order, OrderSeen, Outcome, ProgramSeen, RequestSeen};
 
     fn ran(at: u64, server: &str, key: &str, busy: u32, done: u64) -> Ran {
         Ran { at, server: server.into(), key: key.into(), busy, done, rev: 7 }
@@ -477,6 +486,12 @@
     #[case("not back after total loss", |s: &mut Saw| s.losses[0].1 = Some(12_200))]
     #[case("not back after total loss", |s: &mut Saw| s.losses[0].1 = None)]
     #[case("a group stood still", |s: &mut Saw| s.still.push((100, 5_200, "refuge".into())))]
+    #[case("not linearizable", |s: &mut Saw| s.orders.push(OrderSeen {
+        from: 1,
+        until: Some(2),
+        order: Order::ReadConfig,
+        outcome: Outcome::Config { revision: 9, document: 9 },
+    }))]
     #[case("a last word changed", |s: &mut Saw| s.jobs[1].verdicts.push((9, "refused".into(), String::new())))]
     #[case("a last word changed", |s: &mut Saw| s.jobs[1].verdicts.push((9, "unknown".into(), String::new())))]
     fn a_fault_put_in_is_found(#[case] line: &str, #[case] put: fn(&mut Saw)) {
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -75,7 +75,7 @@
     }
 
     /// Runs until `t`, or until `over` says so.
-    fn run_to(&self, t: u64, over: impl Fn() -> bool) {
+    pub(super) fn run_to(&self, t: u64, over: impl Fn() -> bool) {
         loop {
             loop {
                 let taken = {
@@ -140,21 +140,6 @@
         w.exec.spawn(node, life, f);
     }
 
-    /// Asks the core as an operator would, and runs the fleet until it is answered.
-    pub fn operate(&self, ask: ControlRequest) -> Option<ControlResponse> {
-        let out: Rc<RefCell<Option<Option<ControlResponse>>>> = Rc::default();
-        let (o, w) = (out.clone(), self.clone());
-        self.spawn("outside", async move {
-            let addrs = w.names("refuge");
-            let r = Reach::new(w.way("outside")).core(&addrs, ask, OPERATOR_MS, CALL_MS).await;
-            *o.borrow_mut() = Some(r);
-        });
-        let t = self.now() + OPERATOR_MS * 2;
-        self.run_to(t, || out.borrow().is_some());
-        let r = out.borrow_mut().take();
-        r.flatten()
-    }
-
     pub fn names(&self, prefix: &str) -> Vec<String> {
         self.0.borrow().nodes.keys().filter(|n| n.starts_with(prefix)).cloned().collect()
     }
@@ -805,7 +790,10 @@
     }
 
     async fn store(&self, program: &str, ask: StoreRequest) -> Option<StoreResponse> {
-        self.stores.ask(&self.edge.view(), program, ask).await
+        let index = self.way.world.note_request(program, &ask);
+        let answer = self.stores.ask(&self.edge.view(), program, ask).await;
+        self.way.world.note_answer(index, &answer);
+        answer
     }
 
     async fn model(&self, c: ModelCall) -> Result<Result<Brook, u16>, Broke> {
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -6,9 +6,12 @@
 mod exec;
 mod ground;
 mod majority;
+mod operators;
+mod requests;
 
 pub use callers::{Kind, CAP};
 pub use ground::{Way, World};
+pub use operators::{put_request, Pending};
 
 use crate::saw::Saw;
 use disk::Disk;
--- /dev/null
+++ b/scramble/src/fleet/operators.rs
@@ -0,0 +1,136 @@
+//! Operators of the in-memory fleet: their orders and reads, and a record of each with its outcome.
+
+use super::ground::World;
+use super::*;
+use crate::saw::{Order, OrderSeen, Outcome};
+use hutbook::coordination::view::hash;
+use hutbook::protocol::config;
+use hutbook::transport::reach::Reach;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// An order under way: `None` until its operator has an answer or has given up; then the answer, if any.
+pub type Pending = Rc<RefCell<Option<Option<ControlResponse>>>>;
+
+/// A configuration order. With a `number` it is named as operators who number configurations name theirs:
+/// by base, number and digest, so that the same order sent again is the same change.
+pub fn put_request(base: u64, number: u64, change: &str, text: &str) -> ControlRequest {
+    let digest = hash(text);
+    let change = match number {
+        0 => change.to_string(),
+        _ => format!("{base}-{number}-{digest:016x}"),
+    };
+    ControlRequest::PutConfig {
+        base_version: base,
+        change,
+        text: text.into(),
+        config: Box::new(config::read(text).expect("a good config")),
+        number,
+        content_digest: digest,
+    }
+}
+
+impl World {
+    /// Sends an order by way of these members, the first one first, for `ms` at the most.
+    pub fn order(&self, members: &[String], request: ControlRequest, ms: u64) -> Pending {
+        let pending = Pending::default();
+        let (answered, world, members) = (pending.clone(), self.clone(), members.to_vec());
+        let index = self.note_order(&request);
+        let change = match &request {
+            ControlRequest::PutConfig { change, .. } => Some(change.clone()),
+            _ => None,
+        };
+        self.spawn("outside", async move {
+            let reach = Reach::new(world.way("outside"));
+            let answer = reach.core(&members, request, ms, CALL_MS).await;
+            world.note_outcome(index, &answer);
+            if let Some(change) = change {
+                world.note_config(&change, &answer);
+            }
+            *answered.borrow_mut() = Some(answer);
+        });
+        pending
+    }
+
+    /// Runs the fleet until an order is answered or given up.
+    pub fn wait(&self, pending: &Pending, ms: u64) -> Option<ControlResponse> {
+        let end = self.now() + ms;
+        self.run_to(end, || pending.borrow().is_some());
+        let answer = pending.borrow().clone();
+        answer.flatten()
+    }
+
+    /// Asks the core as an operator would, and runs the fleet until it is answered.
+    pub fn operate(&self, request: ControlRequest) -> Option<ControlResponse> {
+        let pending = self.order(&self.names("refuge"), request, OPERATOR_MS);
+        self.wait(&pending, OPERATOR_MS * 2)
+    }
+
+    /// Reads the list of the configurations accepted last, and adds them to those known.
+    pub fn read_history(&self, ms: u64) {
+        let pending = self.order(&self.names("refuge"), ControlRequest::Configs, ms);
+        let Some(ControlResponse::Json(text)) = self.wait(&pending, ms * 2) else { return };
+        let listed = jzon::parse(&text).expect("the core writes JSON");
+        let mut inner = self.0.borrow_mut();
+        for config in listed.members() {
+            let revision = config["revision"].as_u64().expect("a revision");
+            let change = config["change"].as_str().expect("a change").to_string();
+            let seen = (revision, change);
+            if !inner.saw.history.contains(&seen) {
+                inner.saw.history.push(seen);
+            }
+        }
+    }
+
+    fn note_order(&self, request: &ControlRequest) -> Option<usize> {
+        let order = order_of(request)?;
+        let mut inner = self.0.borrow_mut();
+        let from = inner.now;
+        inner.saw.orders.push(OrderSeen { from, until: None, order, outcome: Outcome::Unclear });
+        Some(inner.saw.orders.len() - 1)
+    }
+
+    fn note_outcome(&self, index: Option<usize>, answer: &Option<ControlResponse>) {
+        let mut inner = self.0.borrow_mut();
+        let now = inner.now;
+        let Some(seen) = index.and_then(|i| inner.saw.orders.get_mut(i)) else { return };
+        seen.outcome = outcome_of(&seen.order, answer);
+        // what is unclear may take effect at any later time
+        seen.until = (seen.outcome != Outcome::Unclear).then_some(now);
+    }
+}
+
+/// The orders and reads whose histories are checked; the rest is not recorded.
+fn order_of(request: &ControlRequest) -> Option<Order> {
+    Some(match request {
+        ControlRequest::PutConfig { base_version, change, text, number, .. } => {
+            Order::PutConfig { base: *base_version, number: *number, change: change.clone(), document: hash(text) }
+        }
+        ControlRequest::GetConfig(0) => Order::ReadConfig,
+        ControlRequest::Status => Order::ReadNumber,
+        ControlRequest::Evacuate { cell, out } => Order::Evacuate { zone: cell.clone(), out: *out },
+        ControlRequest::Evacuation(cell) => Order::ReadEvacuation { zone: cell.clone() },
+        _ => return None,
+    })
+}
+
+fn outcome_of(order: &Order, answer: &Option<ControlResponse>) -> Outcome {
+    match answer {
+        Some(ControlResponse::Agreed(revision)) => Outcome::Accepted(*revision),
+        Some(ControlResponse::Raced(current)) => Outcome::Overtaken(*current),
+        Some(ControlResponse::Refused { .. }) => Outcome::Refused,
+        Some(ControlResponse::Config { rev, text }) => Outcome::Config { revision: *rev, document: hash(text) },
+        Some(ControlResponse::Unknown(_)) => Outcome::Nothing,
+        Some(ControlResponse::Json(text)) => read(order, text),
+        _ => Outcome::Unclear,
+    }
+}
+
+fn read(order: &Order, text: &str) -> Outcome {
+    let json = jzon::parse(text).expect("the core writes JSON");
+    let number = |key: &str| json[key].as_u64().expect("a number");
+    match order {
+        Order::ReadNumber => Outcome::Number { revision: number("config_revision"), number: number("config_number") },
+        _ => Outcome::Evacuated(number("revision")),
+    }
+}
--- a/scramble/src/lib.rs
+++ b/scramble/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod flags;
 pub mod fleet;
 pub mod hollow;
+pub mod linearize;
 pub mod nemesis;
 pub mod plot;
 pub mod relay;
--- /dev/null
+++ b/scramble/src/linearize/evacuation.rs
@@ -0,0 +1,75 @@
+//! A zone's evacuation: set, taken back, read.
+
+use super::{Call, Model};
+use crate::saw::{Order, Outcome, Saw};
+use std::collections::BTreeSet;
+
+/// One zone. Its state is the revision of the evacuation in force.
+pub struct Evacuations;
+
+/// A revision that no answer has told yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Since {
+    Unseen,
+    Revision(u64),
+}
+
+impl Since {
+    /// May it be this revision? Then it is known from now on.
+    fn is(self, revision: u64) -> bool {
+        self == Since::Unseen || self == Since::Revision(revision)
+    }
+}
+
+/// An order or a read of one zone, with its outcome.
+pub type ZoneOperation = (Order, Outcome);
+
+impl Evacuations {
+    pub fn zones(saw: &Saw) -> BTreeSet<String> {
+        let zone = |order: &Order| match order {
+            Order::Evacuate { zone, .. } | Order::ReadEvacuation { zone } => Some(zone.clone()),
+            _ => None,
+        };
+        saw.orders.iter().filter_map(|seen| zone(&seen.order)).collect()
+    }
+
+    pub fn calls(saw: &Saw, of: &str) -> Vec<Call<ZoneOperation>> {
+        let ours = saw.orders.iter().filter(
+            |seen| matches!(&seen.order, Order::Evacuate { zone, .. } | Order::ReadEvacuation { zone } if zone == of),
+        );
+        ours.map(|seen| Call {
+            from: seen.from,
+            until: seen.until,
+            operation: (seen.order.clone(), seen.outcome.clone()),
+        })
+        .collect()
+    }
+}
+
+impl Model for Evacuations {
+    type State = Option<Since>;
+    type Operation = ZoneOperation;
+
+    fn initial(&self) -> Self::State {
+        None
+    }
+
+    fn step(&self, state: &Self::State, (order, outcome): &Self::Operation) -> Vec<Self::State> {
+        match (order, outcome, state) {
+            (Order::Evacuate { out: true, .. }, Outcome::Accepted(r), None) => vec![Some(Since::Revision(*r))],
+            // it is evacuated already: the first order's revision
+            (Order::Evacuate { out: true, .. }, Outcome::Accepted(r), Some(since)) if since.is(*r) => {
+                vec![Some(Since::Revision(*r))]
+            }
+            (Order::Evacuate { out: true, .. }, Outcome::Unclear, None) => vec![Some(Since::Unseen)],
+            (Order::Evacuate { out: false, .. }, Outcome::Accepted(_) | Outcome::Unclear, _) => vec![None],
+            (Order::Evacuate { .. }, Outcome::Refused | Outcome::Nothing | Outcome::Unclear, _) => vec![*state],
+            (Order::ReadEvacuation { .. }, Outcome::Nothing, None) => vec![None],
+            (Order::ReadEvacuation { .. }, Outcome::Evacuated(r), Some(since)) if since.is(*r) => {
+                vec![Some(Since::Revision(*r))]
+            }
+            (Order::ReadEvacuation { .. }, Outcome::Unclear, _) => vec![*state],
+            _ => vec![],
+        }
+    }
+}
--- /dev/null
+++ b/scramble/src/linearize/mod.rs
@@ -0,0 +1,178 @@
+//! Is a recorded history linearizable?
+//!
+//! The search of Wing and Gong with Lowe's memoised states, as in Knossos and porcupine: operations are
+//! placed one after the other; only one that began before every unplaced operation was answered may come next;
+//! a set of placed operations that has led to the same state before is not searched again. An operation whose
+//! outcome is unclear has no end: it may take effect at any later time, or never.
+
+mod config;
+mod evacuation;
+mod program;
+
+pub use config::Configs;
+pub use evacuation::Evacuations;
+pub use program::Programs;
+
+use crate::saw::Saw;
+use std::collections::HashSet;
+use std::hash::Hash;
+
+/// Configurations that one search may visit; a history that needs more is reported as too large.
+pub const BUDGET: usize = 400_000;
+
+/// What an object does, one operation at a time.
+pub trait Model {
+    type State: Clone + Eq + Hash;
+    type Operation;
+
+    fn initial(&self) -> Self::State;
+
+    /// States in which the object may be after this operation, with the outcome that it had; none where it
+    /// can't have had that outcome in this state.
+    fn step(&self, state: &Self::State, operation: &Self::Operation) -> Vec<Self::State>;
+}
+
+/// One operation, ms from its call until its answer; `until` is None where the outcome is unclear.
+#[derive(Clone, Debug)]
+pub struct Call<O> {
+    pub from: u64,
+    pub until: Option<u64>,
+    pub operation: O,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    Linearizable,
+    /// With the answered operations that could not be placed in the longest attempt, by index.
+    Broken(Vec<usize>),
+    /// Not decided within the budget.
+    TooLarge,
+}
+
+/// Operations placed, as bits.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Placed(Vec<u64>);
+
+impl Placed {
+    fn none(operations: usize) -> Placed {
+        Placed(vec![0; operations.div_ceil(64)])
+    }
+
+    fn has(&self, index: usize) -> bool {
+        self.0[index / 64] >> (index % 64) & 1 == 1
+    }
+
+    fn with(&self, index: usize) -> Placed {
+        let mut placed = self.clone();
+        placed.0[index / 64] |= 1 << (index % 64);
+        placed
+    }
+}
+
+/// Searches for an order of these calls that the model allows.
+pub fn check<M: Model>(model: &M, calls: &[Call<M::Operation>], budget: usize) -> Verdict {
+    let mut order: Vec<usize> = (0..calls.len()).collect();
+    order.sort_by_key(|i| calls[*i].from);
+    let answered = calls.iter().filter(|c| c.until.is_some()).count();
+    let mut seen = HashSet::new();
+    let mut stack = vec![(Placed::none(calls.len()), model.initial(), 0, 0)];
+    let mut longest = (0, Placed::none(calls.len()));
+    while let Some((placed, state, count, first)) = stack.pop() {
+        if count == answered {
+            return Verdict::Linearizable;
+        }
+        if count > longest.0 {
+            longest = (count, placed.clone());
+        }
+        if seen.len() >= budget {
+            return Verdict::TooLarge;
+        }
+        // calls before this place in the order are all placed
+        let first = (first..order.len()).find(|at| !placed.has(order[*at])).unwrap_or(order.len());
+        let open = || order[first..].iter().copied().filter(|i| !placed.has(*i));
+        let bound = open().filter_map(|i| calls[i].until).min().unwrap_or(u64::MAX);
+        let mut next = vec![];
+        for index in open().take_while(|i| calls[*i].from <= bound) {
+            let counted = usize::from(calls[index].until.is_some());
+            for after in model.step(&state, &calls[index].operation) {
+                // an unclear operation that changes nothing need not be placed
+                if counted == 1 || after != state {
+                    next.push((index, counted, after));
+                }
+            }
+        }
+        // what was answered is tried before what may never have happened
+        next.sort_by_key(|(index, counted, _)| (*counted, std::cmp::Reverse(calls[*index].until)));
+        for (index, counted, after) in next {
+            let placed = placed.with(index);
+            if seen.insert((placed.clone(), after.clone())) {
+                stack.push((placed, after, count + counted, first));
+            }
+        }
+    }
+    let missing = (0..calls.len()).filter(|i| calls[*i].until.is_some() && !longest.1.has(*i));
+    Verdict::Broken(missing.collect())
+}
+
+/// What the check of one day's histories came to.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Checked {
+    pub histories: u64,
+    pub operations: u64,
+    pub unclear: u64,
+    pub too_large: u64,
+}
+
+impl Checked {
+    pub fn add(&mut self, other: &Checked) {
+        self.histories += other.histories;
+        self.operations += other.operations;
+        self.unclear += other.unclear;
+        self.too_large += other.too_large;
+    }
+}
+
+/// Checks every history of a day, split by object; what is not linearizable is told.
+pub fn check_day(saw: &Saw) -> (Checked, Vec<String>) {
+    let mut checked = Checked::default();
+    let mut found = vec![];
+    let configs = Configs::of(saw);
+    report(&mut checked, &mut found, "configuration", &configs, &configs.calls(saw));
+    for zone in Evacuations::zones(saw) {
+        report(
+            &mut checked,
+            &mut found,
+            &format!("evacuation of {zone}"),
+            &Evacuations,
+            &Evacuations::calls(saw, &zone),
+        );
+    }
+    for program in Programs::named(saw) {
+        let model = Programs::of(saw, &program);
+        report(&mut checked, &mut found, &format!("program {program}"), &model, &Programs::calls(saw, &program));
+    }
+    (checked, found)
+}
+
+fn report<M: Model>(checked: &mut Checked, found: &mut Vec<String>, name: &str, model: &M, calls: &[Call<M::Operation>])
+where
+    M::Operation: std::fmt::Debug,
+{
+    if calls.is_empty() {
+        return;
+    }
+    checked.histories += 1;
+    checked.operations += calls.len() as u64;
+    checked.unclear += calls.iter().filter(|c| c.until.is_none()).count() as u64;
+    match check(model, calls, BUDGET) {
+        Verdict::Linearizable => {}
+        Verdict::TooLarge => checked.too_large += 1,
+        Verdict::Broken(missing) => {
+            let first: Vec<String> = missing.iter().take(3).map(|i| format!("{:?}", calls[*i])).collect();
+            found.push(format!("{name}: no order explains {}", first.join("; ")));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/scramble/src/saw.rs
+++ b/scramble/src/saw.rs
@@ -1,5 +1,6 @@
 //! What callers, back ends and operators saw. Times are ms on one clock.
 
+use hutbook::coordination::store::{Ended, Intent};
 use jzon::JsonValue;
 use std::collections::BTreeMap;
 
@@ -55,6 +56,105 @@
     pub until: Option<u64>,
 }
 
+/// What an operator asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// `number` is the operator's own and `base` one of those; with 0, `base` is a revision.
+    /// The same `change` is the same order sent again; `document` is a digest of the text.
+    PutConfig {
+        base: u64,
+        number: u64,
+        change: String,
+        document: u64,
+    },
+    ReadConfig,
+    /// Revision and number of the configuration in force.
+    ReadNumber,
+    Evacuate {
+        zone: String,
+        out: bool,
+    },
+    ReadEvacuation {
+        zone: String,
+    },
+}
+
+/// What an operator was told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// Taken, at this revision.
+    Accepted(u64),
+    /// Another change had come first: the revision, or the number, that was in force.
+    Overtaken(u64),
+    /// It has no effect, now or later.
+    Refused,
+    Config {
+        revision: u64,
+        document: u64,
+    },
+    Number {
+        revision: u64,
+        number: u64,
+    },
+    /// Evacuated since this revision.
+    Evacuated(u64),
+    Nothing,
+    /// No answer, or one that leaves it open: it may take effect at any later time, or never.
+    Unclear,
+}
+
+/// One order or read, from when it was sent until it was answered (None where it stayed unclear).
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrderSeen {
+    pub from: u64,
+    pub until: Option<u64>,
+    pub order: Order,
+    pub outcome: Outcome,
+}
+
+/// What an edge, or a caller by way of one, asked of a program's store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreOrder {
+    Put { allowance: u64 },
+    Read,
+    Look { key: String },
+    Begin(Box<Intent>),
+    Settle { key: String, edge: u64, attempt: u32, end: Ended, turn: bool },
+    Refuse { key: String, code: String },
+}
+
+/// A program as the store read it out; its history as the keys of its turns.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProgramRead {
+    pub allowance: u64,
+    pub spent: u64,
+    pub reserved: u64,
+    pub history: Vec<String>,
+}
+
+/// What the store said.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreOutcome {
+    Program(ProgramRead),
+    NoProgram,
+    Conflict,
+    Running,
+    Ended(Ended),
+    /// It may run, after these turns.
+    Go(Vec<String>),
+    Unclear,
+}
+
+/// One request to a program's store, from when it was sent until it was answered (None where it stayed unclear).
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreSeen {
+    pub program: String,
+    pub from: u64,
+    pub until: Option<u64>,
+    pub order: StoreOrder,
+    pub outcome: StoreOutcome,
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ProgramSeen {
     pub allowance: u64,
@@ -86,6 +186,10 @@
     /// Requests for jobs as edges held them: also those whose caller has gone.
     pub requests: Vec<RequestSeen>,
     pub programs: BTreeMap<String, ProgramSeen>,
+    /// Orders and reads of operators, as they were sent.
+    pub orders: Vec<OrderSeen>,
+    /// Requests to the store, as edges sent them.
+    pub store_orders: Vec<StoreSeen>,
     pub runs: Vec<Ran>,
     /// server → (cell, slots, jobs for each further slot).
     pub servers: BTreeMap<String, (String, u32, u32)>,
@@ -97,7 +201,7 @@
     pub configs: Vec<(u64, u64)>,
     /// Changes that were told they lost their race.
     pub raced: Vec<String>,
-    /// (revision, change) as the core's history has them at the end.
+    /// (revision, change) as the core's history had them whenever it was read.
     pub history: Vec<(u64, String)>,
     pub beliefs: Vec<Belief>,
     /// Revision read back at the end.
