--- a/scramble/src/bin/nemesis.rs
+++ b/scramble/src/bin/nemesis.rs
@@ -4,8 +4,10 @@
 use scramble::check::{LINES, POINTS};
 use scramble::crossing::{column, Failure, FAILURES};
 use scramble::flags::{fail, number, parse};
-use scramble::nemesis::day;
+use scramble::linearize::{check_day, Checked};
+use scramble::nemesis::{day, KINDS};
 use scramble::scale::measure;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
@@ -98,8 +100,16 @@
 fn days(from: u64, seeds: u64, blows: u64, threads: u64, deeds: bool) -> bool {
     let bad = AtomicU64::new(0);
     let sums = Mutex::new(([0u64; 4], 0, (0, 0)));
+    let kinds = Mutex::new(BTreeMap::<&str, (u64, u64)>::new());
+    let histories = Mutex::new(Checked::default());
     spread(from, seeds, threads, |seed| match std::panic::catch_unwind(|| day(seed, blows)) {
         Ok(d) => {
+            for (kind, times) in &d.kinds {
+                let mut all = kinds.lock().unwrap();
+                let of = all.entry(kind).or_default();
+                *of = (of.0 + times, of.1 + 1);
+            }
+            histories.lock().unwrap().add(&check_day(&d.saw).0);
             let mut t = sums.lock().unwrap();
             t.0[0] += d.saw.jobs.len() as u64;
             t.0[1] += d.saw.jobs.iter().filter(|j| j.verdicts.iter().any(|v| v.1 == "done")).count() as u64;
@@ -142,6 +152,17 @@
         t[3]
     );
     println!("longest that a group stood still although a majority could be had {still} ms");
+    let h = histories.into_inner().unwrap();
+    println!(
+        "histories checked {}, operations {}, of these unclear {}, too large to decide {}",
+        h.histories, h.operations, h.unclear, h.too_large
+    );
+    println!("{:<40} {:>6} {:>6}", "brought about", "times", "days");
+    let kinds = kinds.into_inner().unwrap();
+    for kind in KINDS {
+        let (times, days) = kinds.get(kind).copied().unwrap_or_default();
+        println!("{kind:<40} {times:>6} {days:>6}");
+    }
     bad > 0
 }
 
--- /dev/null
+++ b/scramble/src/nemesis/faults.rs
@@ -0,0 +1,181 @@
+//! Compound faults of a random day: a second loss right after a repair, long cuts, leaders that sleep.
+
+use super::*;
+use crate::fleet::Pending;
+use hutbook::state::entry::Members;
+
+/// ms. A lost member is replaced within this, where a spare stands by.
+const REPAIRED_MS: u64 = 60_000;
+/// ms. How long a cut lasts, and between orders on both sides of it.
+const CUT_MS: u64 = 20_000;
+const CUT_STEP_MS: u64 = 2_500;
+/// ms. An operator on one side of a cut waits this long.
+const SIDE_MS: u64 = 2_000;
+
+impl Nemesis {
+    fn members(&self, kind: &str) -> Option<Members> {
+        let leader = self.w.leaders(kind).into_iter().next()?;
+        let of = |n: &str| {
+            let core = self.w.core(n, |r| r.raft.members().clone());
+            core.or(self.w.store(n, |r| r.raft.members().clone()))
+        };
+        of(&leader)
+    }
+
+    /// The machines of this kind that vote.
+    fn voters(&self, kind: &str) -> Vec<String> {
+        let Some(members) = self.members(kind) else { return vec![] };
+        let votes = |n: &String| members.voters.iter().any(|v| v.id == self.w.id(n));
+        self.w.names(kind).into_iter().filter(votes).collect()
+    }
+
+    /// Every voter is a machine that is up, with its disk; no learner is on its way.
+    fn whole(&self, kind: &str) -> bool {
+        let up = self.voters(kind).iter().filter(|n| self.w.is_up(n)).count();
+        self.members(kind).is_some_and(|m| m.voters.len() >= 3 && up == m.voters.len() && m.learners.is_empty())
+    }
+
+    /// A disk is lost, and as soon as that is repaired another one.
+    pub(super) fn second_loss(&mut self) {
+        let kind = if self.draw(2) == 0 { "refuge" } else { "bothy" };
+        if self.gone.iter().any(|k| k == kind) {
+            return;
+        }
+        // everybody of this kind is well first
+        self.w.heal();
+        self.w.lose(0);
+        for n in self.ill.extract_if(.., |n| n.starts_with(kind)) {
+            self.w.disk(&n, Some(SYNC_MS));
+        }
+        for n in self.asleep.extract_if(.., |n| n.starts_with(kind)) {
+            self.w.wake(&n);
+        }
+        for n in self.down.extract_if(.., |n| n.starts_with(kind)) {
+            self.w.start(&n);
+        }
+        if !self.w.until(REPAIRED_MS, |_| self.whole(kind)) {
+            return;
+        }
+        let before = self.voters(kind);
+        let Some(first) = self.pick(&before) else { return };
+        let next = self.w.names(kind).len() + 1;
+        if kind == "bothy" {
+            self.w.bothy(next);
+        } else {
+            self.w.refuge(next, false);
+        }
+        self.w.traffic(10_000, 60);
+        self.did(format!("{first} loses its disk, and another will once that is made good"));
+        self.gone.push(kind.into());
+        self.w.empty(&first);
+        self.down.push(first.clone());
+        let repaired = |n: &Nemesis| n.whole(kind) && !n.voters(kind).contains(&first);
+        if !self.w.until(REPAIRED_MS, |_| repaired(self)) {
+            return self.did(format!("{first} was not replaced"));
+        }
+        let (old, new): (Vec<String>, Vec<String>) = self.voters(kind).into_iter().partition(|n| before.contains(n));
+        let newest = self.draw(2) == 0;
+        let Some(second) = self.pick(if newest { &new } else { &old }) else { return };
+        self.did(format!("{second} loses its disk right after the repair (newest: {newest})"));
+        self.count(if newest { KINDS[7] } else { KINDS[8] });
+        self.w.empty(&second);
+        self.down.push(second);
+    }
+
+    /// Operators send orders by way of the members on each side.
+    fn orders_on_both_sides(&mut self, sides: [&[String]; 2]) -> Vec<Pending> {
+        let mut pending = vec![];
+        for side in sides {
+            let core: Vec<String> = side.iter().filter(|n| n.starts_with("refuge")).cloned().collect();
+            if core.is_empty() {
+                continue;
+            }
+            // nobody on one side knows what the other has agreed on: the base is what was seen last
+            let base = self.seen_base();
+            let request = self.change(base);
+            let zone = CELLS[self.draw(3) as usize].to_string();
+            let reads = [ControlRequest::GetConfig(0), ControlRequest::Status, ControlRequest::Evacuation(zone)];
+            for request in [request].into_iter().chain(reads) {
+                pending.push(self.w.order(&core, request, SIDE_MS));
+            }
+        }
+        pending
+    }
+
+    /// The newest base that any operator was told of.
+    fn seen_base(&self) -> u64 {
+        use crate::saw::{Order, Outcome};
+        let inner = self.w.0.borrow();
+        let told = inner.saw.orders.iter().filter_map(|seen| match (&seen.order, &seen.outcome) {
+            (Order::PutConfig { number, .. }, Outcome::Accepted(_)) if self.numbered => Some(*number),
+            (Order::PutConfig { .. }, Outcome::Accepted(revision)) => Some(*revision),
+            (_, Outcome::Number { number, .. }) if self.numbered => Some(*number),
+            (_, Outcome::Config { revision, .. }) if !self.numbered => Some(*revision),
+            _ => None,
+        });
+        told.max().unwrap_or(0)
+    }
+
+    /// A side with a leader, or both leaders, and some edges is cut off from the rest for twenty seconds; callers
+    /// and operators reach both sides.
+    pub(super) fn long_cut(&mut self) {
+        let leaders = |kind: &str| self.w.leaders(kind).into_iter().next();
+        let (kind, mut side): (_, Vec<String>) = match self.draw(3) {
+            0 => (KINDS[12], leaders("refuge").into_iter().chain(leaders("bothy")).collect()),
+            1 => (KINDS[14], leaders("refuge").into_iter().collect()),
+            _ => (KINDS[15], leaders("bothy").into_iter().collect()),
+        };
+        if side.is_empty() || (kind == KINDS[12] && side.len() < 2) {
+            return;
+        }
+        side.extend(self.w.names("trailhead").into_iter().filter(|_| self.draw(2) == 0));
+        let rest: Vec<String> = self.w.ours().into_iter().filter(|n| !side.contains(n)).collect();
+        let way = self.draw(3);
+        for inside in &side {
+            for outside in &rest {
+                match way {
+                    0 => self.w.cut(inside, outside, true),
+                    1 => self.w.cut(outside, inside, false),
+                    _ => self.w.cut(inside, outside, false),
+                }
+            }
+        }
+        self.did(format!("cut for 20 s, way {way}: {}", side.join(" ")));
+        self.count(KINDS[9 + way as usize]);
+        self.count(kind);
+        self.w.traffic(CUT_MS, 60);
+        let until = self.w.now() + CUT_MS;
+        while self.w.now() < until {
+            self.orders_on_both_sides([&side, &rest]);
+            self.w.run(CUT_STEP_MS);
+        }
+        self.w.heal();
+        self.did("the cut heals".into());
+    }
+
+    /// Leaders sleep for a while; orders reach them as they sleep, and they wake with these.
+    pub(super) fn frozen_leader(&mut self) {
+        let mut kinds = vec!["refuge", "bothy"];
+        if self.draw(2) == 0 {
+            kinds.remove(self.draw(2) as usize);
+        }
+        let all = kinds.iter().filter_map(|kind| self.w.leaders(kind).into_iter().next());
+        let asleep: Vec<String> = all.filter(|n| self.nodes().contains(n)).collect();
+        if asleep.is_empty() {
+            return;
+        }
+        let rest: Vec<String> = self.w.ours().into_iter().filter(|n| !asleep.contains(n)).collect();
+        self.w.traffic(5_000, 60);
+        asleep.iter().for_each(|n| self.w.freeze(n));
+        self.orders_on_both_sides([&asleep, &rest]);
+        let pause = 200 + self.draw(3) * self.draw(7_000);
+        self.w.run(pause);
+        self.orders_on_both_sides([&asleep, &rest]);
+        let pause = self.draw(600);
+        self.w.run(pause);
+        asleep.iter().for_each(|n| self.w.wake(n));
+        self.orders_on_both_sides([&asleep, &rest]);
+        self.count(KINDS[13]);
+        self.did(format!("woken: {}", asleep.join(" ")));
+    }
+}
--- a/scramble/src/nemesis.rs
+++ b/scramble/src/nemesis/mod.rs
@@ -1,20 +1,47 @@
 //! Randomised days: a nemesis that composes every kind of failure with operators'
 //! doings, and closes the day with one last fault. The seed decides everything.
 
+mod faults;
+mod orders;
+
 use crate::check::{check, Breach};
 use crate::fleet::{Kind, World, SYNC_MS};
 use crate::saw::Saw;
+use hutbook::constants::OPERATOR_MS;
 use hutbook::coordination::control::{ControlRequest, ControlResponse};
+use std::collections::BTreeMap;
 
-const CONFIG: &str = include_str!("../../examples/glenmorven.json");
+const CONFIG: &str = include_str!("../../../examples/glenmorven.json");
 const CELLS: [&str; 3] = ["ben", "glen", "strath"];
 const MODELS: u64 = 12;
 
+/// Compound blows that a day may bring, counted each time that one really fell.
+pub const KINDS: [&str; 16] = [
+    "answer lost, sent again",
+    "answer lost, leader falls, sent again",
+    "two operators at one number",
+    "eight orders at once",
+    "hundreds of changes, one restarts",
+    "hundreds of changes, all restart",
+    "hundreds of changes, one was away",
+    "loss after a repair: the new member",
+    "loss after a repair: another member",
+    "cut of 20 s, both ways",
+    "cut of 20 s, nothing reaches the side",
+    "cut of 20 s, nothing leaves the side",
+    "cut of 20 s, both leaders",
+    "frozen leader wakes",
+    "cut of 20 s, core leader",
+    "cut of 20 s, store leader",
+];
+
 pub struct Day {
     pub saw: Saw,
     pub breaches: Vec<Breach>,
     /// What was done, in order.
     pub deeds: Vec<String>,
+    /// How often each of `KINDS` fell.
+    pub kinds: BTreeMap<&'static str, u64>,
     /// Until its closing fault, some edge had a majority of both groups and a server within reach.
     pub kept: bool,
     /// ms. The longest without any first answer while callers arrived and blows fell.
@@ -30,6 +57,11 @@
     gone: Vec<String>,
     out: Option<String>,
     changes: u64,
+    /// Operators number their configurations on this day.
+    numbered: bool,
+    kinds: BTreeMap<&'static str, u64>,
+    /// Store machines taken away for good.
+    retired: Vec<String>,
 }
 
 /// One day of `blows` blows.
@@ -43,11 +75,24 @@
     let from = w.now();
     w.traffic(blows * 2_500, 60);
     w.greedy("greedy", 8, 8);
-    let mut n =
-        Nemesis { w, deeds: vec![], down: vec![], asleep: vec![], ill: vec![], gone: vec![], out: None, changes: 0 };
+    let numbered = w.0.borrow_mut().draw(2) == 0;
+    let mut n = Nemesis {
+        w,
+        deeds: vec![],
+        down: vec![],
+        asleep: vec![],
+        ill: vec![],
+        gone: vec![],
+        out: None,
+        changes: 0,
+        numbered,
+        kinds: BTreeMap::new(),
+        retired: vec![],
+    };
     let until = from + blows * 2_500;
     for _ in 0..blows {
         n.blow();
+        n.reads();
         let pause = 500 + n.draw(3_000);
         n.w.run(pause);
     }
@@ -59,7 +104,7 @@
     let breaches = check(&saw);
     let kept = saw.short.iter().all(|x| x.0 > until || x.1 < from);
     let gap = saw.gap(from, until);
-    Day { saw, breaches, deeds: n.deeds, kept, gap }
+    Day { saw, breaches, deeds: n.deeds, kinds: n.kinds, kept, gap }
 }
 
 impl Nemesis {
@@ -71,6 +116,11 @@
         (!v.is_empty()).then(|| v[self.draw(v.len() as u64) as usize].clone())
     }
 
+    fn count(&mut self, kind: &'static str) {
+        debug_assert!(KINDS.contains(&kind), "{kind}");
+        *self.kinds.entry(kind).or_default() += 1;
+    }
+
     fn did(&mut self, what: String) {
         self.deeds.push(format!("{} ms: {what}", self.w.now()));
     }
@@ -81,7 +131,7 @@
     }
 
     fn blow(&mut self) {
-        match self.draw(15) {
+        match self.draw(23) {
             0 | 1 => self.kill(),
             2 => self.rise(),
             3 => self.freeze(),
@@ -98,7 +148,14 @@
             11 => self.back(),
             12 => self.evacuate(),
             13 => self.race(),
-            _ => self.loss(),
+            14 => self.loss(),
+            15 | 16 => self.lost_answer(),
+            17 => self.same_number(),
+            18 => self.eight_orders(),
+            19 => self.hundreds(),
+            20 => self.second_loss(),
+            21 => self.long_cut(),
+            _ => self.frozen_leader(),
         }
     }
 
@@ -196,19 +253,20 @@
 
     fn config(&mut self) {
         for _ in 0..1 + self.draw(3) {
-            self.changes += 1;
-            let base = self.w.config_rev();
-            let t = self.w.put(base, &format!("n{}", self.changes), CONFIG);
+            let base = self.base();
+            let request = self.change(base);
+            let t = self.w.operate(request);
             self.did(format!("a config on {base}: {}", short(&t)));
         }
     }
 
     fn race(&mut self) {
-        self.changes += 1;
-        let base = self.w.config_rev();
-        let (a, b) = (format!("a{}", self.changes), format!("b{}", self.changes));
-        let r = self.w.race(base, CONFIG, &a, &b);
-        self.did(format!("two configs on {base}: {}", r.iter().map(short).collect::<Vec<_>>().join(", ")));
+        let base = self.base();
+        let members = self.w.names("refuge");
+        let both: Vec<ControlRequest> = (0..2).map(|_| self.change(base)).collect();
+        let pending: Vec<_> = both.into_iter().map(|r| self.w.order(&members, r, OPERATOR_MS * 2)).collect();
+        let told: Vec<String> = pending.iter().map(|p| short(&self.w.wait(p, OPERATOR_MS * 3))).collect();
+        self.did(format!("two configs on {base}: {}", told.join(", ")));
     }
 
     fn leave(&mut self) {
--- a/scramble/tests/nemesis.rs
+++ b/scramble/tests/nemesis.rs
@@ -1,7 +1,11 @@
 //! The random days' command line: a run that could show nothing must not look clean.
 
 use rstest::rstest;
+use scramble::nemesis::{day, KINDS};
+use std::collections::BTreeSet;
 use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
 
 fn nemesis(args: &[&str]) -> (Option<i32>, String) {
     let out = Command::new(env!("CARGO_BIN_EXE_nemesis")).args(args).output().expect("it starts");
@@ -28,3 +32,29 @@
     // given a range of one day, when it breaks nothing, then the run ends well
     assert_eq!(nemesis(&["--seeds", "1", "--blows", "1"]).0, Some(0));
 }
+
+/// Days within which every compound blow must have fallen.
+const DAYS: u64 = 40;
+
+#[test]
+fn every_compound_blow_falls_within_forty_days() {
+    // given random days, several at once, until each kind of blow has fallen
+    let missing: Mutex<BTreeSet<&str>> = Mutex::new(KINDS.into_iter().collect());
+    let next = AtomicU64::new(1);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed > DAYS || missing.lock().unwrap().is_empty() {
+                    return;
+                }
+                let lived = day(seed, 20);
+                // then none of these days breaks a line
+                assert_eq!(lived.breaches, vec![], "seed {seed}");
+                missing.lock().unwrap().retain(|kind| !lived.kinds.contains_key(kind));
+            });
+        }
+    });
+    // then none is left out
+    assert_eq!(missing.into_inner().unwrap(), BTreeSet::new());
+}
