--- a/scramble/src/bin/nemesis.rs
+++ b/scramble/src/bin/nemesis.rs
@@ -4,7 +4,7 @@
 use scramble::check::{LINES, POINTS};
 use scramble::crossing::{column, Failure, FAILURES};
 use scramble::flags::{fail, number, parse};
-use scramble::linearize::{check_day, Checked};
+use scramble::linearize::{check_day, history_of, Checked};
 use scramble::nemesis::{day, KINDS};
 use scramble::scale::measure;
 use std::collections::BTreeMap;
@@ -128,7 +128,9 @@
                 let of = d.breaches.iter().filter(|b| b.line == *line);
                 of.take(3).for_each(|b| println!("  {line}: {}", b.what));
             }
+            let programs = d.breaches.iter().filter_map(|b| b.what.strip_prefix("program ")?.split(':').next());
             if deeds {
+                programs.flat_map(|p| history_of(&d.saw, p)).for_each(|line| println!("    {line}"));
                 d.deeds.iter().for_each(|x| println!("    {x}"));
                 d.saw.short.iter().for_each(|x| println!("    {} to {} ms: no majority of {}", x.0, x.1, x.2));
             }
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -624,6 +624,11 @@
 
     async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body> {
         let (tx, rx) = oneshot::channel();
+        // each copy of a request is one of its own
+        let copy = match &body {
+            Body::Store { ask, .. } => self.world.note_request(ask),
+            _ => None,
+        };
         let id = {
             let mut w = self.world.0.borrow_mut();
             w.no += 1;
@@ -638,6 +643,9 @@
             _ = self.nap(ms) => None,
         };
         self.world.0.borrow_mut().calls.remove(&id);
+        if let Some(Body::StoreSaid(answer)) = &r {
+            self.world.note_answer(copy, answer);
+        }
         r
     }
 }
@@ -790,10 +798,7 @@
     }
 
     async fn store(&self, program: &str, ask: StoreRequest) -> Option<StoreResponse> {
-        let index = self.way.world.note_request(program, &ask);
-        let answer = self.stores.ask(&self.edge.view(), program, ask).await;
-        self.way.world.note_answer(index, &answer);
-        answer
+        self.stores.ask(&self.edge.view(), program, ask).await
     }
 
     async fn model(&self, c: ModelCall) -> Result<Result<Brook, u16>, Broke> {
--- a/scramble/src/fleet/requests.rs
+++ b/scramble/src/fleet/requests.rs
@@ -5,15 +5,15 @@
 use hutbook::coordination::store::{Ended, Program, StoreRequest, StoreResponse, Turn};
 
 impl World {
-    pub(super) fn note_request(&self, program: &str, request: &StoreRequest) -> Option<usize> {
-        let order = order_of(request)?;
+    pub(super) fn note_request(&self, request: &StoreRequest) -> Option<usize> {
+        let (program, order) = order_of(request)?;
         let mut inner = self.0.borrow_mut();
-        let (from, program) = (inner.now, program.to_string());
+        let (from, program) = (inner.now, program.clone());
         inner.saw.store_orders.push(StoreSeen { program, from, until: None, order, outcome: StoreOutcome::Unclear });
         Some(inner.saw.store_orders.len() - 1)
     }
 
-    pub(super) fn note_answer(&self, index: Option<usize>, answer: &Option<StoreResponse>) {
+    pub(super) fn note_answer(&self, index: Option<usize>, answer: &StoreResponse) {
         let mut inner = self.0.borrow_mut();
         let now = inner.now;
         let Some(seen) = index.and_then(|i| inner.saw.store_orders.get_mut(i)) else { return };
@@ -23,34 +23,34 @@
     }
 }
 
-fn order_of(request: &StoreRequest) -> Option<StoreOrder> {
+/// The program that a request is about, and what it asks.
+fn order_of(request: &StoreRequest) -> Option<(&String, StoreOrder)> {
     Some(match request {
-        StoreRequest::Put { allowance, .. } => StoreOrder::Put { allowance: *allowance },
-        StoreRequest::Program { .. } => StoreOrder::Read,
-        StoreRequest::Look { key, .. } => StoreOrder::Look { key: key.clone() },
-        StoreRequest::Begin(intent) => StoreOrder::Begin(Box::new(intent.clone())),
-        StoreRequest::Settle { key, edge, attempt, ended, turn, .. } => StoreOrder::Settle {
-            key: key.clone(),
-            edge: *edge,
-            attempt: *attempt,
-            end: without_body(ended),
-            turn: turn.is_some(),
-        },
-        StoreRequest::Refuse { key, code, .. } => StoreOrder::Refuse { key: key.clone(), code: code.clone() },
+        StoreRequest::Put { id, allowance, .. } => (id, StoreOrder::Put { allowance: *allowance }),
+        StoreRequest::Program { id } => (id, StoreOrder::Read),
+        StoreRequest::Look { program, key, .. } => (program, StoreOrder::Look { key: key.clone() }),
+        StoreRequest::Begin(intent) => (&intent.program, StoreOrder::Begin(Box::new(intent.clone()))),
+        StoreRequest::Settle { program, key, edge, attempt, ended, turn } => {
+            let (key, end, turn) = (key.clone(), without_body(ended), turn.is_some());
+            (program, StoreOrder::Settle { key, edge: *edge, attempt: *attempt, end, turn })
+        }
+        StoreRequest::Refuse { program, key, code, .. } => {
+            (program, StoreOrder::Refuse { key: key.clone(), code: code.clone() })
+        }
         _ => return None,
     })
 }
 
-fn outcome_of(answer: &Option<StoreResponse>) -> StoreOutcome {
+fn outcome_of(answer: &StoreResponse) -> StoreOutcome {
     match answer {
-        Some(StoreResponse::Program(program, _) | StoreResponse::Unknown(program, _)) => {
-            StoreOutcome::Program(read(program))
-        }
-        Some(StoreResponse::NoProgram) => StoreOutcome::NoProgram,
-        Some(StoreResponse::Conflict) => StoreOutcome::Conflict,
-        Some(StoreResponse::Running) => StoreOutcome::Running,
-        Some(StoreResponse::Ended(ended)) => StoreOutcome::Ended(without_body(ended)),
-        Some(StoreResponse::Go(history)) => StoreOutcome::Go(keys(history)),
+        StoreResponse::Program(program, _) | StoreResponse::Unknown(program, _) => StoreOutcome::Program(read(program)),
+        StoreResponse::NoProgram => StoreOutcome::NoProgram,
+        StoreResponse::Conflict => StoreOutcome::Conflict,
+        StoreResponse::Running => StoreOutcome::Running,
+        StoreResponse::Ended(ended) => StoreOutcome::Ended(without_body(ended)),
+        StoreResponse::Go(history) => StoreOutcome::Go(keys(history)),
+        // it was not taken there, so nothing can come of this copy
+        StoreResponse::NotLeader(_) => StoreOutcome::NotTaken,
         _ => StoreOutcome::Unclear,
     }
 }
--- a/scramble/src/linearize/config.rs
+++ b/scramble/src/linearize/config.rs
@@ -9,7 +9,7 @@
 pub enum Decision {
     /// Accepted, at this revision where an answer has told it.
     Accepted(Option<u64>),
-    /// Overtaken by what was in force then, where an answer has told it.
+    /// Overtaken, and by which version where an answer has told it for good.
     Overtaken(Option<u64>),
 }
 
@@ -75,62 +75,87 @@
         }
     }
 
-    /// The first time that a change is applied: what becomes of it, and what is answered.
-    fn first(&self, state: &ConfigState, order: &Order) -> Option<(ConfigState, Decision)> {
-        let Order::PutConfig { base, number, change, document } = order else { return None };
-        let mut after = state.clone();
-        // the base of an order without a number is a revision, which may not be known yet
-        let (fits, current) = match number {
-            0 => (state.revision.is_none_or(|revision| revision == *base), state.revision),
-            _ => (state.number == *base && *number > state.number, Some(state.number)),
-        };
-        if !fits {
-            let decision = Decision::Overtaken(current);
-            self.decide(&mut after, change, decision);
-            return Some((after, decision));
+    /// What may become of a change that is applied for the first time, with this outcome.
+    fn first(&self, state: &ConfigState, order: &Order, outcome: &Outcome) -> Vec<ConfigState> {
+        let Order::PutConfig { base, number, .. } = order else { return vec![] };
+        // the base of an order without a number is a revision, which no answer may have told yet
+        let current = if *number == 0 { state.revision } else { Some(state.number) };
+        let rises = *number == 0 || number > base;
+        let mut after = vec![];
+        if rises && current.is_none_or(|current| current == *base) {
+            after.extend(self.accepted(state, order, outcome));
+        }
+        if !rises || current.is_none_or(|current| current != *base) {
+            after.extend(self.overtaken(state, order, outcome, current.filter(|_| rises)));
         }
+        after
+    }
+
+    fn accepted(&self, state: &ConfigState, order: &Order, outcome: &Outcome) -> Option<ConfigState> {
+        let Order::PutConfig { number, change, document, .. } = order else { return None };
         let revision = self.revisions.get(change).copied();
+        let told = match outcome {
+            Outcome::Accepted(told) => revision == Some(*told),
+            outcome => *outcome == Outcome::Unclear,
+        };
         // revisions rise
-        if revision.is_some_and(|new| state.revision.is_some_and(|old| new <= old)) {
-            return None;
-        }
+        let rises = revision.is_none_or(|new| state.revision.is_none_or(|old| new > old));
+        let mut after = state.clone();
         (after.document, after.revision, after.number) = (*document, revision, *number);
         self.decide(&mut after, change, Decision::Accepted(revision));
-        Some((after, Decision::Accepted(revision)))
+        (told && rises).then_some(after)
     }
 
-    fn put(&self, state: &ConfigState, order: &Order, outcome: &Outcome) -> Vec<ConfigState> {
-        let Order::PutConfig { change, .. } = order else { return vec![] };
-        let applied = match state.decisions.get(change) {
-            Some(decision) => Some((state.clone(), *decision)),
-            None => self.first(state, order),
+    /// It names the version that took the place of its base, or the one in force where its base is yet to come.
+    fn overtaken(
+        &self,
+        state: &ConfigState,
+        order: &Order,
+        outcome: &Outcome,
+        current: Option<u64>,
+    ) -> Option<ConfigState> {
+        let Order::PutConfig { base, change, .. } = order else { return None };
+        let early = current.is_some_and(|current| *base > current);
+        let told = match outcome {
+            Outcome::Overtaken(by) if early => current == Some(*by),
+            Outcome::Overtaken(by) => by >= base && current.is_none_or(|current| *by <= current),
+            outcome => *outcome == Outcome::Unclear,
         };
-        let mut after = vec![];
-        if let Some((next, decision)) = applied {
-            after.extend(agrees(decision, outcome).then_some(next));
-        }
-        // a revision that nobody has told yet may be another than the base
-        let unknown = matches!(order, Order::PutConfig { number: 0, .. }) && state.revision.is_none();
-        if unknown && !state.decisions.contains_key(change) {
-            let mut next = state.clone();
-            if let Outcome::Overtaken(current) = outcome {
-                next.revision = Some(*current);
+        let by = match outcome {
+            Outcome::Overtaken(by) if !early => Some(*by),
+            _ => None,
+        };
+        let mut after = state.clone();
+        self.decide(&mut after, change, Decision::Overtaken(by));
+        told.then_some(after)
+    }
+
+    /// A repeat changes nothing, and is answered as the first one was, or would have been.
+    fn again(&self, state: &ConfigState, change: &str, decision: Decision, outcome: &Outcome) -> Vec<ConfigState> {
+        let mut after = state.clone();
+        let fits = match (decision, outcome) {
+            (_, Outcome::Unclear) => true,
+            (Decision::Accepted(known), Outcome::Accepted(told)) => known.is_none_or(|known| known == *told),
+            (Decision::Overtaken(Some(known)), Outcome::Overtaken(told)) => known == *told,
+            (Decision::Overtaken(None), Outcome::Overtaken(told)) => {
+                self.decide(&mut after, change, Decision::Overtaken(Some(*told)));
+                true
             }
-            let decision = Decision::Overtaken(next.revision);
-            self.decide(&mut next, change, decision);
-            after.extend(agrees(decision, outcome).then_some(next));
+            _ => false,
+        };
+        if fits {
+            vec![after]
+        } else {
+            vec![]
         }
-        after
     }
-}
 
-/// Could this decision have been answered so?
-fn agrees(decision: Decision, outcome: &Outcome) -> bool {
-    match (decision, outcome) {
-        (_, Outcome::Unclear) => true,
-        (Decision::Accepted(known), Outcome::Accepted(told)) => known.is_none_or(|known| known == *told),
-        (Decision::Overtaken(known), Outcome::Overtaken(told)) => known.is_none_or(|known| known == *told),
-        _ => false,
+    fn put(&self, state: &ConfigState, order: &Order, outcome: &Outcome) -> Vec<ConfigState> {
+        let Order::PutConfig { change, .. } = order else { return vec![] };
+        match state.decisions.get(change) {
+            Some(decision) => self.again(state, change, *decision, outcome),
+            None => self.first(state, order, outcome),
+        }
     }
 }
 
--- a/scramble/src/linearize/mod.rs
+++ b/scramble/src/linearize/mod.rs
@@ -154,6 +154,11 @@
     (checked, found)
 }
 
+/// What was recorded of one program's store, one line each.
+pub fn history_of(saw: &Saw, program: &str) -> Vec<String> {
+    Programs::calls(saw, program).iter().map(|call| format!("{call:?}")).collect()
+}
+
 fn report<M: Model>(checked: &mut Checked, found: &mut Vec<String>, name: &str, model: &M, calls: &[Call<M::Operation>])
 where
     M::Operation: std::fmt::Debug,
--- a/scramble/src/linearize/program.rs
+++ b/scramble/src/linearize/program.rs
@@ -4,7 +4,7 @@
 //! told otherwise may lapse at any moment.
 
 use super::{Call, Model};
-use crate::saw::{ProgramRead, Saw, StoreOrder, StoreOutcome};
+use crate::saw::{ProgramRead, Saw, StoreOrder, StoreOutcome, StoreSeen};
 use hutbook::coordination::store::{Ended, Intent, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -214,13 +214,16 @@
     }
 
     pub fn calls(saw: &Saw, program: &str) -> Vec<Call<StoreOperation>> {
-        let ours = saw.store_orders.iter().filter(|seen| seen.program == program);
-        ours.map(|seen| Call {
-            from: seen.from,
-            until: seen.until,
-            operation: (seen.order.clone(), seen.outcome.clone()),
-        })
-        .collect()
+        let taken = |seen: &&StoreSeen| seen.program == program && seen.outcome != StoreOutcome::NotTaken;
+        saw.store_orders
+            .iter()
+            .filter(taken)
+            .map(|seen| Call {
+                from: seen.from,
+                until: seen.until,
+                operation: (seen.order.clone(), seen.outcome.clone()),
+            })
+            .collect()
     }
 
     /// This state, and each in which some of the jobs that may lapse have.
--- a/scramble/src/linearize/tests.rs
+++ b/scramble/src/linearize/tests.rs
@@ -55,6 +55,8 @@
 #[case::a_change_in_force_before_it_was_asked(vec![put(0, 1, 0, 1, Accepted(5)), read(2, 3, 6, 2), put(4, 5, 5, 2, Unclear)])]
 #[case::revisions_that_fall(vec![put(0, 1, 0, 1, Accepted(5)), put(2, 3, 5, 2, Accepted(4))])]
 #[case::overtaken_by_nothing(vec![put(0, 1, 0, 1, Accepted(5)), put(2, 3, 5, 2, Overtaken(5))])]
+#[case::a_refusal_that_names_another_version_when_sent_again(
+    vec![put(0, 1, 0, 1, Accepted(5)), put(2, 3, 0, 2, Overtaken(5)), put(4, 5, 5, 3, Accepted(6)), put(6, 7, 0, 2, Overtaken(6))])]
 #[case::an_evacuation_undone_by_nobody(vec![evacuate(0, 1, true, Accepted(5)), read_zone(2, 3, Nothing)])]
 #[case::a_late_copy_undoes_a_later_order(
     vec![evacuate(0, 1, true, Accepted(5)), evacuate(2, 3, false, Accepted(6)), read_zone(4, 5, Evacuated(7))])]
--- a/scramble/src/saw.rs
+++ b/scramble/src/saw.rs
@@ -142,10 +142,12 @@
     Ended(Ended),
     /// It may run, after these turns.
     Go(Vec<String>),
+    /// Whoever was asked does not lead: no effect, now or later.
+    NotTaken,
     Unclear,
 }
 
-/// One request to a program's store, from when it was sent until it was answered (None where it stayed unclear).
+/// One copy of a request to a program's store, from when it was sent until it was answered (None where it stayed unclear).
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreSeen {
     pub program: String,
@@ -188,7 +190,7 @@
     pub programs: BTreeMap<String, ProgramSeen>,
     /// Orders and reads of operators, as they were sent.
     pub orders: Vec<OrderSeen>,
-    /// Requests to the store, as edges sent them.
+    /// Requests to the store, each copy that an edge sent.
     pub store_orders: Vec<StoreSeen>,
     pub runs: Vec<Ran>,
     /// server → (cell, slots, jobs for each further slot).
