--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -75,7 +75,7 @@
     }
 
     /// Runs until `t`, or until `over` says so.
-    fn run_to(&self, t: u64, over: impl Fn() -> bool) {
+    pub(super) fn run_to(&self, t: u64, over: impl Fn() -> bool) {
         loop {
             loop {
                 let taken = {
@@ -140,21 +140,6 @@
         w.exec.spawn(node, life, f);
     }
 
-    /// Asks the core as an operator would, and runs the fleet until it is answered.
-    pub fn operate(&self, ask: ControlRequest) -> Option<ControlResponse> {
-        let out: Rc<RefCell<Option<Option<ControlResponse>>>> = Rc::default();
-        let (o, w) = (out.clone(), self.clone());
-        self.spawn("outside", async move {
-            let addrs = w.names("refuge");
-            let r = Reach::new(w.way("outside")).core(&addrs, ask, OPERATOR_MS, CALL_MS).await;
-            *o.borrow_mut() = Some(r);
-        });
-        let t = self.now() + OPERATOR_MS * 2;
-        self.run_to(t, || out.borrow().is_some());
-        let r = out.borrow_mut().take();
-        r.flatten()
-    }
-
     pub fn names(&self, prefix: &str) -> Vec<String> {
         self.0.borrow().nodes.keys().filter(|n| n.starts_with(prefix)).cloned().collect()
     }
@@ -661,6 +646,11 @@
 
     async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body> {
         let (tx, rx) = oneshot::channel();
+        // each copy of a request is one of its own
+        let copy = match &body {
+            Body::Store { ask, .. } => self.world.note_request(ask),
+            _ => None,
+        };
         let id = {
             let mut w = self.world.0.borrow_mut();
             w.no += 1;
@@ -675,6 +665,9 @@
             _ = self.nap(ms) => None,
         };
         self.world.0.borrow_mut().calls.remove(&id);
+        if let Some(Body::StoreSaid(answer)) = &r {
+            self.world.note_answer(copy, answer);
+        }
         r
     }
 }
