--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -228,6 +228,10 @@
 /// configurations. Accepted ones that are remembered, to know them when they come again: a year
 /// and a half at 120 a day, in some 2 MB of the snapshot.
 pub const ACCEPTED_CONFIGS_KEPT: usize = 65_536;
+/// ms. An order of an operator is proposed no later than this after its number was read.
+pub const ORDER_LIFE_MS: u64 = OPERATOR_MS;
+/// subjects. Zones and servers whose last order is kept: more than a fleet has.
+pub const SUBJECTS_KEPT: usize = 16_384;
 /// changes. Refused ones that name a version which does not exist yet; more get no clear answer.
 pub const REFUSED_CONFIGS_KEPT: usize = 256;
 /// events. Kept for edges that are a little behind; older ones get a whole capture.
--- a/hutbook/src/coordination/control/messages.rs
+++ b/hutbook/src/coordination/control/messages.rs
@@ -4,6 +4,7 @@
 use super::super::scaler::{Decision, Sample};
 use super::super::shares::{Held, OpenJobs};
 use super::super::view::{Event, StoreGroup, View};
+use super::orders::{OrderId, OrderStamp};
 use crate::state::config::Config;
 use crate::state::entry::{Member, Members};
 use crate::state::hist::Hist;
@@ -105,6 +106,9 @@
         #[n(22)] RetirementNamed(#[n(0)] String),
         /// The outcome of a change whose document can't be worked out here: another version is in force.
         #[n(23)] ConfigOutcome { #[n(0)] base_version: u64, #[n(1)] change: String, #[n(2)] number: u64, #[n(3)] content_digest: u64 },
+        /// The number of the last order on a subject, which a new order is fenced with.
+        #[n(24)] OrderNumber(#[n(0)] String),
+        #[n(25)] Ordered { #[n(0)] stamp: OrderStamp, #[n(1)] order: Box<ControlRequest> },
         #[n(19)] Thought { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
     }
     /// What a directory says of one server, with the revision of its cold time that this may
@@ -141,10 +145,16 @@
         #[n(10)] Busy,
         /// What became of it can't be known any more, or not now: neither done nor refused.
         #[n(11)] Unclear(#[n(0)] String),
+        /// Number of the last order on a subject; the leader's term and clock.
+        #[n(12)] OrderNumber { #[n(0)] last: u64, #[n(1)] term: u64, #[n(2)] at: u64 },
+        /// An order's stamp is of another term, or too old. Nothing was done.
+        #[n(13)] Expired,
     }
     pub(super) enum ControlCommand {
         #[n(0)] Found(#[n(0)] u64),
         #[n(1)] Config { #[n(0)] base_version: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64, #[cbor(n(5), default)] content_digest: u64 },
+        /// An order and its fence: it counts only while `after` is the last order on its subject.
+        #[n(17)] Ordered { #[cbor(n(0), with = "minicbor::bytes")] id: OrderId, #[n(1)] after: u64, #[n(2)] command: Box<ControlCommand> },
         #[n(16)] DecideConfig { #[n(0)] base_version: u64, #[n(1)] change: String, #[n(2)] number: u64, #[n(3)] content_digest: u64 },
         #[n(2)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
         #[n(3)] Leave(#[n(0)] String),
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod leases;
 mod messages;
+mod orders;
 mod scaling;
 mod status;
 mod store_membership;
@@ -16,6 +17,7 @@
 pub use configuration::{text_digest, ChangeIdentity, TextDigest};
 pub use core_membership::{founder_id, founders, founding_cluster};
 pub use messages::*;
+pub use orders::{OrderId, OrderStamp};
 pub use scaling::ponder;
 pub use status::{id_text, members_json};
 
@@ -31,6 +33,7 @@
 use directory::Sight;
 use leases::Merged;
 use messages::ControlCommand;
+use orders::LastOrders;
 use std::collections::{BTreeMap, VecDeque};
 use store_membership::StoreNode;
 
@@ -52,6 +55,7 @@
         #[cbor(n(6), default)] names: Vec<(String, u64)>,
         #[cbor(n(7), default)] retired_names: Vec<String>,
         #[cbor(n(8), default)] change_outcomes: ChangeOutcomes,
+        #[cbor(n(9), default)] last_orders: LastOrders,
     }
 }
 
@@ -215,77 +219,10 @@
     type Computation = Scene;
 
     fn plan(&mut self, st: LeaderContext, ask: &ControlRequest) -> Plan<ControlResponse> {
-        let cmd = match ask.clone() {
-            ControlRequest::CheckIn(c) => match self.group_news(&c) {
-                Some(is) => {
-                    self.check_in(st, c.clone());
-                    let group = c.leads.expect("news comes from a leader").0;
-                    ControlCommand::Stores { term: st.term, group, is }
-                }
-                None => return Plan::Read,
-            },
-            ControlRequest::Join(m, cell) => {
-                self.cells.insert(m.id, cell);
-                if self.state.retired.contains(&m.id) {
-                    let why = "it was removed by an operator; start it with an empty folder".to_string();
-                    return Plan::Reply(ControlResponse::Refused { code: "removed".into(), why });
-                }
-                return match self.members.all().find(|x| x.id == m.id) {
-                    Some(x) if x.addr == m.addr => Plan::Read,
-                    Some(_) => Plan::Change(Change::Readdress(m)),
-                    None => Plan::Change(Change::AddLearner(m)),
-                };
-            }
-            ControlRequest::RemoveCore(id) => {
-                let rest: Vec<&Member> = self.members.voters.iter().filter(|m| m.id != id).collect();
-                let alive = rest.iter().filter(|m| self.alive.contains(&m.id)).count();
-                if alive < rest.len() / 2 + 1 {
-                    let why = "the members left would have no live quorum".to_string();
-                    return Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why });
-                }
-                ControlCommand::Dismiss(id)
-            }
-            ControlRequest::PutConfig { base_version, change, text, config, number, content_digest } => {
-                let content_digest = if content_digest == 0 { document_digest(&text) } else { content_digest };
-                let identity = ChangeIdentity { base_version, number, change, content_digest };
-                if let Some(first) = self.known_outcome(&identity) {
-                    return Plan::Reply(first);
-                }
-                ControlCommand::Config { base_version, change: identity.change, text, config, number, content_digest }
-            }
-            ControlRequest::ConfigOutcome { base_version, change, number, content_digest } => {
-                let identity = ChangeIdentity { base_version, number, change, content_digest };
-                if let Some(first) = self.known_outcome(&identity) {
-                    return Plan::Reply(first);
-                }
-                ControlCommand::DecideConfig { base_version, change: identity.change, number, content_digest }
-            }
-            ControlRequest::List { name, group, addr, cell } => ControlCommand::List { name, group, addr, cell },
-            ControlRequest::Leave(n) => ControlCommand::Leave(n),
-            ControlRequest::Remove { name, anyway } => {
-                let busy = self.ledger.busy(&name);
-                if !anyway && (busy > 0 || !self.ledger.accounted) {
-                    let why = match busy {
-                        0 => "what runs there is not known yet; ask again soon".to_string(),
-                        n => format!("{n} jobs are under way there; let it leave first, or say that it is meant"),
-                    };
-                    return Plan::Reply(ControlResponse::Refused { code: "has_work".into(), why });
-                }
-                ControlCommand::Remove(name)
-            }
-            ControlRequest::Evacuate { cell, out } => ControlCommand::Evacuate { cell, out },
-            ControlRequest::Retire(n) => {
-                if let Some(why) = self.strands(st.now, n) {
-                    return Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why });
-                }
-                ControlCommand::Retire(n)
-            }
-            ControlRequest::RetireNamed(n) => return self.retire_named(st.now, n),
-            ControlRequest::Directory { term, servers } => return self.directory(st, term, &servers),
-            ControlRequest::Thought { term, decision, sample } => return self.thought(st, term, &decision, &sample),
-            _ => return Plan::Read,
-        };
-        Plan::Propose(to_bytes(&cmd))
+        match self.command(st, ask.clone()) {
+            Ok(command) => Plan::Propose(to_bytes(&command)),
+            Err(plan) => plan,
+        }
     }
 
     fn answer(&mut self, st: LeaderContext, ask: ControlRequest) -> ControlResponse {
@@ -304,6 +241,7 @@
                 Some((rev, text, _)) => ControlResponse::Config { rev: *rev, text: text.clone() },
                 None => ControlResponse::Unknown("no config of that revision is kept".into()),
             },
+            ControlRequest::OrderNumber(subject) => self.order_number(st, &subject),
             ControlRequest::RetirementNamed(n) if !self.knows(&n) => self.no_name(st.now),
             a => match self.json(st, &a) {
                 Some(j) => ControlResponse::Json(j.dump()),
@@ -317,8 +255,89 @@
             // the same bytes fail the same way on every replica
             return ControlResponse::Lost;
         };
-        let stale = ControlResponse::Refused { code: "stale_term".into(), why: "decided under an earlier term".into() };
         match cmd {
+            ControlCommand::Ordered { id, after, command } => self.ordered(index, term, id, after, *command),
+            command => self.unstamped(index, term, command),
+        }
+    }
+
+    fn members_agreed(&mut self, index: u64, m: &Members) -> ControlResponse {
+        self.members = m.clone();
+        self.emit(index, Event::Cores(m.voters.clone()));
+        ControlResponse::Duty(Duty { cluster: self.state.view.cluster, cores: m.voters.clone(), ..Duty::default() })
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        to_bytes(&self.state)
+    }
+
+    fn restore(&mut self, data: &[u8]) {
+        self.state = minicbor::decode(data).unwrap_or_default();
+        self.take_over_old_changes();
+        // what came before the capture can only be fed whole
+        self.journal = Journal::new(FEED_EVENTS, self.state.view.rev);
+    }
+
+    fn became_leader(&mut self, st: LeaderContext) {
+        self.ledger = Ledger::new(st.now);
+        self.store_nodes.clear();
+        self.merged.clear();
+        self.seen.clear();
+        self.births.clear();
+        self.idle.clear();
+        self.cells.clear();
+        self.sights.clear();
+        self.check_at = st.now + CHECK_MS;
+    }
+
+    fn stepped_down(&mut self) {
+        self.ledger = Ledger::default();
+    }
+
+    fn tick(&mut self, st: LeaderContext, raft: &Raft) -> Vec<LeaderTask<Scene>> {
+        let mut out = vec![];
+        self.members = raft.members().clone();
+        self.alive = raft.peer_status().into_iter().filter(|h| st.now < h.2 + ELECTION_MS).map(|h| h.0).collect();
+        self.alive.insert(raft.id);
+        self.ledger.sweep(st.now);
+        for (server, (since, born, fell)) in std::mem::take(&mut self.births) {
+            let cmd = ControlCommand::Born { term: st.term, server, since, born, fell };
+            out.push(LeaderTask::Propose(to_bytes(&cmd)));
+        }
+        if st.now >= self.last_own + CHECK_IN_MS {
+            self.last_own = st.now;
+            self.own(st, &mut out);
+        }
+        // a repair goes on as soon as the step before is agreed, and no step is taken twice
+        let calm = raft.applied() == raft.last() && st.now >= self.last_change + MEND_MS;
+        if calm || st.now >= self.last_change + CHECK_IN_MS {
+            self.last_change = st.now;
+            if let Some((group, is)) = self.next_stores(st.now) {
+                out.push(LeaderTask::Propose(to_bytes(&ControlCommand::Stores { term: st.term, group, is })));
+            }
+            out.extend(self.next_core(st.now, raft).map(LeaderTask::Change));
+        }
+        out.extend(self.think(st).map(LeaderTask::Compute));
+        out
+    }
+
+    fn denied(&self, why: Denial, leader: Option<Member>) -> ControlResponse {
+        match why {
+            Denial::NotLeader => ControlResponse::NotLeader(leader),
+            Denial::Busy => ControlResponse::Busy,
+            Denial::Lost => ControlResponse::Lost,
+            Denial::Unsafe(why) => ControlResponse::Refused { code: "unsafe".into(), why },
+        }
+    }
+}
+
+impl Core {
+    /// Applies one agreed command. A command's outcome depends on the log alone.
+    fn apply_command(&mut self, index: u64, term: u64, command: ControlCommand) -> ControlResponse {
+        let stale = ControlResponse::Refused { code: "stale_term".into(), why: "decided under an earlier term".into() };
+        match command {
+            // stamped orders are not nested
+            ControlCommand::Ordered { .. } => ControlResponse::Lost,
             ControlCommand::Found(c) => {
                 // the first one names the cluster for ever
                 if self.state.view.cluster == 0 {
@@ -411,72 +430,81 @@
         }
     }
 
-    fn members_agreed(&mut self, index: u64, m: &Members) -> ControlResponse {
-        self.members = m.clone();
-        self.emit(index, Event::Cores(m.voters.clone()));
-        ControlResponse::Duty(Duty { cluster: self.state.view.cluster, cores: m.voters.clone(), ..Duty::default() })
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        to_bytes(&self.state)
-    }
-
-    fn restore(&mut self, data: &[u8]) {
-        self.state = minicbor::decode(data).unwrap_or_default();
-        self.take_over_old_changes();
-        // what came before the capture can only be fed whole
-        self.journal = Journal::new(FEED_EVENTS, self.state.view.rev);
-    }
-
-    fn became_leader(&mut self, st: LeaderContext) {
-        self.ledger = Ledger::new(st.now);
-        self.store_nodes.clear();
-        self.merged.clear();
-        self.seen.clear();
-        self.births.clear();
-        self.idle.clear();
-        self.cells.clear();
-        self.sights.clear();
-        self.check_at = st.now + CHECK_MS;
-    }
-
-    fn stepped_down(&mut self) {
-        self.ledger = Ledger::default();
-    }
-
-    fn tick(&mut self, st: LeaderContext, raft: &Raft) -> Vec<LeaderTask<Scene>> {
-        let mut out = vec![];
-        self.members = raft.members().clone();
-        self.alive = raft.peer_status().into_iter().filter(|h| st.now < h.2 + ELECTION_MS).map(|h| h.0).collect();
-        self.alive.insert(raft.id);
-        self.ledger.sweep(st.now);
-        for (server, (since, born, fell)) in std::mem::take(&mut self.births) {
-            let cmd = ControlCommand::Born { term: st.term, server, since, born, fell };
-            out.push(LeaderTask::Propose(to_bytes(&cmd)));
-        }
-        if st.now >= self.last_own + CHECK_IN_MS {
-            self.last_own = st.now;
-            self.own(st, &mut out);
-        }
-        // a repair goes on as soon as the step before is agreed, and no step is taken twice
-        let calm = raft.applied() == raft.last() && st.now >= self.last_change + MEND_MS;
-        if calm || st.now >= self.last_change + CHECK_IN_MS {
-            self.last_change = st.now;
-            if let Some((group, is)) = self.next_stores(st.now) {
-                out.push(LeaderTask::Propose(to_bytes(&ControlCommand::Stores { term: st.term, group, is })));
+    /// The command that carries out a request; or the plan for one that needs none.
+    fn command(&mut self, st: LeaderContext, request: ControlRequest) -> Result<ControlCommand, Plan<ControlResponse>> {
+        let command = match request {
+            ControlRequest::CheckIn(c) => match self.group_news(&c) {
+                Some(is) => {
+                    self.check_in(st, c.clone());
+                    let group = c.leads.expect("news comes from a leader").0;
+                    ControlCommand::Stores { term: st.term, group, is }
+                }
+                None => return Err(Plan::Read),
+            },
+            ControlRequest::Join(m, cell) => {
+                self.cells.insert(m.id, cell);
+                if self.state.retired.contains(&m.id) {
+                    let why = "it was removed by an operator; start it with an empty folder".to_string();
+                    return Err(Plan::Reply(ControlResponse::Refused { code: "removed".into(), why }));
+                }
+                return Err(match self.members.all().find(|x| x.id == m.id) {
+                    Some(x) if x.addr == m.addr => Plan::Read,
+                    Some(_) => Plan::Change(Change::Readdress(m)),
+                    None => Plan::Change(Change::AddLearner(m)),
+                });
             }
-            out.extend(self.next_core(st.now, raft).map(LeaderTask::Change));
-        }
-        out.extend(self.think(st).map(LeaderTask::Compute));
-        out
-    }
-
-    fn denied(&self, why: Denial, leader: Option<Member>) -> ControlResponse {
-        match why {
-            Denial::NotLeader => ControlResponse::NotLeader(leader),
-            Denial::Busy => ControlResponse::Busy,
-            Denial::Lost => ControlResponse::Lost,
-            Denial::Unsafe(why) => ControlResponse::Refused { code: "unsafe".into(), why },
-        }
+            ControlRequest::RemoveCore(id) => {
+                let rest: Vec<&Member> = self.members.voters.iter().filter(|m| m.id != id).collect();
+                let alive = rest.iter().filter(|m| self.alive.contains(&m.id)).count();
+                if alive < rest.len() / 2 + 1 {
+                    let why = "the members left would have no live quorum".to_string();
+                    return Err(Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why }));
+                }
+                ControlCommand::Dismiss(id)
+            }
+            ControlRequest::PutConfig { base_version, change, text, config, number, content_digest } => {
+                let content_digest = if content_digest == 0 { document_digest(&text) } else { content_digest };
+                let identity = ChangeIdentity { base_version, number, change, content_digest };
+                if let Some(first) = self.known_outcome(&identity) {
+                    return Err(Plan::Reply(first));
+                }
+                ControlCommand::Config { base_version, change: identity.change, text, config, number, content_digest }
+            }
+            ControlRequest::ConfigOutcome { base_version, change, number, content_digest } => {
+                let identity = ChangeIdentity { base_version, number, change, content_digest };
+                if let Some(first) = self.known_outcome(&identity) {
+                    return Err(Plan::Reply(first));
+                }
+                ControlCommand::DecideConfig { base_version, change: identity.change, number, content_digest }
+            }
+            ControlRequest::List { name, group, addr, cell } => ControlCommand::List { name, group, addr, cell },
+            ControlRequest::Leave(n) => ControlCommand::Leave(n),
+            ControlRequest::Remove { name, anyway } => {
+                let busy = self.ledger.busy(&name);
+                if !anyway && (busy > 0 || !self.ledger.accounted) {
+                    let why = match busy {
+                        0 => "what runs there is not known yet; ask again soon".to_string(),
+                        n => format!("{n} jobs are under way there; let it leave first, or say that it is meant"),
+                    };
+                    return Err(Plan::Reply(ControlResponse::Refused { code: "has_work".into(), why }));
+                }
+                ControlCommand::Remove(name)
+            }
+            ControlRequest::Ordered { stamp, order } => return Err(self.plan_order(st, stamp, *order)),
+            ControlRequest::Evacuate { cell, out } => ControlCommand::Evacuate { cell, out },
+            ControlRequest::Retire(n) => {
+                if let Some(why) = self.strands(st.now, n) {
+                    return Err(Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why }));
+                }
+                ControlCommand::Retire(n)
+            }
+            ControlRequest::RetireNamed(n) => return Err(self.retire_named(st.now, n)),
+            ControlRequest::Directory { term, servers } => return Err(self.directory(st, term, &servers)),
+            ControlRequest::Thought { term, decision, sample } => {
+                return Err(self.thought(st, term, &decision, &sample))
+            }
+            _ => return Err(Plan::Read),
+        };
+        Ok(command)
     }
 }
--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -72,7 +72,7 @@
         }
         Err(s) => return s,
     };
-    match reach.core(&addrs, ask, OPERATOR_MS, CALL_MS).await {
+    match reach.operate(&addrs, ask, OPERATOR_MS, CALL_MS).await {
         Some(t) => d.said(&a, t),
         None => no_leader(),
     }
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -3,10 +3,11 @@
 //! How words are carried is a `Speak`, so that the same hunt runs over real
 //! sessions and over the in-memory fleet's network.
 
+use super::field::draw;
 use super::hut::Clock;
 use super::post::Post;
 use crate::constants::*;
-use crate::coordination::control::{ControlRequest, ControlResponse, Duty};
+use crate::coordination::control::{ControlRequest, ControlResponse, Duty, OrderId, OrderStamp};
 use crate::coordination::edge::Edge;
 use crate::coordination::shares::OpenJobs;
 use crate::coordination::store::{StoreRequest, StoreResponse};
@@ -20,6 +21,8 @@
 #[allow(async_fn_in_trait)]
 pub trait Speak: Clone {
     fn now(&self) -> u64;
+    /// Random bits.
+    fn draw(&self) -> u64;
     async fn nap(&self, ms: u64);
     /// None when no answer came in time.
     async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body>;
@@ -37,6 +40,10 @@
         self.clock.now()
     }
 
+    fn draw(&self) -> u64 {
+        draw()
+    }
+
     async fn nap(&self, ms: u64) {
         actix_rt::time::sleep(Duration::from_millis(ms)).await;
     }
@@ -124,6 +131,44 @@
     }
 }
 
+impl<S: Speak> Reach<S> {
+    /// One order of an operator, under an identity of its own. Where a later order could undo it, it
+    /// is fenced: copies of it that come late do nothing.
+    pub async fn operate(
+        &self,
+        addrs: &[String],
+        request: ControlRequest,
+        ms: u64,
+        each: u64,
+    ) -> Option<ControlResponse> {
+        let Some(subject) = request.subject() else { return self.core(addrs, request, ms, each).await };
+        let end = self.way.now() + ms;
+        let id = order_id(&self.way);
+        let mut fence = None;
+        loop {
+            let left = end.saturating_sub(self.way.now());
+            let number = self.core(addrs, ControlRequest::OrderNumber(subject.clone()), left, each).await?;
+            let ControlResponse::OrderNumber { last, term, at } = number else { return Some(number) };
+            // whoever leads now, it counts only if nothing was agreed since it came in
+            let after = *fence.get_or_insert(last);
+            let stamp = OrderStamp { id, after, term, at };
+            let order = ControlRequest::Ordered { stamp, order: Box::new(request.clone()) };
+            let left = end.saturating_sub(self.way.now());
+            match self.core(addrs, order, left, each).await? {
+                ControlResponse::Expired => self.way.nap(HUNT_MS).await,
+                answer => return Some(answer),
+            }
+        }
+    }
+}
+
+fn order_id<S: Speak>(way: &S) -> OrderId {
+    let mut id = OrderId::default();
+    id[..8].copy_from_slice(&way.draw().to_le_bytes());
+    id[8..].copy_from_slice(&way.draw().to_le_bytes());
+    id
+}
+
 /// The store groups as an edge reaches them: one remembered leader each.
 pub struct Stores<S> {
     way: S,
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -146,7 +146,7 @@
         let (o, w) = (out.clone(), self.clone());
         self.spawn("outside", async move {
             let addrs = w.names("refuge");
-            let r = Reach::new(w.way("outside")).core(&addrs, ask, OPERATOR_MS, CALL_MS).await;
+            let r = Reach::new(w.way("outside")).operate(&addrs, ask, OPERATOR_MS, CALL_MS).await;
             *o.borrow_mut() = Some(r);
         });
         let t = self.now() + OPERATOR_MS * 2;
@@ -627,6 +627,10 @@
         self.world.now()
     }
 
+    fn draw(&self) -> u64 {
+        self.world.0.borrow_mut().rng.next_u64()
+    }
+
     async fn nap(&self, ms: u64) {
         let (tx, rx) = oneshot::channel();
         {
--- /dev/null
+++ b/scramble/tests/orders.rs
@@ -0,0 +1,195 @@
+//! Orders of operators whose answers are lost, whose copies come late, and who race.
+
+use hutbook::constants::*;
+use hutbook::coordination::control::{ControlRequest, ControlResponse};
+use hutbook::protocol::wire::Body;
+use hutbook::transport::reach::{Reach, Speak};
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+use rstest::rstest;
+use scramble::fleet::{Way, World};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+const CONFIG: &str = include_str!("../../examples/glenmorven.json");
+
+type Sent = Rc<RefCell<Vec<Body>>>;
+
+/// An operator's way into the fleet that keeps a copy of each message it sends.
+#[derive(Clone)]
+struct Copying {
+    way: Way,
+    sent: Sent,
+    /// Orders are copied and never arrive; questions do.
+    mute: bool,
+}
+
+impl Speak for Copying {
+    fn now(&self) -> u64 {
+        self.way.now()
+    }
+
+    fn draw(&self) -> u64 {
+        self.way.draw()
+    }
+
+    async fn nap(&self, ms: u64) {
+        self.way.nap(ms).await;
+    }
+
+    async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body> {
+        self.sent.borrow_mut().push(body.clone());
+        let order = matches!(&body, Body::Core(r) if matches!(**r, ControlRequest::Ordered { .. } | ControlRequest::Evacuate { .. }));
+        if self.mute && order {
+            self.nap(ms).await;
+            return None;
+        }
+        self.way.call(to, body, ms).await
+    }
+}
+
+/// Runs one order of an operator to its end; copies of its messages are kept in `sent`.
+fn order(w: &World, sent: &Sent, request: ControlRequest) -> Option<ControlResponse> {
+    let out: Rc<RefCell<Option<Option<ControlResponse>>>> = Rc::default();
+    let (o, w2) = (out.clone(), w.clone());
+    let way = Copying { way: w.way("outside"), sent: sent.clone(), mute: false };
+    w.spawn("outside", async move {
+        let addrs = w2.names("refuge");
+        let t = Reach::new(way).operate(&addrs, request, OPERATOR_MS, CALL_MS).await;
+        *o.borrow_mut() = Some(t);
+    });
+    assert!(w.until(OPERATOR_MS * 2, |_| out.borrow().is_some()), "no end");
+    let t = out.borrow_mut().take();
+    t.flatten()
+}
+
+/// Copies that the network delivers only now, to every member.
+fn deliver(w: &World, copies: Vec<Body>) {
+    for body in copies {
+        for to in w.names("refuge") {
+            let (way, body) = (w.way("outside"), body.clone());
+            w.spawn("outside", async move { drop(way.call(&to, body, CALL_MS).await) });
+        }
+    }
+    w.run(CALL_MS);
+}
+
+fn is_out(w: &World, zone: &str) -> bool {
+    w.view(&w.leader("refuge")).out.contains_key(zone)
+}
+
+fn evacuate(zone: &str, out: bool) -> ControlRequest {
+    ControlRequest::Evacuate { cell: zone.into(), out }
+}
+
+fn agreed(t: &Option<ControlResponse>) -> bool {
+    matches!(t, Some(ControlResponse::Agreed(_)))
+}
+
+fn fleet(seed: u64) -> World {
+    let w = World::new(seed);
+    w.raise();
+    w.furnish(CONFIG, 6, 3, "tiles");
+    w
+}
+
+#[rstest]
+fn a_late_copy_never_undoes_a_later_order(#[values(1, 2, 3)] seed: u64) {
+    // given an evacuation that was acknowledged, and taken back by an order that was acknowledged
+    let w = fleet(seed);
+    let (first, second) = (Sent::default(), Sent::default());
+    assert!(agreed(&order(&w, &first, evacuate("glen", true))));
+    assert!(is_out(&w, "glen"));
+    assert!(agreed(&order(&w, &second, evacuate("glen", false))));
+    // when a copy of the first is delivered only now, then the zone stays taken back
+    deliver(&w, first.borrow().clone());
+    assert!(!is_out(&w, "glen"));
+    // and from another leader as well
+    let leader = w.leader("refuge");
+    w.kill(&leader);
+    w.run(5_000);
+    deliver(&w, first.borrow().clone());
+    assert!(!is_out(&w, "glen"));
+    w.start(&leader);
+    // when it is evacuated again, then a late copy of the take-back doesn't take it back
+    assert!(agreed(&order(&w, &Sent::default(), evacuate("glen", true))));
+    deliver(&w, second.borrow().clone());
+    assert!(is_out(&w, "glen"));
+}
+
+#[rstest]
+fn a_late_copy_of_a_leave_or_a_removal_spares_a_server_listed_again(#[values(1, 2)] seed: u64) {
+    // given a server that left, was removed, and is listed again under its name
+    let w = fleet(seed);
+    let (left, removed) = (Sent::default(), Sent::default());
+    let s = w.view(&w.leader("refuge")).servers["model01"].clone();
+    assert!(agreed(&order(&w, &left, ControlRequest::Leave("model01".into()))));
+    assert!(agreed(&order(&w, &removed, ControlRequest::Remove { name: "model01".into(), anyway: true })));
+    let list = ControlRequest::List { name: s.name.clone(), group: s.group, addr: s.addr, cell: s.cell };
+    assert!(agreed(&order(&w, &Sent::default(), list)));
+    // when copies of the earlier orders are delivered only now, then it stays as it is
+    deliver(&w, left.borrow().clone());
+    deliver(&w, removed.borrow().clone());
+    let now = w.view(&w.leader("refuge")).servers.get("model01").cloned();
+    assert!(now.is_some_and(|s| !s.leaving));
+}
+
+#[rstest]
+fn an_order_does_nothing_once_its_call_is_over(#[values(1, 2)] seed: u64) {
+    // given an evacuation that got no answer: the network still holds its copies
+    let w = fleet(seed);
+    let sent = Sent::default();
+    let (way, names) = (Copying { way: w.way("outside"), sent: sent.clone(), mute: true }, w.names("refuge"));
+    let over = Rc::new(Cell::new(false));
+    let done = over.clone();
+    w.spawn("outside", async move {
+        let t = Reach::new(way).operate(&names, evacuate("glen", true), OPERATOR_MS, CALL_MS).await;
+        assert_eq!(t, None);
+        done.set(true);
+    });
+    assert!(w.until(OPERATOR_MS * 2, |_| over.get()));
+    assert!(sent.borrow().len() > 3);
+    // when they come after the call is over, then they do nothing
+    w.run(ORDER_LIFE_MS);
+    deliver(&w, sent.borrow().clone());
+    assert!(!is_out(&w, "glen"));
+}
+
+#[rstest]
+fn acknowledged_orders_stand_whatever_copies_come(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    // given a lossy network, members that die and come back, and an operator who evacuates and takes back
+    let w = fleet(seed);
+    let mut r = ChaCha8Rng::seed_from_u64(seed);
+    let mut copies: Vec<Body> = vec![];
+    let mut acknowledged = 0;
+    let mut down: Option<String> = None;
+    for step in 0..24 {
+        w.lose(r.next_u64() % 300);
+        match (r.next_u64() % 4, down.take()) {
+            (_, Some(n)) => w.start(&n),
+            (0, None) => {
+                let n = w.names("refuge").swap_remove((r.next_u64() % 3) as usize);
+                w.kill(&n);
+                down = Some(n);
+            }
+            _ => {}
+        }
+        let zone = ["glen", "strath"][(r.next_u64() % 2) as usize];
+        let out = r.next_u64() % 2 == 0;
+        let sent = Sent::default();
+        let t = order(&w, &sent, evacuate(zone, out));
+        w.lose(0);
+        w.until(10_000, |w| w.leaders("refuge").len() == 1);
+        let was = is_out(&w, zone);
+        assert!(!agreed(&t) || was == out, "step {step}: {t:?}");
+        // when copies of earlier orders are delivered now, then what was acknowledged stands
+        let late: Vec<Body> = copies.iter().filter(|_| r.next_u64() % 4 == 0).cloned().collect();
+        deliver(&w, late);
+        if agreed(&t) {
+            acknowledged += 1;
+            assert_eq!(is_out(&w, zone), out, "step {step}: a late copy undid it");
+        }
+        copies.extend(sent.borrow().iter().cloned());
+    }
+    assert!(acknowledged > 6, "{acknowledged} acknowledged");
+}
