--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -230,6 +230,8 @@
 pub const ACCEPTED_CONFIGS_KEPT: usize = 65_536;
 /// ms. An order of an operator is proposed no later than this after its number was read.
 pub const ORDER_LIFE_MS: u64 = OPERATOR_MS;
+/// zones. Remembered as such, whoever has gone from them: far more than a fleet has.
+pub const ZONES_KEPT: usize = 1_024;
 /// subjects. Zones and servers whose last order is kept: more than a fleet has.
 pub const SUBJECTS_KEPT: usize = 16_384;
 /// changes. Refused ones that name a version which does not exist yet; more get no clear answer.
--- a/hutbook/src/coordination/control/evacuation.rs
+++ b/hutbook/src/coordination/control/evacuation.rs
@@ -1,10 +1,59 @@
 //! Evacuation of a zone, and taking it back.
 
+use super::super::replica::{LeaderContext, Plan};
 use super::super::view::{Event, Server};
-use super::messages::ControlResponse;
+use super::messages::{ControlCommand, ControlResponse};
 use super::Core;
+use crate::constants::*;
 
 impl Core {
+    /// An evacuation, or why it is no proper one: a zone exists if a machine or server of it was
+    /// ever heard of, whether it is still there or not.
+    pub(super) fn plan_evacuation(
+        &self,
+        st: LeaderContext,
+        zone: String,
+        out: bool,
+    ) -> Result<ControlCommand, Plan<ControlResponse>> {
+        if self.knows_zone(&zone) {
+            return Ok(ControlCommand::Evacuate { cell: zone, out });
+        }
+        if !self.hears_all(st.now) {
+            return Err(Plan::Reply(ControlResponse::Busy));
+        }
+        Err(Plan::Reply(ControlResponse::Unknown(format!("no machine or server of a zone {zone} has been heard of"))))
+    }
+
+    fn knows_zone(&self, zone: &str) -> bool {
+        // past the bound nobody can say that a zone was never heard of
+        self.state.zones.contains(zone)
+            || self.state.zones.len() >= ZONES_KEPT
+            || self.state.view.out.contains_key(zone)
+            || self.zones_heard().any(|z| z == zone)
+    }
+
+    /// Zones of the machines that this leader has heard.
+    fn zones_heard(&self) -> impl Iterator<Item = &String> {
+        let stores = self.store_nodes.values().map(|n| &n.cell);
+        let edges = self.ledger.edges.values().map(|e| &e.cell);
+        stores.chain(self.cells.values()).chain(edges)
+    }
+
+    /// The next zone that later leaders must know of.
+    pub(super) fn next_zone(&self) -> Option<ControlCommand> {
+        if self.state.zones.len() >= ZONES_KEPT {
+            return None;
+        }
+        let news = self.zones_heard().find(|z| !z.is_empty() && !self.state.zones.contains(*z));
+        news.map(|z| ControlCommand::Zone(z.clone()))
+    }
+
+    pub(super) fn note_zone(&mut self, zone: &str) {
+        if self.state.zones.len() < ZONES_KEPT && !self.state.zones.contains(zone) {
+            self.state.zones.insert(zone.to_string());
+        }
+    }
+
     pub(super) fn evacuate(&mut self, rev: u64, cell: String, out: bool) -> ControlResponse {
         if let Some(r) = self.state.view.out.get(&cell).filter(|_| out) {
             return ControlResponse::Agreed(*r);
--- a/hutbook/src/coordination/control/messages.rs
+++ b/hutbook/src/coordination/control/messages.rs
@@ -155,6 +155,8 @@
         #[n(1)] Config { #[n(0)] base_version: u64, #[n(1)] change: String, #[n(2)] text: String, #[n(3)] config: Box<Config>, #[cbor(n(4), default)] number: u64, #[cbor(n(5), default)] content_digest: u64 },
         /// An order and its fence: it counts only while `after` is the last order on its subject.
         #[n(17)] Ordered { #[cbor(n(0), with = "minicbor::bytes")] id: OrderId, #[n(1)] after: u64, #[n(2)] command: Box<ControlCommand> },
+        /// A zone of a machine that was heard of.
+        #[n(18)] Zone(#[n(0)] String),
         #[n(16)] DecideConfig { #[n(0)] base_version: u64, #[n(1)] change: String, #[n(2)] number: u64, #[n(3)] content_digest: u64 },
         #[n(2)] List { #[n(0)] name: String, #[n(1)] group: String, #[n(2)] addr: String, #[n(3)] cell: String },
         #[n(3)] Leave(#[n(0)] String),
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -34,7 +34,7 @@
 use leases::Merged;
 use messages::ControlCommand;
 use orders::LastOrders;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use store_membership::StoreNode;
 
 /// The caller of a turn: whoever stands outside the fleet.
@@ -56,6 +56,8 @@
         #[cbor(n(7), default)] retired_names: Vec<String>,
         #[cbor(n(8), default)] change_outcomes: ChangeOutcomes,
         #[cbor(n(9), default)] last_orders: LastOrders,
+        /// Zones of all machines and servers that were ever heard of.
+        #[cbor(n(10), default)] zones: BTreeSet<String>,
     }
 }
 
@@ -98,7 +100,7 @@
     sights: BTreeMap<String, Sight>,
     listed_at: u64,
     /// Voters heard from lately.
-    alive: std::collections::BTreeSet<u64>,
+    alive: BTreeSet<u64>,
     /// Removed groups for which nothing waits, since when.
     idle: BTreeMap<String, u64>,
     /// Servers whose process is news: (since, born, fell).
@@ -158,6 +160,9 @@
     }
 
     fn emit(&mut self, rev: u64, e: Event) {
+        if let Event::Server(server) = &e {
+            self.note_zone(&server.cell);
+        }
         self.state.view.fold(rev, &e);
         self.journal.append(rev, e);
     }
@@ -187,6 +192,7 @@
                 }
             }
         }
+        out.extend(self.next_zone().map(|zone| LeaderTask::Propose(to_bytes(&zone))));
         for b in self.store_nodes.values().filter(|b| !b.name.is_empty()) {
             // a name is known to every later leader, so that it is never taken for one never heard of
             if !self.state.names.iter().any(|(n, id)| *id == b.me.id && *n == b.name) {
@@ -373,6 +379,10 @@
                 }
                 ControlResponse::Agreed(index)
             }
+            ControlCommand::Zone(zone) => {
+                self.note_zone(&zone);
+                ControlResponse::Agreed(index)
+            }
             ControlCommand::RetireNamed(name) => {
                 if !self.state.retired_names.contains(&name) {
                     self.state.retired_names.push(name);
@@ -456,6 +466,9 @@
             ControlRequest::RemoveCore(id) => {
                 let rest: Vec<&Member> = self.members.voters.iter().filter(|m| m.id != id).collect();
                 let alive = rest.iter().filter(|m| self.alive.contains(&m.id)).count();
+                if alive < rest.len() / 2 + 1 && !self.hears_all(st.now) {
+                    return Err(Plan::Reply(ControlResponse::Busy));
+                }
                 if alive < rest.len() / 2 + 1 {
                     let why = "the members left would have no live quorum".to_string();
                     return Err(Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why }));
@@ -481,19 +494,23 @@
             ControlRequest::Leave(n) => ControlCommand::Leave(n),
             ControlRequest::Remove { name, anyway } => {
                 let busy = self.ledger.busy(&name);
-                if !anyway && (busy > 0 || !self.ledger.accounted) {
-                    let why = match busy {
-                        0 => "what runs there is not known yet; ask again soon".to_string(),
-                        n => format!("{n} jobs are under way there; let it leave first, or say that it is meant"),
-                    };
+                if !anyway && busy == 0 && !self.ledger.accounted {
+                    return Err(Plan::Reply(ControlResponse::Busy));
+                }
+                if !anyway && busy > 0 {
+                    let why = format!("{busy} jobs are under way there; let it leave first, or say that it is meant");
                     return Err(Plan::Reply(ControlResponse::Refused { code: "has_work".into(), why }));
                 }
                 ControlCommand::Remove(name)
             }
             ControlRequest::Ordered { stamp, order } => return Err(self.plan_order(st, stamp, *order)),
-            ControlRequest::Evacuate { cell, out } => ControlCommand::Evacuate { cell, out },
+            ControlRequest::Evacuate { cell, out } => return self.plan_evacuation(st, cell, out),
             ControlRequest::Retire(n) => {
-                if let Some(why) = self.strands(st.now, n) {
+                let strands = self.strands(st.now, n);
+                if strands.is_some() && !self.hears_all(st.now) {
+                    return Err(Plan::Reply(ControlResponse::Busy));
+                }
+                if let Some(why) = strands {
                     return Err(Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why }));
                 }
                 ControlCommand::Retire(n)
--- a/scramble/tests/orders.rs
+++ b/scramble/tests/orders.rs
@@ -193,3 +193,57 @@
     }
     assert!(acknowledged > 6, "{acknowledged} acknowledged");
 }
+
+/// What one member says to a request at once, without asking again.
+fn say(w: &World, to: &str, request: ControlRequest) -> Option<ControlResponse> {
+    let out: Rc<RefCell<Option<ControlResponse>>> = Rc::default();
+    let (o, way, to) = (out.clone(), w.way("outside"), to.to_string());
+    w.spawn("outside", async move {
+        if let Some(Body::CoreSaid(t)) = way.call(&to, Body::Core(Box::new(request)), CALL_MS).await {
+            *o.borrow_mut() = Some(*t);
+        }
+    });
+    w.until(CALL_MS, |_| out.borrow().is_some());
+    let t = out.borrow_mut().take();
+    t
+}
+
+#[rstest]
+fn a_zone_that_does_not_exist_is_refused(#[values(1, 2)] seed: u64) {
+    // given a fleet in three zones
+    let w = fleet(seed);
+    // when a zone nobody has heard of is evacuated or taken back, then the reason is told
+    for out in [true, false] {
+        let t = order(&w, &Sent::default(), evacuate("nowhere", out));
+        assert!(matches!(&t, Some(ControlResponse::Unknown(why)) if why.contains("nowhere")), "{t:?}");
+    }
+    // and a leader that has not heard everybody yet says so in place of refusing
+    w.kill(&w.leader("refuge"));
+    assert!(w.until(10_000, |w| w.leaders("refuge").len() == 1));
+    let t = say(&w, &w.leader("refuge"), evacuate("nowhere", true));
+    assert!(
+        matches!(t, Some(ControlResponse::Busy | ControlResponse::NotLeader(_) | ControlResponse::Lost) | None),
+        "{t:?}"
+    );
+    // and refuses once it has
+    let t = order(&w, &Sent::default(), evacuate("nowhere", true));
+    assert!(matches!(t, Some(ControlResponse::Unknown(_))), "{t:?}");
+    assert!(!is_out(&w, "nowhere"));
+    // and a zone of ours is evacuated
+    assert!(agreed(&order(&w, &Sent::default(), evacuate("glen", true))));
+}
+
+#[rstest]
+fn a_zone_whose_machines_are_all_gone_is_one_still(#[values(1, 2)] seed: u64) {
+    // given a zone with one machine of ours and no server
+    let w = fleet(seed);
+    w.bothy_in(9, "moor");
+    w.run(3_000);
+    // when that is gone, and another leader leads than the one that heard of it
+    w.kill("bothy9");
+    w.kill(&w.leader("refuge"));
+    w.run(10_000);
+    // then the zone is evacuated as ordered
+    assert!(agreed(&order(&w, &Sent::default(), evacuate("moor", true))));
+    assert!(is_out(&w, "moor"));
+}
