--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -3,10 +3,11 @@
 //! How words are carried is a `Speak`, so that the same hunt runs over real
 //! sessions and over the in-memory fleet's network.
 
+use super::field::draw;
 use super::hut::Clock;
 use super::post::Post;
 use crate::constants::*;
-use crate::coordination::control::{ControlRequest, ControlResponse, Duty};
+use crate::coordination::control::{ControlRequest, ControlResponse, Duty, OrderId, OrderStamp};
 use crate::coordination::edge::Edge;
 use crate::coordination::shares::OpenJobs;
 use crate::coordination::store::{StoreRequest, StoreResponse};
@@ -20,6 +21,8 @@
 #[allow(async_fn_in_trait)]
 pub trait Speak: Clone {
     fn now(&self) -> u64;
+    /// Random bits.
+    fn draw(&self) -> u64;
     async fn nap(&self, ms: u64);
     /// None when no answer came in time.
     async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body>;
@@ -37,6 +40,10 @@
         self.clock.now()
     }
 
+    fn draw(&self) -> u64 {
+        draw()
+    }
+
     async fn nap(&self, ms: u64) {
         actix_rt::time::sleep(Duration::from_millis(ms)).await;
     }
@@ -85,13 +92,8 @@
     }
 
     /// Asks until somebody answers or the time is over; `each` bounds one try. None: it may have run.
-    /// For what may be said twice; an order that may not goes by `order`.
+    /// For what may be said twice; an operator's order goes by `operate`.
     pub async fn ask(&self, addrs: &[String], body: Body, ms: u64, each: u64) -> Option<Body> {
-        self.ask_whoever_leads(addrs, body, ms, each).await.map(|(_, b)| b)
-    }
-
-    /// The same, with the address that answered.
-    async fn ask_whoever_leads(&self, addrs: &[String], body: Body, ms: u64, each: u64) -> Option<(String, Body)> {
         let end = self.way.now() + ms;
         let mut turn = 0;
         let mut next = self.hint.lock().unwrap_or_else(|e| e.into_inner()).clone();
@@ -110,8 +112,8 @@
             let b = self.way.call(&to, body.clone(), each.min(end - now)).await;
             match b.as_ref().map(word) {
                 Some(Word::Answer) => {
-                    self.set_hint(Some(to.clone()));
-                    return b.map(|b| (to, b));
+                    self.set_hint(Some(to));
+                    return b;
                 }
                 Some(Word::Go(a)) if a != to => next = Some(a),
                 _ => {
@@ -130,57 +132,47 @@
 
     /// Asks the core. None: nobody answered in time, and it may have run.
     pub async fn core(&self, addrs: &[String], ask: ControlRequest, ms: u64, each: u64) -> Option<ControlResponse> {
-        if ask.needs_fence() {
-            return self.order(addrs, ask, ms, each).await;
-        }
         match self.ask(addrs, Body::Core(Box::new(ask)), ms, each).await {
             Some(Body::CoreSaid(t)) => Some(*t),
             _ => None,
         }
     }
 
-    /// Gives an order of which no copy acts once this has returned. Each copy is fenced by its
-    /// leader's term and clock, and the next one is sent, or the caller told, after its fence.
-    async fn order(&self, addrs: &[String], order: ControlRequest, ms: u64, each: u64) -> Option<ControlResponse> {
+    /// One order of an operator, under an identity of its own. Where a later order could undo it, it
+    /// is fenced: copies of it that come late do nothing.
+    pub async fn operate(
+        &self,
+        addrs: &[String],
+        request: ControlRequest,
+        ms: u64,
+        each: u64,
+    ) -> Option<ControlResponse> {
+        let Some(subject) = request.subject() else { return self.core(addrs, request, ms, each).await };
         let end = self.way.now() + ms;
-        let mut may_have_run = false;
+        let id = order_id(&self.way);
+        let mut fence = None;
         loop {
             let left = end.saturating_sub(self.way.now());
-            let fence = Body::Core(Box::new(ControlRequest::Fence));
-            let (leader, said) = self.ask_whoever_leads(addrs, fence, left, each).await?;
-            let Body::CoreSaid(said) = said else { return None };
-            let ControlResponse::Fence { term, at } = *said else { return None };
-            let sent = self.way.now();
-            let window = each.min(end.saturating_sub(sent + DRIFT_MS));
-            if window == 0 {
-                return None;
-            }
-            let fenced = ControlRequest::Fenced { term, until: at + window, order: Box::new(order.clone()) };
-            match self.say(&leader, fenced, window).await {
-                None | Some(ControlResponse::Lost) => {
-                    may_have_run = true;
-                    self.set_hint(None);
-                    let over = sent + window + DRIFT_MS;
-                    self.way.nap(over.saturating_sub(self.way.now())).await;
-                }
-                // it has not run there, and this copy never will
-                Some(ControlResponse::NotLeader(_) | ControlResponse::Busy) => self.pause(end).await,
-                Some(ControlResponse::Refused { .. } | ControlResponse::Unknown(_)) if may_have_run => {
-                    let why = "an earlier copy of this order may have been carried out";
-                    return Some(ControlResponse::Unclear(why.into()));
-                }
-                answer => return answer,
+            let number = self.core(addrs, ControlRequest::OrderNumber(subject.clone()), left, each).await?;
+            let ControlResponse::OrderNumber { last, term, at } = number else { return Some(number) };
+            // whoever leads now, it counts only if nothing was agreed since it came in
+            let after = *fence.get_or_insert(last);
+            let left = end.saturating_sub(self.way.now());
+            let stamp = OrderStamp { id, after, term, at, left };
+            let order = ControlRequest::Ordered { stamp, order: Box::new(request.clone()) };
+            match self.core(addrs, order, left, each).await? {
+                ControlResponse::Expired => self.pause(end).await,
+                answer => return Some(answer),
             }
         }
     }
+}
 
-    /// One call to one member of the core.
-    async fn say(&self, to: &str, ask: ControlRequest, ms: u64) -> Option<ControlResponse> {
-        match self.way.call(to, Body::Core(Box::new(ask)), ms).await {
-            Some(Body::CoreSaid(t)) => Some(*t),
-            _ => None,
-        }
-    }
+fn order_id<S: Speak>(way: &S) -> OrderId {
+    let mut id = OrderId::default();
+    id[..8].copy_from_slice(&way.draw().to_le_bytes());
+    id[8..].copy_from_slice(&way.draw().to_le_bytes());
+    id
 }
 
 /// The store groups as an edge reaches them: one remembered leader each.
