--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -2,8 +2,9 @@
 
 /// Version of what the processes say to each other; a node speaks its own and the one before.
 pub const WIRE_VERSION: u16 = 1;
-/// Version of what stands on disk. 2: a snapshot lies in pieces. Folders of older ones are read.
-pub const DISK_VERSION: u64 = 2;
+/// Version of what stands on disk. 2: a snapshot lies in pieces. 3: texts in it may be compressed.
+/// Folders of older ones are read.
+pub const DISK_VERSION: u64 = 3;
 
 /// ms. Leader's heartbeat: four fit into the shortest election wait, so one lost packet unseats nobody.
 pub const HEARTBEAT_MS: u64 = 75;
@@ -25,6 +26,8 @@
 pub const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
 /// ms. A piece of a snapshot that hasn't been taken is sent again: it and its answer fit in twice on a slow link.
 pub const SNAPSHOT_CHUNK_RETRY_MS: u64 = 300;
+/// ms. The longest wait for one chunk: at 110 kB a second it still gets there before it is sent again.
+pub const SNAPSHOT_CHUNK_RETRY_MOST_MS: u64 = 8 * SNAPSHOT_CHUNK_RETRY_MS;
 /// entries. Proposals not yet committed that a leader holds before it says busy.
 pub const OPEN_PROPOSALS: u64 = 4_096;
 /// reads. Linearizable reads waiting for one confirmation round.
@@ -40,6 +43,30 @@
 pub const SNAPSHOT_MOST: u64 = 16 * SNAPSHOT_EVERY;
 /// bytes. Of entries, likewise: they stand in memory until then.
 pub const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
+/// bytes. But not sooner than this, however small the machine: a snapshot writes the whole state.
+pub const SNAPSHOT_LEAST_BYTES: usize = 1024 * 1024;
+/// times. The log may grow to so many times its bound while a snapshot is on its way to a member:
+/// the next one would begin that member's transfer anew.
+pub const LOG_WHILE_SENDING: usize = 2;
+/// MB. The smallest machine that a store or core may be told it has: the process alone takes some 10.
+pub const MEMORY_LEAST_MB: u64 = 40;
+/// bytes. What the process takes beside the parts that have bounds: code, threads, connections.
+pub const PROCESS_BYTES: usize = 10_000_000;
+/// MB. The largest, a terabyte.
+pub const MEMORY_MOST_MB: u64 = 1_000_000;
+/// share. Of a machine's memory for the state that a group agrees on. It stands there once: snapshots
+/// share its texts, and one that is read back is let go piece by piece.
+pub const STATE_SHARE: f64 = 0.45;
+/// share. Of a machine's memory for the log's entries between two snapshots, twice that while one is
+/// being sent; texts that were forgotten since the last snapshot take as much again.
+pub const LOG_SHARE: f64 = 0.08;
+/// share. Of a machine's memory for the database's pages.
+pub const DISK_CACHE_SHARE: f64 = 0.04;
+/// bytes. Least for these: some ten pages of each table and one piece of a snapshot.
+pub const DISK_CACHE_LEAST_BYTES: usize = 1024 * 1024;
+/// bytes. What a turn, account, program or job takes in a store's memory beside its texts: ids, maps
+/// and times, measured at some 400 to 600.
+pub const STATE_ITEM_BYTES: usize = 512;
 
 /// ms. How often a trailhead renews its licence.
 pub const RENEW_MS: u64 = 300;
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -26,6 +26,7 @@
 use crate::constants::*;
 use crate::state::entry::{to_bytes, Member, Members};
 use crate::state::journal::Journal;
+use crate::state::snapshot_data::SnapshotData;
 use directory::Sight;
 use leases::Merged;
 use messages::ControlCommand;
@@ -402,12 +403,12 @@
         ControlResponse::Duty(Duty { cluster: self.state.view.cluster, cores: m.voters.clone(), ..Duty::default() })
     }
 
-    fn snapshot(&self) -> Vec<u8> {
-        to_bytes(&self.state)
+    fn snapshot(&self) -> SnapshotData {
+        to_bytes(&self.state).into()
     }
 
-    fn restore(&mut self, data: &[u8]) {
-        self.state = minicbor::decode(data).unwrap_or_default();
+    fn restore(&mut self, data: &SnapshotData) {
+        self.state = minicbor::decode(&data.to_vec()).expect("a snapshot that passed its digest can be decoded");
         // what came before the capture can only be fed whole
         self.journal = Journal::new(FEED_EVENTS, self.state.view.rev);
     }
--- a/hutbook/src/coordination/raft/messages.rs
+++ b/hutbook/src/coordination/raft/messages.rs
@@ -15,8 +15,11 @@
         #[n(2)] AppendRequest { #[n(0)] term: u64, #[n(1)] previous_index: u64, #[n(2)] previous_term: u64, #[n(3)] entries: Vec<Entry>, #[n(4)] commit: u64, #[n(5)] round: u64 },
         /// On success the log is on disk and equals the leader's up to `index`; else it may differ after it.
         #[n(3)] AppendResponse { #[n(0)] term: u64, #[n(1)] success: bool, #[n(2)] index: u64, #[n(3)] round: u64 },
-        /// Bytes of the snapshot at `index` from `offset` on; it has `total` bytes.
-        #[n(4)] SnapshotChunk { #[n(0)] term: u64, #[n(1)] index: u64, #[n(2)] index_term: u64, #[n(3)] members: Members, #[n(4)] offset: u64, #[n(5)] total: u64, #[cbor(n(6), with = "minicbor::bytes")] bytes: Vec<u8> },
+        /// Bytes of the snapshot at `index` from `offset` on; it has `total` bytes, of which `digest` is the
+        /// CRC-32.
+        /// Number 4 was that of chunks without a digest, in which no text was compressed: a member of that
+        /// version would take this one's for an empty state, and waits until it is of this version.
+        #[n(7)] SnapshotChunk { #[n(0)] term: u64, #[n(1)] index: u64, #[n(2)] index_term: u64, #[n(3)] members: Members, #[n(4)] offset: u64, #[n(5)] total: u64, #[cbor(n(6), with = "minicbor::bytes")] bytes: Vec<u8>, #[n(7)] digest: u32 },
         /// The first `received` bytes of the snapshot at `index` are here.
         #[n(5)] SnapshotChunkAck { #[n(0)] term: u64, #[n(1)] index: u64, #[n(2)] received: u64 },
         /// The leader of `term` asks this member to be elected in its place, without waiting.
--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::state::disk::Boot;
 use crate::state::entry::{Entry, Members, Snapshot, What};
+use bytes::Bytes;
 use log::HeldOutputs;
 use rand_chacha::ChaCha8Rng;
 use rand_core::SeedableRng;
@@ -66,7 +67,7 @@
     reads: VecDeque<PendingRead>,
     transfer_until: Option<u64>,
     /// Index and bytes so far of a snapshot that the leader is sending.
-    incoming_snapshot: Option<(u64, Vec<u8>)>,
+    incoming_snapshot: Option<(u64, Vec<Bytes>)>,
     outputs: Vec<RaftOutput>,
     /// Sends of this step that may not pass the sync of `sync_ticket`.
     hold_until_synced: bool,
@@ -177,9 +178,9 @@
                     self.on_append_response(now, from, success, index, round);
                 }
             }
-            RaftMessage::SnapshotChunk { term, index, index_term, members, offset, total, bytes } => {
+            RaftMessage::SnapshotChunk { term, index, index_term, members, offset, total, bytes, digest } => {
                 if self.accept_leader(now, from, term) {
-                    self.on_snapshot_chunk(now, from, (index, index_term), members, offset, total, bytes);
+                    self.on_snapshot_chunk(now, from, (index, index_term), members, offset, total, bytes, digest);
                 }
             }
             RaftMessage::SnapshotChunkAck { term, index, received } => {
--- a/hutbook/src/coordination/raft/replication.rs
+++ b/hutbook/src/coordination/raft/replication.rs
@@ -22,6 +22,11 @@
     pub(super) snapshot_progress: Option<(u64, u64)>,
     /// When the last chunk was sent; 0 once it has been taken.
     pub(super) chunk_sent_at: u64,
+    /// ms. How long a chunk may take before it is sent again: twice what the last one took, or a link
+    /// slower than a fixed wait would carry nothing but repeats (Karn and Partridge, 1987).
+    pub(super) chunk_retry_ms: u64,
+    /// Has this chunk been sent more than once? Then its acknowledgement doesn't tell how long it took.
+    pub(super) chunk_repeated: bool,
 }
 
 impl Peer {
@@ -34,6 +39,8 @@
             probing_since: None,
             snapshot_progress: None,
             chunk_sent_at: 0,
+            chunk_retry_ms: SNAPSHOT_CHUNK_RETRY_MS,
+            chunk_repeated: false,
         }
     }
 }
@@ -102,7 +109,11 @@
         let quiet = now.saturating_sub(peer.last_heard) > ELECTION_MS;
         if peer.next_index <= base_index && !quiet {
             // one chunk at a time: every new entry comes by here, and would bring another copy of it
-            if now >= peer.chunk_sent_at + SNAPSHOT_CHUNK_RETRY_MS {
+            if now >= peer.chunk_sent_at + peer.chunk_retry_ms {
+                peer.chunk_repeated = peer.chunk_sent_at != 0;
+                if peer.chunk_repeated {
+                    peer.chunk_retry_ms = (2 * peer.chunk_retry_ms).min(SNAPSHOT_CHUNK_RETRY_MOST_MS);
+                }
                 peer.chunk_sent_at = now;
                 self.send_snapshot_chunk(to);
             }
--- a/hutbook/src/coordination/raft/snapshot.rs
+++ b/hutbook/src/coordination/raft/snapshot.rs
@@ -1,20 +1,23 @@
 //! Snapshots: taken from the state, sent in chunks, installed (Raft thesis, chapter 5).
 
-use super::{Raft, RaftMessage, RaftOutput};
+use super::replication::Peer;
+use super::{Raft, RaftMessage, RaftOutput, Role};
 use crate::constants::*;
 use crate::state::disk::DiskOp;
 use crate::state::entry::{Members, Snapshot};
+use crate::state::snapshot_data::SnapshotData;
+use bytes::Bytes;
 use std::sync::Arc;
 
 impl Raft {
     /// Keeps the state up to `index` as a snapshot and lets the log before it go.
-    pub fn compact(&mut self, now: u64, index: u64, data: Vec<u8>) -> Vec<RaftOutput> {
+    pub fn compact(&mut self, now: u64, index: u64, data: impl Into<SnapshotData>) -> Vec<RaftOutput> {
         if index <= self.base_index || index > self.applied {
             return vec![];
         }
         let term = self.term_at(index).expect("applied entries are in the log");
         let members = self.members_at(index);
-        let snapshot = Arc::new(Snapshot { index, term, members, data });
+        let snapshot = Arc::new(Snapshot { index, term, members, data: data.into() });
         while self.log.front().is_some_and(|entry| entry.index <= index) {
             self.log.pop_front();
         }
@@ -23,6 +26,14 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Is the newest snapshot on its way to a member that answers?
+    pub fn is_sending_snapshot(&self, now: u64) -> bool {
+        let sending = |peer: &Peer| {
+            peer.snapshot_progress.is_some() && now.saturating_sub(peer.last_heard) <= SNAPSHOT_CHUNK_RETRY_MOST_MS
+        };
+        self.role == Role::Leader && self.peers.values().any(sending)
+    }
+
     /// The log begins after this snapshot from now on.
     pub(super) fn install_base(&mut self, snapshot: Arc<Snapshot>) {
         self.base_index = snapshot.index;
@@ -39,7 +50,6 @@
         let progress = peer.snapshot_progress.filter(|(index, _)| *index == snapshot.index);
         let offset = progress.map_or(0, |(_, received)| received);
         peer.snapshot_progress = Some((snapshot.index, offset));
-        let end = (offset as usize + SNAPSHOT_CHUNK_BYTES).min(snapshot.data.len());
         let msg = RaftMessage::SnapshotChunk {
             term: self.term,
             index: snapshot.index,
@@ -47,7 +57,8 @@
             members: snapshot.members.clone(),
             offset,
             total: snapshot.data.len() as u64,
-            bytes: snapshot.data[offset as usize..end].to_vec(),
+            bytes: snapshot.data.copy_from(offset as usize, SNAPSHOT_CHUNK_BYTES),
+            digest: snapshot.data.digest(),
         };
         self.send(to, msg);
     }
@@ -58,6 +69,10 @@
         peer.last_heard = now;
         if peer.snapshot_progress.is_some_and(|(sending, _)| sending == index) {
             peer.snapshot_progress = Some((index, received));
+            if !peer.chunk_repeated && peer.chunk_sent_at != 0 {
+                let took = now.saturating_sub(peer.chunk_sent_at);
+                peer.chunk_retry_ms = (2 * took).clamp(SNAPSHOT_CHUNK_RETRY_MS, SNAPSHOT_CHUNK_RETRY_MOST_MS);
+            }
             peer.chunk_sent_at = 0;
             self.replicate_to(now, from);
         }
@@ -74,6 +89,7 @@
         offset: u64,
         total: u64,
         bytes: Vec<u8>,
+        digest: u32,
     ) {
         if self.disk_late(now) {
             return;
@@ -84,18 +100,24 @@
             let index = self.commit.min(self.synced_index);
             return self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
         }
-        let mut data = match self.incoming_snapshot.take() {
-            Some((incoming, data)) if incoming == index => data,
+        let mut pieces = match self.incoming_snapshot.take() {
+            Some((incoming, pieces)) if incoming == index => pieces,
             _ => vec![],
         };
-        if data.len() as u64 == offset {
-            data.extend_from_slice(&bytes);
+        let mut received = pieces.iter().map(Bytes::len).sum::<usize>() as u64;
+        if received == offset {
+            received += bytes.len() as u64;
+            pieces.push(bytes.into());
         }
-        let received = data.len() as u64;
         if received < total {
-            self.incoming_snapshot = Some((index, data));
+            self.incoming_snapshot = Some((index, pieces));
             return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received });
         }
+        let data = SnapshotData::from_pieces(pieces);
+        if digest != data.digest() {
+            log::error!("the snapshot at {index} came with a wrong digest: refused, and asked for again");
+            return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received: 0 });
+        }
         self.install_snapshot(now, Arc::new(Snapshot { index, term, members, data }));
         self.hold_until_synced = true;
         self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -4,6 +4,8 @@
 use crate::constants::*;
 use crate::state::disk::{Boot, DiskOp};
 use crate::state::entry::{Entry, Member, Members, What};
+use crate::state::memory::MemoryBudget;
+use crate::state::snapshot_data::SnapshotData;
 use std::collections::BTreeMap;
 
 /// What a question needs before it can be answered.
@@ -34,8 +36,11 @@
     fn apply(&mut self, index: u64, term: u64, bytes: &[u8]) -> Self::Response;
     /// A change of the group's members has been agreed.
     fn members_agreed(&mut self, index: u64, m: &Members) -> Self::Response;
-    fn snapshot(&self) -> Vec<u8>;
-    fn restore(&mut self, data: &[u8]);
+    /// The state as it is now. What never changes is shared, not copied.
+    fn snapshot(&self) -> SnapshotData;
+    /// Replaces the state. The data may be let go as it is read, if equal data that is shared with the
+    /// state takes its place.
+    fn restore(&mut self, data: &SnapshotData);
     fn became_leader(&mut self, st: LeaderContext);
     fn stepped_down(&mut self);
     /// The leader's own proposals and long computations.
@@ -87,6 +92,8 @@
     /// bytes. Of the entries applied since, and of the capture itself.
     since: usize,
     snapshot_bytes: usize,
+    /// bytes. Of entries applied, after which a snapshot is taken at the latest.
+    pub log_limit: usize,
 }
 
 /// Tickets of the replica's own proposals: nobody waits for them.
@@ -104,6 +111,7 @@
             snapshot_index: 0,
             since: 0,
             snapshot_bytes: 0,
+            log_limit: MemoryBudget::default().log,
         };
         let f = r.step(now, Input::Tick);
         (r, f)
@@ -189,7 +197,7 @@
         let entries = self.raft.applied() - self.snapshot_index;
         // a large one among few small entries would be most of what the disk writes
         let worth = entries >= SNAPSHOT_EVERY && self.since >= self.snapshot_bytes;
-        let due = worth || entries >= SNAPSHOT_MOST || self.since >= SNAPSHOT_BYTES;
+        let due = worth || entries >= SNAPSHOT_MOST || self.since >= self.log_limit;
         // a disk behind its bound is not given more to write
         if !due || self.raft.disk_late(now) {
             return;
--- a/hutbook/src/coordination/replica/tests.rs
+++ b/hutbook/src/coordination/replica/tests.rs
@@ -15,10 +15,10 @@
     fn answer(&mut self, _st: LeaderContext, _ask: usize) {}
     fn apply(&mut self, _index: u64, _term: u64, _bytes: &[u8]) {}
     fn members_agreed(&mut self, _index: u64, _m: &Members) {}
-    fn snapshot(&self) -> Vec<u8> {
-        vec![0; self.0]
+    fn snapshot(&self) -> SnapshotData {
+        vec![0; self.0].into()
     }
-    fn restore(&mut self, _data: &[u8]) {}
+    fn restore(&mut self, _data: &SnapshotData) {}
     fn became_leader(&mut self, _st: LeaderContext) {}
     fn stepped_down(&mut self) {}
     fn tick(&mut self, _st: LeaderContext, _raft: &Raft) -> Vec<LeaderTask<()>> {
--- a/hutbook/src/coordination/store.rs
+++ b/hutbook/src/coordination/store.rs
@@ -7,7 +7,11 @@
 use super::turns::Turns;
 use crate::constants::*;
 use crate::state::entry::{to_bytes, Member, Members};
+use crate::state::memory::MemoryBudget;
+use crate::state::snapshot_data::{SnapshotData, SnapshotReader, SnapshotWriter};
+use minicbor::{decode, encode, Encoder};
 use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
 
 messages! {
     pub struct Turn {
@@ -194,9 +198,37 @@
     pub wanted: Vec<Member>,
 }
 
+impl Kept {
+    /// Encodes as `to_bytes` would, but shares the texts of turns.
+    fn write(&self, e: &mut Encoder<SnapshotWriter>) -> Result<(), encode::Error<Infallible>> {
+        e.array(5)?.encode(self.clock)?.encode(&self.programs)?.encode(&self.jobs)?.encode(&self.ends)?;
+        self.turns.write(e)
+    }
+
+    /// Reads what `write` or `to_bytes` wrote, item by item.
+    fn read(mut r: SnapshotReader) -> Result<Kept, decode::Error> {
+        let fields = r.count(|d| d.array())?;
+        let mut kept =
+            Kept { clock: r.item()?, programs: r.item()?, jobs: r.item()?, ends: r.item()?, ..Kept::default() };
+        // a snapshot from before work was passed through has none of it
+        if fields > 4 {
+            kept.turns = Turns::read(&mut r)?;
+        }
+        Ok(kept)
+    }
+
+    /// bytes, roughly, that this state takes in memory.
+    fn size(&self) -> usize {
+        let (accounts, turns, _) = self.turns.counts();
+        let things = accounts + turns + self.programs.len() + self.jobs.len();
+        self.turns.stored_bytes() + things * STATE_ITEM_BYTES
+    }
+}
+
 #[derive(Default)]
 pub struct Store {
     kept: Kept,
+    budget: MemoryBudget,
     /// Ids of the jobs whose intents stand: folded from what is kept.
     open: BTreeSet<String>,
     /// The leader's clock: the committed one, run on from when it rose.
@@ -211,6 +243,22 @@
 }
 
 impl Store {
+    /// An empty state that refuses new work once it has reached its part of the memory.
+    pub fn with(budget: MemoryBudget) -> Store {
+        Store { budget, ..Store::default() }
+    }
+
+    /// bytes, roughly, that the state takes, and how many it may take.
+    pub fn state_bytes(&self) -> (usize, usize) {
+        (self.kept.size(), self.budget.state)
+    }
+
+    /// Is this new work that there is no memory for? What ends work under way is always taken.
+    fn over_budget(&self, ask: &StoreRequest) -> bool {
+        let brings_more = matches!(ask, StoreRequest::Put { .. } | StoreRequest::Begin(_) | StoreRequest::TurnLeave(_));
+        brings_more && self.kept.size() >= self.budget.state
+    }
+
     fn clock(&mut self, now: u64) -> u64 {
         let c = self.base.map_or(self.kept.clock, |(c, t)| c + now.saturating_sub(t));
         if c >= self.kept.clock {
@@ -460,6 +508,10 @@
     type Computation = ();
 
     fn plan(&mut self, st: LeaderContext, ask: &StoreRequest) -> Plan<StoreResponse> {
+        // said before anything is agreed: the members' machines may differ, their states may not
+        if self.over_budget(ask) {
+            return Plan::Reply(StoreResponse::Busy);
+        }
         match ask {
             StoreRequest::Program { .. } | StoreRequest::Look { .. } | StoreRequest::Status | StoreRequest::Open => {
                 Plan::Read
@@ -561,15 +613,21 @@
         StoreResponse::Settled
     }
 
-    fn snapshot(&self) -> Vec<u8> {
-        to_bytes(&self.kept)
+    fn snapshot(&self) -> SnapshotData {
+        let mut e = Encoder::new(SnapshotWriter::default());
+        self.kept.write(&mut e).expect("encoding to memory");
+        e.into_writer().finish()
     }
 
-    fn restore(&mut self, data: &[u8]) {
-        // a snapshot is checked when it is read from disk or taken from the leader's frame
-        self.kept = minicbor::decode(data).unwrap_or_default();
+    fn restore(&mut self, data: &SnapshotData) {
+        // the state that it replaces is let go first: both at once may be more than the machine has
+        self.kept = Kept::default();
+        self.open.clear();
+        // its digest was looked at before it came here: going on from nothing would lose promises
+        self.kept = Kept::read(data.drain()).expect("a snapshot that passed its digest can be decoded");
         let open = self.kept.jobs.iter().filter(|(_, j)| matches!(j.state, JobState::Open { .. }));
         self.open = open.map(|(id, _)| id.clone()).collect();
+        data.share(&self.snapshot());
     }
 
     fn became_leader(&mut self, st: LeaderContext) {
@@ -664,4 +722,79 @@
         let p = &s.kept.programs["p"];
         assert_eq!((p.spent, p.reserved), (40, 0));
     }
+
+    fn turn_end(turn: &str, text: usize) -> StoreRequest {
+        StoreRequest::TurnEnd(TurnEnd {
+            turn: turn.into(),
+            program: "p".into(),
+            session: "s".into(),
+            before: String::new(),
+            edge: 1,
+            tokens: 1,
+            server: String::new(),
+            kept: Some(Link { turn: turn.into(), said: vec![1; text], answer: vec![2; text] }),
+            retention_ms: 60_000,
+        })
+    }
+
+    fn turn_leave(turn: &str) -> StoreRequest {
+        StoreRequest::TurnLeave(TurnLeave {
+            turn: turn.into(),
+            program: "p".into(),
+            session: "s".into(),
+            before: String::new(),
+            budget: u64::MAX,
+            cap: 1,
+            edge: 1,
+            run_ms: 1_000,
+            retention_ms: 60_000,
+            have: vec![],
+        })
+    }
+
+    #[test]
+    fn new_work_over_the_memory_is_refused_before_it_is_agreed_and_ends_are_taken() {
+        // given a store whose state has reached its part of the machine's memory
+        let budget = MemoryBudget::of(Some(MEMORY_LEAST_MB));
+        let mut s = Store::with(budget);
+        let st = LeaderContext { now: 1, term: 1 };
+        s.became_leader(st);
+        assert!(matches!(s.plan(st, &turn_leave("a")), Plan::Propose(_)));
+        apply(&mut s, 1, Some(turn_leave("a")));
+        for n in 0..budget.state / STATE_ITEM_BYTES {
+            apply(&mut s, 1, Some(turn_end(&format!("t{n}"), 0)));
+        }
+        // when new work comes, then it is told to come back and nothing is agreed
+        assert!(matches!(s.plan(st, &turn_leave("b")), Plan::Reply(StoreResponse::Busy)));
+        let put = StoreRequest::Put { id: "q".into(), allowance: 1, time_left_ms: 1, retention_ms: 1 };
+        assert!(matches!(s.plan(st, &put), Plan::Reply(StoreResponse::Busy)));
+        // then the end of what had leave is taken all the same, and reads are answered
+        assert!(matches!(s.plan(st, &turn_end("a", 10)), Plan::Propose(_)));
+        assert!(matches!(s.plan(st, &StoreRequest::Status), Plan::Read));
+        // and once it is forgotten there is room again
+        apply(&mut s, 70_000, None);
+        assert!(matches!(s.plan(st, &turn_leave("b")), Plan::Propose(_)));
+    }
+
+    #[test]
+    fn a_snapshot_has_the_bytes_of_a_plain_encoding_and_is_read_back_the_same() {
+        // given a state with programs, jobs and turns
+        let mut s = Store::default();
+        let put = StoreRequest::Put { id: "p".into(), allowance: 50, time_left_ms: 600_000, retention_ms: 600_000 };
+        apply(&mut s, 1, Some(put));
+        for i in 0..200 {
+            apply(&mut s, 2, Some(turn_leave(&format!("open{i}"))));
+            apply(&mut s, 2, Some(turn_end(&format!("end{i}"), i * 20)));
+        }
+        // when a snapshot is taken, then its bytes are as they always were
+        let data = s.snapshot();
+        assert!(data.to_vec() == to_bytes(&s.kept));
+        // when one from the disk is read, in pieces that cut items anywhere, then it is the same state
+        let whole = data.to_vec();
+        let pieces = whole.chunks(1_000).map(bytes::Bytes::copy_from_slice).collect();
+        let from_disk = SnapshotData::from_pieces(pieces);
+        let mut t = Store::default();
+        t.restore(&from_disk);
+        assert!(t.kept == s.kept && from_disk == data);
+    }
 }
--- a/hutbook/src/coordination/turns.rs
+++ b/hutbook/src/coordination/turns.rs
@@ -3,7 +3,11 @@
 
 use super::store::{Link, StoreResponse, TurnEnd, TurnLeave};
 use crate::constants::*;
+use crate::state::kept_text::KeptText;
+use crate::state::snapshot_data::{SnapshotReader, SnapshotWriter};
+use minicbor::{decode, encode, Encoder};
 use std::collections::{BTreeMap, VecDeque};
+use std::convert::Infallible;
 
 messages! {
     /// A turn that may still put out tokens.
@@ -32,8 +36,8 @@
     }
     /// A turn that others may go on from.
     struct Kept {
-        #[cbor(n(0), with = "minicbor::bytes")] said: Vec<u8>,
-        #[cbor(n(1), with = "minicbor::bytes")] answer: Vec<u8>,
+        #[n(0)] said: KeptText,
+        #[n(1)] answer: KeptText,
         #[n(2)] server: String,
         #[n(3)] before: String,
         /// Never sooner than that of any turn that goes on from it.
@@ -54,6 +58,8 @@
         #[n(2)] due: BTreeMap<u64, Vec<Due>>,
         /// Of the texts kept.
         #[n(3)] bytes: u64,
+        /// Of the texts as they lie in memory.
+        #[cbor(skip)] stored: usize,
     }
 }
 
@@ -95,9 +101,45 @@
     fn size(&self) -> u64 {
         (self.said.len() + self.answer.len()) as u64
     }
+
+    /// bytes. That its texts take in memory.
+    fn stored(&self) -> usize {
+        self.said.stored_len() + self.answer.stored_len()
+    }
 }
 
 impl Turns {
+    /// Encodes as `to_bytes` would, but shares the texts.
+    pub fn write(&self, e: &mut Encoder<SnapshotWriter>) -> Result<(), encode::Error<Infallible>> {
+        e.array(4)?.encode(&self.ledgers)?.map(self.kept.len() as u64)?;
+        for (turn, kept) in &self.kept {
+            e.str(turn)?.array(5)?;
+            kept.said.write(e)?;
+            kept.answer.write(e)?;
+            e.encode(&kept.server)?.encode(&kept.before)?.encode(kept.forget)?;
+        }
+        e.encode(&self.due)?.encode(self.bytes)?.ok()
+    }
+
+    /// Reads what `write` or `to_bytes` wrote, one turn after the other.
+    pub fn read(r: &mut SnapshotReader) -> Result<Turns, decode::Error> {
+        r.count(|d| d.array())?;
+        let mut turns = Turns { ledgers: r.item()?, ..Turns::default() };
+        for _ in 0..r.count(|d| d.map())? {
+            let turn = r.item()?;
+            let kept: Kept = r.item()?;
+            turns.stored += kept.stored();
+            turns.kept.insert(turn, kept);
+        }
+        (turns.due, turns.bytes) = (r.item()?, r.item()?);
+        Ok(turns)
+    }
+
+    /// bytes. That the texts take in memory.
+    pub fn stored_bytes(&self) -> usize {
+        self.stored
+    }
+
     pub fn counts(&self) -> (usize, usize, u64) {
         (self.ledgers.len(), self.kept.len(), self.bytes)
     }
@@ -185,10 +227,13 @@
             return StoreResponse::TurnMay { chain: vec![], server: String::new() };
         }
         let link = |(t, k): (&str, &Kept)| match l.have.iter().any(|h| h == t) {
-            true => Link { turn: t.into(), said: vec![], answer: vec![] },
-            false => Link { turn: t.into(), said: k.said.clone(), answer: k.answer.clone() },
+            true => Some(Link { turn: t.into(), said: vec![], answer: vec![] }),
+            false => Some(Link { turn: t.into(), said: k.said.text()?, answer: k.answer.text()? }),
+        };
+        // a text that can't be read any more is not told as another
+        let Some(mut chain) = self.chain(&l.before).map(link).collect::<Option<Vec<Link>>>() else {
+            return StoreResponse::Busy;
         };
-        let mut chain: Vec<Link> = self.chain(&l.before).map(link).collect();
         chain.reverse();
         // what it goes on from was read there
         let before = self.kept.get(&l.before).map(|k| k.server.as_str()).filter(|s| !s.is_empty());
@@ -212,8 +257,15 @@
             if !e.before.is_empty() && !self.kept.contains_key(&e.before) {
                 return StoreResponse::TurnUnknown;
             }
-            let k = Kept { said: link.said, answer: link.answer, server: e.server, before: e.before, forget: 0 };
+            let k = Kept {
+                said: KeptText::new(link.said),
+                answer: KeptText::new(link.answer),
+                server: e.server,
+                before: e.before,
+                forget: 0,
+            };
             self.bytes += k.size();
+            self.stored += k.stored();
             self.kept.insert(e.turn.clone(), k);
             self.note(forget, Due::Kept(e.turn.clone()));
         }
@@ -246,6 +298,7 @@
                 }
                 let k = self.kept.remove(turn).expect("just seen");
                 self.bytes -= k.size();
+                self.stored -= k.stored();
             }
             Due::Ledger(program) => {
                 let Some(k) = self.ledgers.get(program) else { return };
@@ -263,7 +316,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::state::entry::{from_bytes, to_bytes};
+    use crate::state::entry::to_bytes;
+    use crate::state::snapshot_data::SnapshotData;
     use rstest::rstest;
 
     const RUN: u64 = 1_000;
@@ -456,7 +510,8 @@
         t.end(1, end("b", "a", 1, true));
         t.leave(1, &leave("c", "b", 100, 40), told);
         // when they are written and read, then they are the same, and go on the same
-        let mut u: Turns = from_bytes(&to_bytes(&t)).unwrap();
+        let written = SnapshotData::from(to_bytes(&t));
+        let mut u = Turns::read(&mut written.drain()).unwrap();
         assert_eq!(t, u);
         for x in [&mut t, &mut u] {
             x.pass_time(50_000);
--- a/hutbook/src/protocol/settings.rs
+++ b/hutbook/src/protocol/settings.rs
@@ -1,7 +1,7 @@
 //! Where a process stands: from a settings file, from flags, or both; flags win.
 
 use super::findings::{is_name, Finding, Reader};
-use crate::constants::DAY_MS;
+use crate::constants::{DAY_MS, MEMORY_LEAST_MB, MEMORY_MOST_MB};
 use crate::coordination::control::Shape;
 use getopts::Options;
 use std::net::SocketAddr;
@@ -37,6 +37,9 @@
     /// ms. How long a stopping edge still takes sessions: until those who choose among edges have seen
     /// that it is not ready.
     pub linger_ms: u64,
+    /// MB. The machine's memory, of which each part of the process takes its share; bounded by constants
+    /// alone where it isn't said.
+    pub memory_mb: Option<u64>,
     pub shape: Shape,
 }
 
@@ -95,6 +98,7 @@
         o.optopt("", "stop-s", "a planned stop waits this long for work under way (as long as any may last)", "S");
     }
     if who != Who::Trailhead {
+        o.optopt("", "memory-mb", "memory of the machine; state, log and caches each take their share of it", "MB");
         o.optopt("d", "data", "data folder; made when it is missing", "DIR");
     }
     if who == Who::Refuge {
@@ -131,6 +135,7 @@
     let file = file.as_ref().unwrap_or(&none);
     let mut known = vec!["wire", "advertise", "http", "cell", "seeds", "log", "name", "ready"];
     known.extend((who == Who::Trailhead).then_some("front"));
+    known.extend((who != Who::Trailhead).then_some("memory_mb"));
     known.push(if who == Who::Trailhead { "stop_s" } else { "data" });
     if !file.is_null() {
         r.keys("", file, &known);
@@ -180,6 +185,16 @@
         None if file["stop_s"].is_null() => None,
         None => Some(r.whole("", file, "stop_s", None, 0, DAY_MS / 1_000) * 1_000),
     };
+    let flag = if who == Who::Trailhead { None } else { m.opt_str("memory-mb") };
+    let memory_mb = match flag.map(|s| s.parse::<u64>()) {
+        Some(Ok(mb)) if (MEMORY_LEAST_MB..=MEMORY_MOST_MB).contains(&mb) => Some(mb),
+        Some(_) => {
+            r.find("memory-mb", format!("must be a number of megabytes from {MEMORY_LEAST_MB} to {MEMORY_MOST_MB}"));
+            None
+        }
+        None if file["memory_mb"].is_null() => None,
+        None => Some(r.whole("", file, "memory_mb", None, MEMORY_LEAST_MB, MEMORY_MOST_MB)),
+    };
     let mut seeds = m.opt_strs("seed");
     if seeds.is_empty() && !file["seeds"].is_null() {
         if !file["seeds"].is_array() {
@@ -222,6 +237,7 @@
         front,
         workers: None,
         linger_ms: 0,
+        memory_mb,
         shape: Shape::default(),
     };
     Ok(Start::Run(Box::new(s)))
--- a/hutbook/src/state/disk.rs
+++ b/hutbook/src/state/disk.rs
@@ -4,7 +4,9 @@
 //! when `write` returns, not before.
 
 use super::entry::{to_bytes, Entry, Member, Members, Snapshot, What};
+use super::snapshot_data::SnapshotData;
 use crate::constants::{DISK_CACHE_BYTES, DISK_PIECE_BYTES, DISK_VERSION};
+use bytes::Bytes;
 use redb::{Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, TableDefinition};
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
@@ -127,10 +129,10 @@
 type Opener = Box<dyn Fn(&Path) -> Result<Database, DatabaseError> + Send>;
 
 /// Every page's checksum is looked at when a folder is opened, not only after a crash.
-fn builder() -> redb::Builder {
+fn builder(cache_bytes: usize) -> redb::Builder {
     let mut b = Database::builder();
     b.set_check_integrity_on_open(true);
-    b.set_cache_size(DISK_CACHE_BYTES);
+    b.set_cache_size(cache_bytes);
     b
 }
 
@@ -145,10 +147,15 @@
 impl Disk {
     /// Opens the folder, or makes it when it is empty, drawing the node's id.
     pub fn open(dir: &Path, kind: u64, draw: impl Fn() -> u64) -> Result<Disk, DiskError> {
+        Disk::open_within(dir, kind, DISK_CACHE_BYTES, draw)
+    }
+
+    /// Likewise, with so many bytes of memory for the file's pages.
+    pub fn open_within(dir: &Path, kind: u64, cache_bytes: usize, draw: impl Fn() -> u64) -> Result<Disk, DiskError> {
         let io = |e: std::io::Error| DiskError::Failed(format!("{}: {e}", dir.display()));
         std::fs::create_dir_all(dir).map_err(io)?;
         let (path, young) = (dir.join("hut.redb"), dir.join("hut.redb.new"));
-        let opener = || Box::new(|p: &Path| builder().create(p));
+        let opener = || Box::new(move |p: &Path| builder(cache_bytes).create(p));
         // a folder that can't be looked at is not an empty one
         if path.try_exists().map_err(io)? {
             return Disk::over(path, opener(), false, kind, draw);
@@ -307,8 +314,10 @@
                     Err(redb::TableError::TableDoesNotExist(_)) => return Ok(()),
                     t => t?,
                 };
-                for kv in t.iter()? {
-                    c.data.extend_from_slice(kv?.1.value());
+                let pieces = t.iter()?.map(|kv| Ok(Bytes::copy_from_slice(kv?.1.value())));
+                let pieces = pieces.collect::<Result<Vec<Bytes>, redb::Error>>()?;
+                if !pieces.is_empty() {
+                    c.data = SnapshotData::from_pieces(pieces);
                 }
                 Ok(())
             })?;
@@ -354,12 +363,12 @@
                         let upto = if *clear { u64::MAX } else { snapshot.index };
                         l.retain_in(..=upto, |_, _| false)?;
                         let c = &**snapshot;
-                        let head = Snapshot { members: c.members.clone(), data: vec![], ..*c };
+                        let head = Snapshot { members: c.members.clone(), data: SnapshotData::default(), ..*c };
                         t.open_table(BLOBS)?.insert("capture", to_bytes(&head).as_slice())?;
                         let mut p = t.open_table(PIECES)?;
                         p.retain(|_, _| false)?;
                         for (n, x) in (0..).zip(c.data.chunks(DISK_PIECE_BYTES)) {
-                            p.insert(n, x)?;
+                            p.insert(n, x.as_slice())?;
                         }
                         // an older program would take it for an empty one
                         t.open_table(FACTS)?.insert("version", DISK_VERSION)?;
@@ -394,7 +403,7 @@
         let mut k = Disk::open(&d, 1, || 77).unwrap();
         k.write(&[DiskOp::Append { entries: (1..=5).map(|i| entry(i, 1)).collect() }]).unwrap();
         k.write(&[DiskOp::Meta { term: 3, voted: Some(9) }, DiskOp::Append { entries: vec![entry(4, 3)] }]).unwrap();
-        let c = Arc::new(Snapshot { index: 2, term: 1, members: Members::default(), data: vec![1, 2] });
+        let c = Arc::new(Snapshot { index: 2, term: 1, members: Members::default(), data: vec![1, 2].into() });
         k.write(&[DiskOp::Snapshot { snapshot: c.clone(), clear: false }]).unwrap();
         drop(k);
         // when it is opened again
@@ -453,8 +462,9 @@
             if i % 11 == 0 {
                 cut = last - 1;
                 // of one piece, or of some
-                let data = (0..9_000 + i % 2 * 2 * DISK_PIECE_BYTES as u64).map(|b| (b / 7 + i) as u8).collect();
-                let snapshot = Snapshot { index: cut, term: i, members: Members::default(), data };
+                let data: Vec<u8> =
+                    (0..9_000 + i % 2 * 2 * DISK_PIECE_BYTES as u64).map(|b| (b / 7 + i) as u8).collect();
+                let snapshot = Snapshot { index: cut, term: i, members: Members::default(), data: data.into() };
                 ops.push(DiskOp::Snapshot { snapshot: Arc::new(snapshot), clear: i % 22 == 0 });
                 if i % 22 == 0 {
                     last = cut;
@@ -467,7 +477,7 @@
 
     fn over(u: &Unsteady, fresh: bool) -> Result<Disk, DiskError> {
         let u = u.clone();
-        let open = move |_: &Path| builder().create_with_backend(u.clone());
+        let open = move |_: &Path| builder(DISK_CACHE_BYTES).create_with_backend(u.clone());
         Disk::over(PathBuf::from("unsteady"), Box::new(open), fresh, 1, || 77)
     }
 
@@ -648,7 +658,7 @@
         // given a folder whose capture lies whole, as version 1 wrote it
         let u = Unsteady::new(1, made());
         let mut d = over(&u, false).unwrap();
-        let data = (0..3 * DISK_PIECE_BYTES).map(|b| b as u8).collect();
+        let data = (0..3 * DISK_PIECE_BYTES).map(|b| b as u8).collect::<Vec<u8>>().into();
         let c = Arc::new(Snapshot { index: 2, term: 1, members: Members::default(), data });
         d.transact(|t| {
             t.delete_table(PIECES)?;
@@ -666,7 +676,7 @@
         assert!(d.boot().unwrap().snapshot.as_ref() == Some(&*c));
         assert_eq!(d.fact("version").unwrap(), Some(DISK_VERSION));
         // and a smaller one leaves nothing of it behind
-        let c = Arc::new(Snapshot { index: 6, data: vec![7; 10], ..(*c).clone() });
+        let c = Arc::new(Snapshot { index: 6, data: vec![7; 10].into(), ..(*c).clone() });
         d.write(&[DiskOp::Snapshot { snapshot: c.clone(), clear: false }]).unwrap();
         assert!(d.boot().unwrap().snapshot.as_ref() == Some(&*c));
     }
--- a/hutbook/src/state/entry.rs
+++ b/hutbook/src/state/entry.rs
@@ -1,5 +1,7 @@
 //! What the replicated log is made of.
 
+use super::snapshot_data::{self, SnapshotData};
+
 messages! {
     #[derive(Eq, PartialOrd, Ord)]
     pub struct Member {
@@ -27,7 +29,7 @@
         #[n(0)] pub index: u64,
         #[n(1)] pub term: u64,
         #[n(2)] pub members: Members,
-        #[cbor(n(3), with = "minicbor::bytes")] pub data: Vec<u8>,
+        #[cbor(n(3), with = "snapshot_data::whole")] pub data: SnapshotData,
     }
 }
 
--- /dev/null
+++ b/hutbook/src/state/memory.rs
@@ -0,0 +1,42 @@
+//! What a process may keep in memory, part by part.
+
+use crate::constants::{
+    DISK_CACHE_BYTES, DISK_CACHE_LEAST_BYTES, DISK_CACHE_SHARE, LOG_SHARE, SNAPSHOT_BYTES, SNAPSHOT_LEAST_BYTES,
+    STATE_SHARE, TEXT_BYTES,
+};
+
+/// bytes. In a megabyte, as machines' memory is told.
+const MEGABYTE: f64 = 1e6;
+
+/// Bounds in bytes for one store or core process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MemoryBudget {
+    /// State that a group agrees on. What would go over it is refused before it is agreed.
+    pub state: usize,
+    /// Entries applied since the last snapshot: then the next one is taken.
+    pub log: usize,
+    /// What the database keeps of its file.
+    pub disk_cache: usize,
+}
+
+impl MemoryBudget {
+    /// The parts of a machine of so many megabytes; the constants alone bound one that isn't told.
+    pub fn of(memory_mb: Option<u64>) -> MemoryBudget {
+        let all = memory_mb.map_or(f64::INFINITY, |mb| mb as f64 * MEGABYTE);
+        let part = |share: f64, least: usize, most: usize| ((all * share) as usize).clamp(least, most);
+        MemoryBudget {
+            state: part(STATE_SHARE, 0, TEXT_BYTES as usize),
+            log: part(LOG_SHARE, SNAPSHOT_LEAST_BYTES, SNAPSHOT_BYTES),
+            disk_cache: part(DISK_CACHE_SHARE, DISK_CACHE_LEAST_BYTES, DISK_CACHE_BYTES),
+        }
+    }
+}
+
+impl Default for MemoryBudget {
+    fn default() -> MemoryBudget {
+        MemoryBudget::of(None)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/hutbook/src/state/mod.rs
+++ b/hutbook/src/state/mod.rs
@@ -4,5 +4,8 @@
 pub mod entry;
 pub mod hist;
 pub mod journal;
+pub mod kept_text;
+pub mod memory;
+pub mod snapshot_data;
 #[cfg(test)]
 mod unsteady;
--- /dev/null
+++ b/hutbook/src/state/snapshot_data.rs
@@ -0,0 +1,257 @@
+//! The bytes of a snapshot, in pieces that may be shared with the state they were taken from.
+//!
+//! A store's state is mostly texts that never change. A snapshot refers to them instead of copying
+//! them, so that it costs little memory beside the state, and is read piece by piece, so that a state
+//! that is being read back never stands in memory twice. The bytes themselves are one CBOR item, as
+//! if they had been encoded in one go.
+//!
+//! A snapshot is one value with several holders: the agreement, which sends it to members that are
+//! behind, and the disk's queue. All of them hold handles, so that what is in memory can be exchanged
+//! for equal bytes that are shared with the state.
+
+use bytes::Bytes;
+use minicbor::decode::{self, Decode, Decoder};
+use minicbor::encode::{self, Encoder};
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// bytes. A shorter text is copied: a reference to it would cost as much.
+const SHARED_LEAST: usize = 512;
+
+/// The bytes of a snapshot. A clone is another handle of the same bytes.
+#[derive(Clone, Default)]
+pub struct SnapshotData(Arc<Mutex<Pieces>>);
+
+#[derive(Default)]
+struct Pieces {
+    list: Vec<Bytes>,
+    len: usize,
+    digest: Option<u32>,
+}
+
+impl SnapshotData {
+    /// The bytes of these pieces, one after the other.
+    pub fn from_pieces(list: Vec<Bytes>) -> SnapshotData {
+        let len = list.iter().map(Bytes::len).sum();
+        SnapshotData(Arc::new(Mutex::new(Pieces { list, len, digest: None })))
+    }
+
+    fn pieces(&self) -> MutexGuard<'_, Pieces> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Number of bytes.
+    pub fn len(&self) -> usize {
+        self.pieces().len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// CRC-32 of the bytes; computed once. It is there to notice damage, and costs a hundredth of what a
+    /// cryptographic hash would.
+    pub fn digest(&self) -> u32 {
+        let mut pieces = self.pieces();
+        let Pieces { list, digest, .. } = &mut *pieces;
+        *digest.get_or_insert_with(|| {
+            let mut hash = crc32fast::Hasher::new();
+            list.iter().for_each(|piece| hash.update(piece));
+            hash.finalize()
+        })
+    }
+
+    /// A copy of at most `most` bytes from `offset` on.
+    pub fn copy_from(&self, offset: usize, most: usize) -> Vec<u8> {
+        let pieces = self.pieces();
+        let end = pieces.len.min(offset.saturating_add(most));
+        let mut copy = Vec::with_capacity(end.saturating_sub(offset));
+        let mut start = 0;
+        for piece in &pieces.list {
+            let (from, to) = (offset.max(start), end.min(start + piece.len()));
+            if from < to {
+                copy.extend_from_slice(&piece[from - start..to - start]);
+            }
+            start += piece.len();
+            if start >= end {
+                break;
+            }
+        }
+        copy
+    }
+
+    /// Copies of `size` bytes each, the last one shorter, made one at a time.
+    pub fn chunks(&self, size: usize) -> impl Iterator<Item = Vec<u8>> {
+        let mut pieces = self.pieces().list.clone().into_iter();
+        let mut rest = Bytes::new();
+        std::iter::from_fn(move || {
+            let mut chunk = Vec::with_capacity(size);
+            while chunk.len() < size {
+                if rest.is_empty() {
+                    match pieces.next() {
+                        Some(piece) => rest = piece,
+                        None => break,
+                    }
+                }
+                let taken = rest.split_to(rest.len().min(size - chunk.len()));
+                chunk.extend_from_slice(&taken);
+            }
+            (!chunk.is_empty()).then_some(chunk)
+        })
+    }
+
+    /// All of it in one copy.
+    pub fn to_vec(&self) -> Vec<u8> {
+        self.copy_from(0, usize::MAX)
+    }
+
+    /// Takes the pieces out of every handle, to be let go as they are read. `share` gives them back.
+    pub fn drain(&self) -> SnapshotReader {
+        SnapshotReader::new(std::mem::take(&mut *self.pieces()).list)
+    }
+
+    /// From now on every handle has the pieces of `other`: the same snapshot, sharing memory with a state.
+    pub fn share(&self, other: &SnapshotData) {
+        let other = {
+            let pieces = other.pieces();
+            Pieces { list: pieces.list.clone(), ..*pieces }
+        };
+        *self.pieces() = other;
+    }
+}
+
+impl From<Vec<u8>> for SnapshotData {
+    fn from(bytes: Vec<u8>) -> SnapshotData {
+        SnapshotData::from_pieces(if bytes.is_empty() { vec![] } else { vec![bytes.into()] })
+    }
+}
+
+impl PartialEq for SnapshotData {
+    fn eq(&self, other: &SnapshotData) -> bool {
+        Arc::ptr_eq(&self.0, &other.0) || self.to_vec() == other.to_vec()
+    }
+}
+
+impl std::fmt::Debug for SnapshotData {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "SnapshotData({} bytes, {:08x})", self.len(), self.digest())
+    }
+}
+
+/// Encodes a snapshot whose long texts are shared with the state.
+#[derive(Default)]
+pub struct SnapshotWriter {
+    pieces: Vec<Bytes>,
+    current: Vec<u8>,
+}
+
+impl SnapshotWriter {
+    fn flush(&mut self) {
+        if !self.current.is_empty() {
+            self.pieces.push(std::mem::take(&mut self.current).into());
+        }
+    }
+
+    /// What was written.
+    pub fn finish(mut self) -> SnapshotData {
+        self.flush();
+        SnapshotData::from_pieces(self.pieces)
+    }
+}
+
+impl encode::Write for SnapshotWriter {
+    type Error = Infallible;
+
+    fn write_all(&mut self, bytes: &[u8]) -> Result<(), Infallible> {
+        self.current.extend_from_slice(bytes);
+        Ok(())
+    }
+}
+
+/// Writes a byte string that is shared where it is long enough.
+pub fn write_shared(e: &mut Encoder<SnapshotWriter>, text: &Bytes) -> Result<(), encode::Error<Infallible>> {
+    e.bytes_len(text.len() as u64)?;
+    let writer = e.writer_mut();
+    if text.len() < SHARED_LEAST {
+        writer.current.extend_from_slice(text);
+    } else {
+        writer.flush();
+        writer.pieces.push(text.clone());
+    }
+    Ok(())
+}
+
+/// Reads a snapshot item by item. A piece that has been read is let go at once.
+pub struct SnapshotReader {
+    pieces: std::vec::IntoIter<Bytes>,
+    buffer: Vec<u8>,
+    position: usize,
+}
+
+impl SnapshotReader {
+    fn new(pieces: Vec<Bytes>) -> SnapshotReader {
+        SnapshotReader { pieces: pieces.into_iter(), buffer: vec![], position: 0 }
+    }
+
+    /// Doubles what is in the buffer, so that a long item isn't tried once for each of its pieces.
+    fn fill(&mut self) -> bool {
+        self.buffer.drain(..self.position);
+        self.position = 0;
+        let before = self.buffer.len();
+        while self.buffer.len() <= 2 * before {
+            match self.pieces.next() {
+                Some(piece) => self.buffer.extend_from_slice(&piece),
+                None => return self.buffer.len() > before,
+            }
+        }
+        true
+    }
+
+    /// What `read` makes of the next bytes; it is called again with more of them where they were too few.
+    pub fn read<T>(&mut self, read: impl Fn(&mut Decoder<'_>) -> Result<T, decode::Error>) -> Result<T, decode::Error> {
+        loop {
+            let mut decoder = Decoder::new(&self.buffer[self.position..]);
+            match read(&mut decoder) {
+                Ok(item) => {
+                    self.position += decoder.position();
+                    return Ok(item);
+                }
+                Err(e) if e.is_end_of_input() && self.fill() => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// The next item.
+    pub fn item<T: for<'b> Decode<'b, ()>>(&mut self) -> Result<T, decode::Error> {
+        self.read(|d| d.decode())
+    }
+
+    /// The head of an array or a map of known length.
+    pub fn count(
+        &mut self,
+        head: impl Fn(&mut Decoder<'_>) -> Result<Option<u64>, decode::Error>,
+    ) -> Result<u64, decode::Error> {
+        self.read(head)?.ok_or_else(|| decode::Error::message("a length is missing"))
+    }
+}
+
+/// Field codec (`with`) of snapshot data as one byte string.
+pub mod whole {
+    use super::*;
+
+    pub fn encode<C, W: encode::Write>(
+        data: &SnapshotData,
+        e: &mut Encoder<W>,
+        _: &mut C,
+    ) -> Result<(), encode::Error<W::Error>> {
+        e.bytes(&data.to_vec())?.ok()
+    }
+
+    pub fn decode<C>(d: &mut Decoder<'_>, _: &mut C) -> Result<SnapshotData, decode::Error> {
+        Ok(d.bytes()?.to_vec().into())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/hutbook/src/transport/hut.rs
+++ b/hutbook/src/transport/hut.rs
@@ -7,6 +7,7 @@
 use crate::coordination::replica::{Input, Output, Outputs, Replica, StateMachine};
 use crate::protocol::wire::Body;
 use crate::state::disk::{Boot, Disk, DiskOp};
+use crate::state::memory::MemoryBudget;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, sync_channel, Receiver, RecvTimeoutError, Sender, SyncSender, TrySendError};
@@ -62,6 +63,7 @@
         disk: Disk,
         boot: Boot,
         machine: M,
+        budget: MemoryBudget,
         seed: u64,
         clock: Clock,
         post: Arc<Post>,
@@ -69,7 +71,8 @@
     ) -> std::io::Result<Arc<Hut<M>>> {
         let (tx, rx) = sync_channel(INBOX);
         let (disk_tx, disk_rx) = channel();
-        let (replica, first) = Replica::new(disk.id, boot, machine, seed, clock.now());
+        let (mut replica, first) = Replica::new(disk.id, boot, machine, seed, clock.now());
+        replica.log_limit = budget.log;
         let hut = Arc::new(Hut {
             tx: tx.clone(),
             replica: Arc::new(Mutex::new(replica)),
--- a/huts/src/bothy.rs
+++ b/huts/src/bothy.rs
@@ -7,6 +7,7 @@
 use hutbook::protocol::wire::Body;
 use hutbook::state::disk::{Disk, DiskError};
 use hutbook::state::entry::{from_bytes, to_bytes, Member};
+use hutbook::state::memory::MemoryBudget;
 use hutbook::transport::daemon::{self, common, metric, Closing};
 use hutbook::transport::field::draw;
 use hutbook::transport::http::{self, Said};
@@ -30,7 +31,8 @@
     let closing = Closing::default();
     daemon::bear_limits();
     let dir = s.data.clone().expect("checked with the settings");
-    let disk = daemon::with_room(|| Disk::open(&dir, KIND, draw)).await?;
+    let budget = MemoryBudget::of(s.memory_mb);
+    let disk = daemon::with_room(|| Disk::open_within(&dir, KIND, budget.disk_cache, draw)).await?;
     let slot = Slot::default();
     let h = slot.clone();
     let handler: Handler = Arc::new(move |l, reply| match (l.body, h.get()) {
@@ -64,8 +66,17 @@
     log::info!("bothy {} stands at {}", id_text(me.id), me.addr);
 
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
-    let k =
-        Keeper { clock, post, slot: slot.clone(), me, cell: s.cell, name: s.name, seeds, disk: Mutex::new(Some(disk)) };
+    let k = Keeper {
+        clock,
+        post,
+        slot: slot.clone(),
+        me,
+        cell: s.cell,
+        name: s.name,
+        seeds,
+        budget,
+        disk: Mutex::new(Some(disk)),
+    };
     let fault = actix_rt::spawn(k.keep());
     tokio::select! {
         r = daemon::told_to_stop(&closing) => r.map_err(|e| e.to_string())?,
@@ -93,6 +104,7 @@
     cell: String,
     name: String,
     seeds: Vec<String>,
+    budget: MemoryBudget,
     /// Until the replica takes it.
     disk: Mutex<Option<Disk>>,
 }
@@ -174,8 +186,18 @@
         let Some(boot) = ready.await? else { return Ok(()) };
         let Some(disk) = self.disk.lock().unwrap_or_else(|e| e.into_inner()).take() else { return Ok(()) };
         let none = Arc::new(|_| None);
-        let h = Hut::start(group, disk, boot, Store::default(), draw(), self.clock, self.post.clone(), none)
-            .map_err(|e| e.to_string())?;
+        let h = Hut::start(
+            group,
+            disk,
+            boot,
+            Store::with(self.budget),
+            self.budget,
+            draw(),
+            self.clock,
+            self.post.clone(),
+            none,
+        )
+        .map_err(|e| e.to_string())?;
         let _ = self.slot.set((group, h));
         Ok(())
     }
@@ -225,6 +247,9 @@
             metric(&mut o, "accounts", &[], accounts);
             metric(&mut o, "turns_kept", &[], turns);
             metric(&mut o, "turn_bytes", &[], bytes);
+            let (state, most) = r.machine.state_bytes();
+            metric(&mut o, "state_bytes", &[], state);
+            metric(&mut o, "state_bytes_most", &[], most);
         });
     }
     o
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -8,6 +8,7 @@
 use hutbook::protocol::wire::{Body, CORE};
 use hutbook::state::disk::Disk;
 use hutbook::state::entry::Member;
+use hutbook::state::memory::MemoryBudget;
 use hutbook::transport::daemon::{self, common, metric, Closing};
 use hutbook::transport::directory::{self, Directory};
 use hutbook::transport::field::draw;
@@ -41,7 +42,8 @@
     let founders: Vec<String> = s.founders.iter().map(|a| a.to_string()).collect();
     let at = s.at().to_string();
     let id = || if founders.contains(&at) { founder_id(&at) } else { draw() };
-    let mut disk = daemon::with_room(|| Disk::open(&dir, KIND, id)).await?;
+    let budget = MemoryBudget::of(s.memory_mb);
+    let mut disk = daemon::with_room(|| Disk::open_within(&dir, KIND, budget.disk_cache, id)).await?;
     let me = Member { id: disk.id, addr: s.at().to_string() };
     let founders: Vec<Member> = match s.found {
         true => vec![me.clone()],
@@ -84,7 +86,7 @@
     post.cluster.store(disk.cluster, Ordering::Relaxed);
     let think = Arc::new(|k| Some(ponder(&k)));
     let boot = daemon::with_room(|| disk.boot()).await?;
-    let hut = Hut::start(CORE, disk, boot, Core::with(s.shape), draw(), clock, post.clone(), think)
+    let hut = Hut::start(CORE, disk, boot, Core::with(s.shape), budget, draw(), clock, post.clone(), think)
         .map_err(|e| e.to_string())?;
     let _ = slot.set(hut.clone());
     log::info!("refuge {} stands at {}", id_text(me.id), me.addr);
