--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -197,7 +197,10 @@
         let entries = self.raft.applied() - self.snapshot_index;
         // a large one among few small entries would be most of what the disk writes
         let worth = entries >= SNAPSHOT_EVERY && self.since >= self.snapshot_bytes;
-        let due = worth || entries >= SNAPSHOT_MOST || self.since >= self.log_limit;
+        // one that is being sent stays until it has arrived, or its receiver would begin anew each time
+        let room = if self.raft.is_sending_snapshot(now) { LOG_WHILE_SENDING } else { 1 };
+        let full = entries >= SNAPSHOT_MOST * room as u64 || self.since >= self.log_limit * room;
+        let due = full || (worth && room == 1);
         // a disk behind its bound is not given more to write
         if !due || self.raft.disk_late(now) {
             return;
--- /dev/null
+++ b/hutbook/tests/catch_up.rs
@@ -0,0 +1,338 @@
+//! A member that was away catches up while changes go on: three stores over virtual time, with links of
+//! a stated speed and disks that take a stated time to sync.
+//! `cargo test -p hutbook --test catch_up -- --nocapture` prints the figures of docs/consistency/snapshots.md.
+
+use hutbook::constants::*;
+use hutbook::coordination::raft::RaftMessage;
+use hutbook::coordination::replica::{Input, Output, Outputs, Replica, StateMachine};
+use hutbook::coordination::store::{Link, Store, StoreRequest, TurnEnd};
+use hutbook::state::disk::{Boot, DiskOp};
+use hutbook::state::entry::{Member, What};
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+/// ms. One way between two members, and a sync.
+const LATENCY_MS: u64 = 1;
+const SYNC_MS: u64 = 1;
+const AWAY: u64 = 3;
+
+enum Event {
+    Arrives { from: u64, msg: RaftMessage },
+    Synced { sync_ticket: u64, ops: Vec<DiskOp> },
+}
+
+struct Node {
+    replica: Option<Replica<Store>>,
+    disk: Boot,
+    life: u64,
+}
+
+/// What the member that was away was sent.
+#[derive(Default, Debug)]
+struct Sent {
+    bytes: usize,
+    chunks: usize,
+    /// Transfers begun at a snapshot's first byte.
+    transfers: usize,
+}
+
+struct Group {
+    now: u64,
+    nodes: BTreeMap<u64, Node>,
+    events: BTreeMap<(u64, u64), (u64, u64, Event)>,
+    next_event: u64,
+    log_limit: usize,
+    /// bytes a ms on the way to the member that is away, and when that way is free again.
+    bytes_per_ms: usize,
+    free_at: u64,
+    sent: Sent,
+    /// Damages the chunk that is sent as the n-th.
+    damage: Option<usize>,
+    asked: u64,
+    /// ms. How long a turn is kept: with the rate of changes it gives the size of the state.
+    retention_ms: u64,
+}
+
+impl Group {
+    fn new(log_limit: usize, bytes_per_ms: usize) -> Group {
+        let members: Vec<Member> = (1..=3).map(|id| Member { id, addr: id.to_string() }).collect();
+        let disk = Boot::founding_with(&members, None);
+        let node = |id| (id, Node { replica: None, disk: disk.clone(), life: 0 });
+        let mut group = Group {
+            now: 1,
+            nodes: (1..=3).map(node).collect(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            log_limit,
+            bytes_per_ms,
+            free_at: 0,
+            sent: Sent::default(),
+            damage: None,
+            asked: 0,
+            retention_ms: 20_000,
+        };
+        (1..=3).for_each(|id| group.start(id));
+        group
+    }
+
+    fn start(&mut self, id: u64) {
+        let node = self.nodes.get_mut(&id).expect("a member");
+        let (mut replica, outputs) = Replica::new(id, node.disk.clone(), Store::default(), 7, self.now);
+        replica.log_limit = self.log_limit;
+        node.replica = Some(replica);
+        self.spread(id, outputs);
+    }
+
+    fn kill(&mut self, id: u64) {
+        let node = self.nodes.get_mut(&id).expect("a member");
+        node.replica = None;
+        node.life += 1;
+    }
+
+    fn at(&mut self, at: u64, to: u64, event: Event) {
+        self.next_event += 1;
+        let life = self.nodes[&to].life;
+        self.events.insert((at, self.next_event), (to, life, event));
+    }
+
+    fn spread(&mut self, from: u64, outputs: Outputs<Store>) {
+        for output in outputs {
+            match output {
+                Output::Persist { sync_ticket, ops } => {
+                    self.at(self.now + SYNC_MS, from, Event::Synced { sync_ticket, ops })
+                }
+                Output::Send { to, mut msg, .. } => {
+                    let mut arrives = self.now + LATENCY_MS;
+                    if to == AWAY && self.nodes[&AWAY].replica.is_some() {
+                        let size = self.count(&mut msg);
+                        self.free_at = self.free_at.max(self.now) + (size / self.bytes_per_ms) as u64;
+                        arrives += self.free_at - self.now;
+                    }
+                    self.at(arrives, to, Event::Arrives { from, msg });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// bytes of a message to the member that is away; damages it where that is wanted.
+    fn count(&mut self, msg: &mut RaftMessage) -> usize {
+        let size = match msg {
+            RaftMessage::SnapshotChunk { offset, bytes, .. } => {
+                self.sent.transfers += usize::from(*offset == 0);
+                if self.damage == Some(self.sent.chunks) {
+                    let middle = bytes.len() / 2;
+                    bytes[middle] ^= 0x10;
+                }
+                self.sent.chunks += 1;
+                bytes.len() + 100
+            }
+            RaftMessage::AppendRequest { entries, .. } => entries.iter().map(|e| e.size()).sum::<usize>() + 50,
+            _ => 50,
+        };
+        self.sent.bytes += size;
+        size
+    }
+
+    fn step(&mut self, id: u64, input: Input<StoreRequest>) {
+        let now = self.now;
+        if let Some(replica) = &mut self.nodes.get_mut(&id).expect("a member").replica {
+            let outputs = replica.step(now, input);
+            self.spread(id, outputs);
+        }
+    }
+
+    /// One ms: what is due happens, and every `TICK_MS` all are ticked.
+    fn pass(&mut self) {
+        self.now += 1;
+        while let Some(entry) = self.events.first_entry().filter(|e| e.key().0 <= self.now) {
+            let (to, life, event) = entry.remove();
+            if self.nodes[&to].life != life {
+                continue;
+            }
+            match event {
+                Event::Arrives { from, msg } => self.step(to, Input::Message { from, at: from.to_string(), msg }),
+                Event::Synced { sync_ticket, ops } => {
+                    let node = self.nodes.get_mut(&to).expect("a member");
+                    ops.iter().for_each(|op| node.disk.take(op));
+                    self.step(to, Input::Synced(sync_ticket));
+                }
+            }
+        }
+        if self.now % TICK_MS == 0 {
+            (1..=3).for_each(|id| self.step(id, Input::Tick));
+        }
+    }
+
+    fn leader(&self) -> Option<u64> {
+        let leads = |n: &Node| n.replica.as_ref().is_some_and(Replica::leads);
+        self.nodes.iter().find(|(_, n)| leads(n)).map(|(id, _)| *id)
+    }
+
+    /// A turn's end with so many bytes of text.
+    fn ask(&mut self, text: usize) {
+        let Some(leader) = self.leader() else { return };
+        self.asked += 1;
+        let turn = format!("{:016x}", self.asked.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        // random: it can't be compressed, so that the state's size is that of its texts
+        let mut said = vec![0; text];
+        ChaCha8Rng::seed_from_u64(self.asked).fill_bytes(&mut said);
+        let end = TurnEnd {
+            turn: turn.clone(),
+            program: format!("p{}", self.asked % 50),
+            session: "s".into(),
+            before: String::new(),
+            edge: 1,
+            tokens: 1,
+            server: "10.0.0.1:80".into(),
+            kept: Some(Link { turn, said, answer: vec![1; 50] }),
+            retention_ms: self.retention_ms,
+        };
+        self.step(leader, Input::Request { ticket: self.asked, request: StoreRequest::TurnEnd(end) });
+    }
+
+    /// So many ms with a change every `every_ms`.
+    fn run(&mut self, ms: u64, every_ms: u64, text: usize) {
+        for _ in 0..ms {
+            self.pass();
+            if self.now % every_ms == 0 {
+                self.ask(text);
+            }
+        }
+    }
+
+    fn applied(&self, id: u64) -> u64 {
+        self.nodes[&id].replica.as_ref().map_or(0, |r| r.raft.applied())
+    }
+
+    fn replica(&self, id: u64) -> &Replica<Store> {
+        self.nodes[&id].replica.as_ref().expect("up")
+    }
+
+    /// ms until the member that was away is as near to the leader's end as a voter must be; None where it
+    /// isn't within `most_ms` under a change every `every_ms`.
+    fn catches_up(&mut self, most_ms: u64, every_ms: u64, text: usize) -> Option<u64> {
+        let from = self.now;
+        self.sent = Sent::default();
+        self.start(AWAY);
+        while self.now < from + most_ms {
+            self.run(1, every_ms, text);
+            let leader = self.leader().expect("two of three are up all the time");
+            if self.applied(AWAY) + PROMOTE_LAG >= self.replica(leader).raft.last() {
+                return Some(self.now - from);
+            }
+        }
+        None
+    }
+}
+
+/// A group under way, whose member `AWAY` is down and doesn't lead.
+fn with_one_away(log_limit: usize, bytes_per_ms: usize, state: usize, text: usize) -> Group {
+    let mut group = Group::new(log_limit, bytes_per_ms);
+    group.run(3_000, 1_000_000, text);
+    if group.leader() == Some(AWAY) {
+        group.step(AWAY, Input::TransferLeadership);
+        group.run(1_000, 1_000_000, text);
+    }
+    assert!(group.leader().is_some_and(|l| l != AWAY));
+    // fills the state to its size, then time for it to come everywhere
+    for _ in 0..state / text {
+        group.ask(text);
+        group.pass();
+    }
+    group.run(200, 1_000_000, text);
+    group.kill(AWAY);
+    group
+}
+
+#[test]
+fn a_slow_member_catches_up_while_changes_go_on() {
+    // given a member that was away for longer than the log goes back, on a way of 1 MB a second,
+    // and a state of 0.6 MB
+    let (log_limit, text) = (100_000, 2_000);
+    let mut group = with_one_away(log_limit, 1_000, 0, text);
+    group.retention_ms = 3_000;
+    group.run(6_000, 10, text);
+    // when it comes back, while a snapshot is due every 0.5 s
+    let ms = group.catches_up(30_000, 10, text);
+    println!("a slow member: {ms:?} ms, {:?}", group.sent);
+    // then it is sent one whole snapshot, not the beginning of each
+    assert!(ms.is_some_and(|ms| ms < 5_000), "caught up after {ms:?} ms: {:?}", group.sent);
+    assert!(group.sent.transfers <= 2, "{:?}", group.sent);
+    // and what the leader kept for it in the meantime is bounded
+    let leader = group.leader().expect("a leader");
+    let entries = group.replica(leader).raft.log_len() * text;
+    assert!(entries <= (LOG_WHILE_SENDING + 1) * log_limit, "{entries} bytes of log");
+}
+
+#[rstest]
+fn catching_up_takes_bounded_time(
+    #[values(5, 500, 5_000)] changes: u64,
+    #[values(1_000_000, 10_000_000)] state: usize,
+) {
+    // given a member that was away for so many changes, on a way of 20 MB a second
+    let text = 2_000;
+    let mut group = with_one_away(4_600_000, 20_000, state, text);
+    group.run(2 * changes, 2, text);
+    // when it comes back while 500 changes a second go on
+    let ms = group.catches_up(30_000, 2, text);
+    let leader = group.leader().expect("a leader");
+    println!(
+        "{changes} changes away, state {:.1} MB: {ms:?} ms, {:.2} MB sent, {} transfers",
+        group.replica(leader).machine.turn_counts().2 as f64 / 1e6,
+        group.sent.bytes as f64 / 1e6,
+        group.sent.transfers
+    );
+    // then it is there in the time that the bytes take, twice over
+    assert!(ms.is_some_and(|ms| ms <= 1_000 + 2 * (group.sent.bytes / 20_000) as u64), "{ms:?}");
+    assert!(group.sent.transfers <= 1);
+    // and has what the leader has
+    group.run(500, 1_000_000, text);
+    assert_eq!(group.replica(AWAY).machine.turn_counts(), group.replica(leader).machine.turn_counts());
+}
+
+#[test]
+fn a_damaged_snapshot_is_refused_and_fetched_again() {
+    // given a member that needs a snapshot, of which one chunk is damaged on its way
+    let text = 2_000;
+    let mut group = with_one_away(160_000, 20_000, 1_000_000, text);
+    group.run(4_000, 10, text);
+    group.damage = Some(2);
+    // when it comes back
+    let ms = group.catches_up(30_000, 10, text);
+    // then the whole is sent twice, and what it has in the end is what the leader has
+    assert!(ms.is_some(), "{:?}", group.sent);
+    assert_eq!(group.sent.transfers, 2, "{:?}", group.sent);
+    let leader = group.leader().expect("a leader");
+    let end = group.now + 2_000;
+    while group.applied(AWAY) != group.applied(leader) && group.now < end {
+        group.pass();
+    }
+    let bytes = |id| group.replica(id).machine.snapshot().to_vec();
+    assert!(bytes(AWAY) == bytes(leader));
+}
+
+#[test]
+fn a_member_killed_in_the_middle_of_a_snapshot_starts_from_what_it_had() {
+    // given a member that is being sent a snapshot on a way on which one chunk takes longer than a repeat waits
+    let text = 2_000;
+    let mut group = with_one_away(300_000, 500, 0, text);
+    group.retention_ms = 3_000;
+    group.run(6_000, 10, text);
+    let before = group.nodes[&AWAY].disk.clone();
+    group.start(AWAY);
+    group.run(1_200, 10, text);
+    assert!(group.sent.chunks > 1);
+    // when it is killed before the last chunk, then its disk has its old state whole
+    group.kill(AWAY);
+    let after = &group.nodes[&AWAY].disk;
+    let commands = |b: &Boot| b.entries.iter().filter(|e| matches!(e.what, What::Command(_))).count();
+    assert_eq!(
+        (after.snapshot.as_ref().map(|s| s.index), commands(after)),
+        (before.snapshot.as_ref().map(|s| s.index), commands(&before))
+    );
+    // and it catches up when it starts again
+    assert!(group.catches_up(30_000, 10, text).is_some(), "{:?}", group.sent);
+}
