--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -48,10 +48,10 @@
 /// times. The log may grow to so many times its bound while a snapshot is on its way to a member:
 /// the next one would begin that member's transfer anew.
 pub const LOG_WHILE_SENDING: usize = 2;
-/// MB. The smallest machine that a store or core may be told it has: the process alone takes some 10.
-pub const MEMORY_LEAST_MB: u64 = 40;
+/// MB. The smallest machine that a store or core may be told it has: the process alone takes 13.4.
+pub const MEMORY_LEAST_MB: u64 = 56;
 /// bytes. What the process takes beside the parts that have bounds: code, threads, connections.
-pub const PROCESS_BYTES: usize = 10_000_000;
+pub const PROCESS_BYTES: usize = 14_000_000;
 /// MB. The largest, a terabyte.
 pub const MEMORY_MOST_MB: u64 = 1_000_000;
 /// share. Of a machine's memory for the state that a group agrees on. It stands there once: snapshots
@@ -64,9 +64,11 @@
 pub const DISK_CACHE_SHARE: f64 = 0.04;
 /// bytes. Least for these: some ten pages of each table and one piece of a snapshot.
 pub const DISK_CACHE_LEAST_BYTES: usize = 1024 * 1024;
-/// bytes. What a turn, account, program or job takes in a store's memory beside its texts: ids, maps
-/// and times, measured at some 400 to 600.
-pub const STATE_ITEM_BYTES: usize = 512;
+/// bytes. What a turn, account, program or job takes in a store's memory beside its texts, with its ids,
+/// times and what the allocator loses: measured as growth of the process under load.
+pub const STATE_ITEM_BYTES: usize = 1_250;
+/// times. The state's bound for turns that keep no text: they go on while those that do are refused.
+pub const STATE_UNKEPT: f64 = 1.1;
 
 /// ms. How often a trailhead renews its licence.
 pub const RENEW_MS: u64 = 300;
--- a/hutbook/src/coordination/store.rs
+++ b/hutbook/src/coordination/store.rs
@@ -114,7 +114,8 @@
         #[n(6)] pub edge: u64,
         /// ms. Once leave is given it can't be under way for longer than this.
         #[n(7)] pub run_ms: u64,
-        /// ms. A turn it goes on from is kept at least this much longer, with its chain.
+        /// ms. A turn it goes on from is kept at least this much longer, with its chain; 0 where its way
+        /// keeps no turns.
         #[n(8)] pub retention_ms: u64,
         /// Turns of the chain that this edge holds already: their texts needn't be sent.
         #[n(9)] pub have: Vec<String>,
@@ -255,8 +256,12 @@
 
     /// Is this new work that there is no memory for? What ends work under way is always taken.
     fn over_budget(&self, ask: &StoreRequest) -> bool {
-        let brings_more = matches!(ask, StoreRequest::Put { .. } | StoreRequest::Begin(_) | StoreRequest::TurnLeave(_));
-        brings_more && self.kept.size() >= self.budget.state
+        let bound = match ask {
+            StoreRequest::TurnLeave(l) if l.retention_ms == 0 => (self.budget.state as f64 * STATE_UNKEPT) as usize,
+            StoreRequest::Put { .. } | StoreRequest::Begin(_) | StoreRequest::TurnLeave(_) => self.budget.state,
+            _ => return false,
+        };
+        self.kept.size() >= bound
     }
 
     fn clock(&mut self, now: u64) -> u64 {
@@ -768,6 +773,10 @@
         assert!(matches!(s.plan(st, &turn_leave("b")), Plan::Reply(StoreResponse::Busy)));
         let put = StoreRequest::Put { id: "q".into(), allowance: 1, time_left_ms: 1, retention_ms: 1 };
         assert!(matches!(s.plan(st, &put), Plan::Reply(StoreResponse::Busy)));
+        // but a turn that keeps no text may still run
+        let StoreRequest::TurnLeave(l) = turn_leave("c") else { unreachable!() };
+        let unkept = StoreRequest::TurnLeave(TurnLeave { retention_ms: 0, ..l });
+        assert!(matches!(s.plan(st, &unkept), Plan::Propose(_)));
         // then the end of what had leave is taken all the same, and reads are answered
         assert!(matches!(s.plan(st, &turn_end("a", 10)), Plan::Propose(_)));
         assert!(matches!(s.plan(st, &StoreRequest::Status), Plan::Read));
--- a/hutbook/src/state/memory/tests.rs
+++ b/hutbook/src/state/memory/tests.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 #[rstest]
-fn the_parts_fit_into_the_machine(#[values(40, 58, 130, 270, 1_000, 64_000)] mb: u64) {
+fn the_parts_fit_into_the_machine(#[values(56, 58, 130, 270, 1_000, 64_000)] mb: u64) {
     let budget = MemoryBudget::of(Some(mb));
     // the state, the log while a snapshot is being sent, texts forgotten since the last one, and the cache
     let most = budget.state + (LOG_WHILE_SENDING + 1) * budget.log + budget.disk_cache;
--- a/hutbook/src/transport/passing.rs
+++ b/hutbook/src/transport/passing.rs
@@ -136,7 +136,7 @@
         cap,
         edge: e.id,
         run_ms: left,
-        retention_ms: w.retention_ms,
+        retention_ms: if w.kept { w.retention_ms } else { 0 },
         have: vec![],
     });
     let once = w.nature == Nature::OnceOnly || w.nature == Nature::Stream && !w.resumable;
