--- a/hutbook/src/coordination/raft/snapshot.rs
+++ b/hutbook/src/coordination/raft/snapshot.rs
@@ -29,7 +29,7 @@
     /// Is the newest snapshot on its way to a member that answers?
     pub fn is_sending_snapshot(&self, now: u64) -> bool {
         let sending = |peer: &Peer| {
-            peer.snapshot_progress.is_some() && now.saturating_sub(peer.last_heard) <= SNAPSHOT_CHUNK_RETRY_MOST_MS
+            peer.snapshot_progress.is_some() && now.saturating_sub(peer.last_contact) <= SNAPSHOT_CHUNK_RETRY_MOST_MS
         };
         self.role == Role::Leader && self.peers.values().any(sending)
     }
@@ -66,7 +66,6 @@
     /// The peer has the first `received` bytes of the snapshot at `index`: on with the next chunk.
     pub(super) fn on_snapshot_chunk_ack(&mut self, now: u64, from: u64, index: u64, received: u64) {
         let Some(peer) = self.peers.get_mut(&from) else { return };
-        peer.last_heard = now;
         if peer.snapshot_progress.is_some_and(|(sending, _)| sending == index) {
             peer.snapshot_progress = Some((index, received));
             if !peer.chunk_repeated && peer.chunk_sent_at != 0 {
@@ -95,9 +94,11 @@
             return;
         }
         let (index, term) = position;
-        // what it covers is here already: say so and go on with the log
-        if index <= self.commit {
-            let index = self.commit.min(self.synced_index);
+        // what it covers is here already: say so and go on with the log. What comes after it in the log stays, for
+        // the leader may have counted it (Raft thesis, figure 5.3, step 6)
+        if index <= self.commit || self.term_at(index) == Some(term) {
+            self.commit = self.commit.max(index);
+            let index = self.commit;
             return self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
         }
         let mut pieces = match self.incoming_snapshot.take() {
@@ -119,23 +120,18 @@
             return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received: 0 });
         }
         self.install_snapshot(now, Arc::new(Snapshot { index, term, members, data }));
-        self.hold_until_synced = true;
         self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
-        self.hold_until_synced = false;
     }
 
-    /// Replaces log and state by a whole snapshot from the leader.
+    /// Replaces log and state by a whole snapshot from the leader. Nothing of it is said before its sync:
+    /// see `send`.
     fn install_snapshot(&mut self, now: u64, snapshot: Arc<Snapshot>) {
         let index = snapshot.index;
         self.log.clear();
         self.member_log.clear();
         self.install_base(snapshot.clone());
-        self.synced_index = index;
         self.commit = index;
         self.applied = index;
-        for held in &mut self.held_outputs {
-            held.last = index;
-        }
         self.persist(now, vec![DiskOp::Snapshot { snapshot: snapshot.clone(), clear: true }]);
         self.outputs.push(RaftOutput::Restore(snapshot));
     }
--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -7,6 +7,7 @@
 use crate::state::memory::MemoryBudget;
 use crate::state::snapshot_data::SnapshotData;
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 
 /// What a question needs before it can be answered.
 pub enum Plan<T> {
@@ -96,6 +97,25 @@
     pub log_limit: usize,
 }
 
+impl<M: StateMachine + Clone> Clone for Replica<M>
+where
+    M::Request: Clone,
+{
+    fn clone(&self) -> Self {
+        Replica {
+            raft: self.raft.clone(),
+            machine: self.machine.clone(),
+            waits: self.waits.clone(),
+            asks: self.asks.clone(),
+            addrs: self.addrs.clone(),
+            snapshot_index: self.snapshot_index,
+            since: self.since,
+            snapshot_bytes: self.snapshot_bytes,
+            log_limit: self.log_limit,
+        }
+    }
+}
+
 /// Tickets of the replica's own proposals: nobody waits for them.
 const NOBODY: u64 = 0;
 
@@ -117,6 +137,17 @@
         (r, f)
     }
 
+    /// Feeds `hasher` with all that decides how this replica goes on from `now`, for a model checker. When its next
+    /// snapshot is due is left out: a checker takes them when it likes.
+    pub fn fingerprint(&self, now: u64, hasher: &mut impl Hasher)
+    where
+        M: Hash,
+        M::Request: Hash,
+    {
+        self.raft.fingerprint(now, hasher);
+        (&self.machine, &self.waits, &self.asks).hash(hasher);
+    }
+
     pub fn leader(&self) -> Option<Member> {
         let id = self.raft.leader?;
         let known = self.raft.members().all().find(|m| m.id == id).map(|m| m.addr.clone());
--- a/hutbook/src/state/snapshot_data.rs
+++ b/hutbook/src/state/snapshot_data.rs
@@ -132,6 +132,12 @@
     }
 }
 
+impl std::hash::Hash for SnapshotData {
+    fn hash<H: std::hash::Hasher>(&self, hasher: &mut H) {
+        (self.len(), self.digest()).hash(hasher);
+    }
+}
+
 impl std::fmt::Debug for SnapshotData {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "SnapshotData({} bytes, {:08x})", self.len(), self.digest())
--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -2,12 +2,14 @@
 pub mod callers;
 pub mod daemon;
 pub mod directory;
+pub mod dispatch;
 pub mod field;
 pub mod front;
 pub mod http;
 pub mod hut;
 pub mod lexicon;
 pub mod logs;
+pub mod open_calls;
 pub mod operators;
 pub mod passing;
 pub mod post;
