--- a/hutbook/src/state/snapshot_data.rs
+++ b/hutbook/src/state/snapshot_data.rs
@@ -16,7 +16,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// bytes. A shorter text is copied: a reference to it would cost as much.
-const SHARED_LEAST: usize = 512;
+const SHARED_LEAST: usize = 128;
 
 /// The bytes of a snapshot. A clone is another handle of the same bytes.
 #[derive(Clone, Default)]
@@ -32,6 +32,7 @@
 impl SnapshotData {
     /// The bytes of these pieces, one after the other.
     pub fn from_pieces(list: Vec<Bytes>) -> SnapshotData {
+        let list: Vec<Bytes> = list.into_iter().filter(|piece| !piece.is_empty()).collect();
         let len = list.iter().map(Bytes::len).sum();
         SnapshotData(Arc::new(Mutex::new(Pieces { list, len, digest: None })))
     }
@@ -144,24 +145,28 @@
     }
 }
 
-/// Encodes a snapshot whose long texts are shared with the state.
+/// Encodes a snapshot whose long texts are shared with the state. All that is between them stands in
+/// one buffer: an allocation for each would be as much as a turn's text.
 #[derive(Default)]
 pub struct SnapshotWriter {
-    pieces: Vec<Bytes>,
-    current: Vec<u8>,
+    /// Where in `copied` a shared text belongs, in order.
+    shared: Vec<(usize, Bytes)>,
+    copied: Vec<u8>,
 }
 
 impl SnapshotWriter {
-    fn flush(&mut self) {
-        if !self.current.is_empty() {
-            self.pieces.push(std::mem::take(&mut self.current).into());
-        }
-    }
-
     /// What was written.
-    pub fn finish(mut self) -> SnapshotData {
-        self.flush();
-        SnapshotData::from_pieces(self.pieces)
+    pub fn finish(self) -> SnapshotData {
+        let copied = Bytes::from(self.copied.into_boxed_slice());
+        let mut pieces = Vec::with_capacity(2 * self.shared.len() + 1);
+        let mut start = 0;
+        for (at, text) in self.shared {
+            pieces.push(copied.slice(start..at));
+            pieces.push(text);
+            start = at;
+        }
+        pieces.push(copied.slice(start..));
+        SnapshotData::from_pieces(pieces)
     }
 }
 
@@ -169,7 +174,7 @@
     type Error = Infallible;
 
     fn write_all(&mut self, bytes: &[u8]) -> Result<(), Infallible> {
-        self.current.extend_from_slice(bytes);
+        self.copied.extend_from_slice(bytes);
         Ok(())
     }
 }
@@ -179,10 +184,9 @@
     e.bytes_len(text.len() as u64)?;
     let writer = e.writer_mut();
     if text.len() < SHARED_LEAST {
-        writer.current.extend_from_slice(text);
+        writer.copied.extend_from_slice(text);
     } else {
-        writer.flush();
-        writer.pieces.push(text.clone());
+        writer.shared.push((writer.copied.len(), text.clone()));
     }
     Ok(())
 }
