--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::state::disk::Boot;
 use crate::state::entry::{Entry, Members, Snapshot, What};
+use bytes::Bytes;
 use election::Transfer;
 use log::HeldOutputs;
 use rand_chacha::ChaCha8Rng;
@@ -74,7 +75,7 @@
     reads: VecDeque<PendingRead>,
     transfer: Option<Transfer>,
     /// Index and bytes so far of a snapshot that the leader is sending.
-    incoming_snapshot: Option<(u64, Vec<u8>)>,
+    incoming_snapshot: Option<(u64, Vec<Bytes>)>,
     outputs: Vec<RaftOutput>,
 }
 
@@ -187,9 +188,9 @@
                     self.on_append_response(now, from, success, index, round);
                 }
             }
-            RaftMessage::SnapshotChunk { term, index, index_term, members, offset, total, bytes } => {
+            RaftMessage::SnapshotChunk { term, index, index_term, members, offset, total, bytes, digest } => {
                 if self.accept_leader(now, from, term) {
-                    self.on_snapshot_chunk(now, from, (index, index_term), members, offset, total, bytes);
+                    self.on_snapshot_chunk(now, from, (index, index_term), members, offset, total, bytes, digest);
                 }
             }
             RaftMessage::SnapshotChunkAck { term, index, received } => {
--- a/scramble/src/lib.rs
+++ b/scramble/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod flags;
 pub mod fleet;
 pub mod hollow;
+pub mod linearize;
 pub mod model;
 pub mod nemesis;
 pub mod plot;
