--- a/hutbook/src/transport/daemon.rs
+++ b/hutbook/src/transport/daemon.rs
@@ -158,10 +158,14 @@
     Ok(())
 }
 
-/// SIGHUP says that settings have changed: it must not end the process.
-pub async fn told_to_read_again(again: impl Fn()) {
-    let Ok(mut h) = signal(SignalKind::hangup()) else { return };
-    while h.recv().await.is_some() {
-        again();
-    }
+/// SIGHUP says that settings have changed: it must not end the process, from its first moment on.
+/// Settings are read at the start alone.
+pub fn outlive_hangups() -> std::io::Result<()> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    actix_rt::spawn(async move {
+        while hangups.recv().await.is_some() {
+            log::info!("settings are read at the start; nothing to do");
+        }
+    });
+    Ok(())
 }
--- a/huts/src/bothy.rs
+++ b/huts/src/bothy.rs
@@ -27,6 +27,7 @@
 }
 
 async fn live(s: Settings, clock: Clock) -> Result<(), String> {
+    daemon::outlive_hangups().map_err(|e| e.to_string())?;
     let closing = Closing::default();
     daemon::bear_limits();
     let dir = s.data.clone().expect("checked with the settings");
@@ -60,7 +61,6 @@
     .map_err(|e| format!("{}: {e}", s.http))?;
     let handle = server.handle();
     actix_rt::spawn(server);
-    actix_rt::spawn(daemon::told_to_read_again(|| log::info!("settings are read at the start; nothing to do")));
     log::info!("bothy {} stands at {}", id_text(me.id), me.addr);
 
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -34,6 +34,7 @@
     dialect: Arc<dyn Dialect>,
     list: Option<Box<dyn Directory>>,
 ) -> Result<(), String> {
+    daemon::outlive_hangups().map_err(|e| e.to_string())?;
     let closing = Closing::default();
     daemon::bear_limits();
     let dir = s.data.clone().expect("checked with the settings");
@@ -110,7 +111,6 @@
     if let Some(l) = list {
         actix_rt::spawn(directory::follow(hut.clone(), l));
     }
-    actix_rt::spawn(daemon::told_to_read_again(|| log::info!("settings are read at the start; nothing to do")));
     actix_rt::spawn(stay_in(hut.clone(), reach, me, s.cell.clone(), seeds));
 
     daemon::told_to_stop(&closing).await.map_err(|e| e.to_string())?;
--- a/huts/src/trailhead.rs
+++ b/huts/src/trailhead.rs
@@ -35,6 +35,7 @@
     edge: Arc<Edge>,
     post: Arc<Post>,
 ) -> Result<(), String> {
+    daemon::outlive_hangups().map_err(|e| e.to_string())?;
     let closing = Closing::default();
     let tally = Arc::new(Tally::default());
     let way = Wired { post: post.clone(), clock };
@@ -69,7 +70,6 @@
         }
         None => None,
     };
-    actix_rt::spawn(daemon::told_to_read_again(|| log::info!("settings are read at the start; nothing to do")));
     log::info!("trailhead {} stands at {}", id_text(edge.id), s.http);
 
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
