--- a/scramble/src/fleet/operators.rs
+++ b/scramble/src/fleet/operators.rs
@@ -42,7 +42,7 @@
         };
         self.spawn("outside", async move {
             let reach = Reach::new(world.way("outside"));
-            let answer = reach.core(&members, request, ms, CALL_MS).await;
+            let answer = reach.operate(&members, request, ms, CALL_MS).await;
             world.note_outcome(index, &answer);
             if let Some(change) = change {
                 world.note_config(&change, &answer);
