--- a/hutbook/tests/membership.rs
+++ b/hutbook/tests/membership.rs
@@ -1,8 +1,9 @@
 //! Changes of a group's members, on one stepped `Raft` (thesis chapter 4): what a leader must refuse.
 
 use hutbook::constants::*;
+use hutbook::coordination::control::{CheckIn, ControlRequest, Core, Shape};
 use hutbook::coordination::raft::{Change, Denial, Raft, RaftInput, RaftMessage, RaftOutput, Role};
-use hutbook::coordination::replica::{LeaderContext, StateMachine};
+use hutbook::coordination::replica::{LeaderContext, LeaderTask, Plan, StateMachine};
 use hutbook::coordination::store::{follow_orders, Store};
 use hutbook::state::disk::Boot;
 use hutbook::state::entry::{Entry, Member, Members, What};
@@ -185,3 +186,30 @@
     s.became_leader(LeaderContext { now: 1, term: 7 });
     assert!(s.orders.wanted.is_empty());
 }
+
+#[test]
+fn only_a_member_speaks_for_its_group() {
+    // given a core that has named machine 11 to form the store
+    let l = Leader::elected(&[1], &[], 4, &[]);
+    let mut core = Core::with(Shape::default());
+    let mut st = LeaderContext { now: 1, term: 2 };
+    core.became_leader(st);
+    core.apply(1, 2, &Core::founding(7));
+    let check_in = |id: u64, leads: bool| {
+        let members = Members { voters: vec![member(id)], learners: vec![] };
+        let leads = leads.then_some((1, members));
+        ControlRequest::CheckIn(CheckIn { me: member(id), cell: "a".into(), leads, open: None, name: String::new() })
+    };
+    core.answer(st, check_in(11, false));
+    st.now += 2 * CHECK_IN_MS - 1;
+    for task in core.tick(st, &l.raft) {
+        if let LeaderTask::Propose(bytes) = task {
+            core.apply(2, 2, &bytes);
+        }
+    }
+    assert_eq!(core.view().stores[&1].wanted, [member(11)]);
+    // when another calls itself the group's leader, then that is no news
+    assert!(matches!(core.plan(st, &check_in(99, true)), Plan::Read));
+    // and from the one named it is
+    assert!(matches!(core.plan(st, &check_in(11, true)), Plan::Propose(_)));
+}
