--- a/hutbook/src/coordination/raft/messages.rs
+++ b/hutbook/src/coordination/raft/messages.rs
@@ -6,6 +6,7 @@
 
 messages! {
     /// One message between two members of a group.
+    #[derive(Hash)]
     pub enum RaftMessage {
         /// Asks for a vote in `term`. `pre_vote`: would it be granted, were it asked (Raft thesis 9.6).
         /// `forced`: a transfer of leadership, so that the live leader's lease is no reason against it (3.10).
@@ -23,6 +24,7 @@
         #[n(6)] TimeoutNow { #[n(0)] term: u64 },
     }
     /// A change of one member (single-server changes, Raft thesis 4.1).
+    #[derive(Hash)]
     pub enum Change {
         #[n(0)] AddLearner(#[n(0)] Member),
         #[n(1)] Promote(#[n(0)] u64),
@@ -32,6 +34,20 @@
     }
 }
 
+impl RaftMessage {
+    /// Does it bind its sender to something that must outlive a loss of power?
+    pub(super) fn is_promise(&self) -> bool {
+        match self {
+            // a candidate has voted for itself
+            RaftMessage::VoteRequest { pre_vote, .. } => !pre_vote,
+            RaftMessage::VoteResponse { pre_vote, granted, .. } => *granted && !pre_vote,
+            // index 0 says only: I am here, in your term
+            RaftMessage::AppendResponse { success, index, .. } => *success && *index > 0,
+            _ => false,
+        }
+    }
+}
+
 /// What a step is given. Tickets are the caller's own numbers for what it asked.
 #[derive(Debug)]
 pub enum RaftInput {
@@ -60,7 +76,7 @@
 }
 
 /// What a step brings forth, to be carried out in order.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub enum RaftOutput {
     Send {
         to: u64,
@@ -95,6 +111,7 @@
 
 messages! {
     /// Why a proposal, read or change was not taken.
+    #[derive(Hash)]
     pub enum Denial {
         /// Surely not taken: this node does not lead.
         #[n(0)] NotLeader,
