--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod leases;
 mod messages;
+mod orders;
 mod scaling;
 mod status;
 mod store_membership;
@@ -16,6 +17,7 @@
 pub use configuration::{text_digest, ChangeIdentity, TextDigest};
 pub use core_membership::{founder_id, founders, founding_cluster};
 pub use messages::*;
+pub use orders::{OrderId, OrderStamp};
 pub use scaling::ponder;
 pub use status::{id_text, members_json};
 
@@ -27,11 +29,13 @@
 use crate::constants::*;
 use crate::state::entry::{to_bytes, Member, Members};
 use crate::state::journal::Journal;
+use crate::state::snapshot_data::SnapshotData;
 use configuration::{document_digest, ChangeOutcomes};
 use directory::Sight;
 use leases::Merged;
 use messages::ControlCommand;
-use std::collections::{BTreeMap, VecDeque};
+use orders::LastOrders;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use store_membership::StoreNode;
 
 /// The caller of a turn: whoever stands outside the fleet.
@@ -52,6 +56,9 @@
         #[cbor(n(6), default)] names: Vec<(String, u64)>,
         #[cbor(n(7), default)] retired_names: Vec<String>,
         #[cbor(n(8), default)] change_outcomes: ChangeOutcomes,
+        #[cbor(n(9), default)] last_orders: LastOrders,
+        /// Zones of all machines and servers that were ever heard of.
+        #[cbor(n(10), default)] zones: BTreeSet<String>,
     }
 }
 
@@ -94,7 +101,7 @@
     sights: BTreeMap<String, Sight>,
     listed_at: u64,
     /// Voters heard from lately.
-    alive: std::collections::BTreeSet<u64>,
+    alive: BTreeSet<u64>,
     /// Removed groups for which nothing waits, since when.
     idle: BTreeMap<String, u64>,
     /// Servers whose process is news: (since, born, fell).
@@ -154,6 +161,9 @@
     }
 
     fn emit(&mut self, rev: u64, e: Event) {
+        if let Event::Server(server) = &e {
+            self.note_zone(&server.cell);
+        }
         self.state.view.fold(rev, &e);
         self.journal.append(rev, e);
     }
@@ -183,6 +193,7 @@
                 }
             }
         }
+        out.extend(self.next_zone().map(|zone| LeaderTask::Propose(to_bytes(&zone))));
         for b in self.store_nodes.values().filter(|b| !b.name.is_empty()) {
             // a name is known to every later leader, so that it is never taken for one never heard of
             if !self.state.names.iter().any(|(n, id)| *id == b.me.id && *n == b.name) {
@@ -215,90 +226,16 @@
     type Computation = Scene;
 
     fn plan(&mut self, st: LeaderContext, ask: &ControlRequest) -> Plan<ControlResponse> {
-        if let ControlRequest::Fenced { term, until, order } = ask {
-            // whoever sent it has stopped waiting, and its operator may have said the opposite since
-            let late = st.term != *term || st.now >= *until;
-            return if late { Plan::Reply(ControlResponse::Busy) } else { self.plan(st, order) };
+        match self.command(st, ask.clone()) {
+            Ok(command) => Plan::Propose(to_bytes(&command)),
+            Err(plan) => plan,
         }
-        let cmd = match ask.clone() {
-            ControlRequest::CheckIn(c) => match self.group_news(&c) {
-                Some(is) => {
-                    self.check_in(st, c.clone());
-                    let group = c.leads.expect("news comes from a leader").0;
-                    ControlCommand::Stores { term: st.term, group, is }
-                }
-                None => return Plan::Read,
-            },
-            ControlRequest::Join(m, cell) => {
-                self.cells.insert(m.id, cell);
-                if self.state.retired.contains(&m.id) {
-                    let why = "it was removed by an operator; start it with an empty folder".to_string();
-                    return Plan::Reply(ControlResponse::Refused { code: "removed".into(), why });
-                }
-                return match self.members.all().find(|x| x.id == m.id) {
-                    Some(x) if x.addr == m.addr => Plan::Read,
-                    Some(_) => Plan::Change(Change::Readdress(m)),
-                    None => Plan::Change(Change::AddLearner(m)),
-                };
-            }
-            ControlRequest::RemoveCore(id) => {
-                let rest: Vec<&Member> = self.members.voters.iter().filter(|m| m.id != id).collect();
-                let alive = rest.iter().filter(|m| self.alive.contains(&m.id)).count();
-                if alive < rest.len() / 2 + 1 {
-                    let why = "the members left would have no live quorum".to_string();
-                    return Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why });
-                }
-                ControlCommand::Dismiss(id)
-            }
-            ControlRequest::PutConfig { base_version, change, text, config, number, content_digest } => {
-                let content_digest = if content_digest == 0 { document_digest(&text) } else { content_digest };
-                let identity = ChangeIdentity { base_version, number, change, content_digest };
-                if let Some(first) = self.known_outcome(&identity) {
-                    return Plan::Reply(first);
-                }
-                ControlCommand::Config { base_version, change: identity.change, text, config, number, content_digest }
-            }
-            ControlRequest::ConfigOutcome { base_version, change, number, content_digest } => {
-                let identity = ChangeIdentity { base_version, number, change, content_digest };
-                if let Some(first) = self.known_outcome(&identity) {
-                    return Plan::Reply(first);
-                }
-                ControlCommand::DecideConfig { base_version, change: identity.change, number, content_digest }
-            }
-            ControlRequest::List { name, group, addr, cell } => ControlCommand::List { name, group, addr, cell },
-            ControlRequest::Leave(n) => ControlCommand::Leave(n),
-            ControlRequest::Remove { name, anyway } => {
-                let busy = self.ledger.busy(&name);
-                if !anyway && (busy > 0 || !self.ledger.accounted) {
-                    let why = match busy {
-                        0 => "what runs there is not known yet; ask again soon".to_string(),
-                        n => format!("{n} jobs are under way there; let it leave first, or say that it is meant"),
-                    };
-                    return Plan::Reply(ControlResponse::Refused { code: "has_work".into(), why });
-                }
-                ControlCommand::Remove(name)
-            }
-            ControlRequest::Evacuate { cell, out } => ControlCommand::Evacuate { cell, out },
-            ControlRequest::Retire(n) => {
-                if let Some(why) = self.strands(st.now, n) {
-                    return Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why });
-                }
-                ControlCommand::Retire(n)
-            }
-            ControlRequest::RetireNamed(n) => return self.retire_named(st.now, n),
-            ControlRequest::Directory { term, servers } => return self.directory(st, term, &servers),
-            ControlRequest::Thought { term, decision, sample } => return self.thought(st, term, &decision, &sample),
-            _ => return Plan::Read,
-        };
-        Plan::Propose(to_bytes(&cmd))
     }
 
     fn answer(&mut self, st: LeaderContext, ask: ControlRequest) -> ControlResponse {
         match ask {
             ControlRequest::Renew(r) => self.grant(st, r),
             ControlRequest::CheckIn(c) => self.check_in(st, c),
-            ControlRequest::Fence => ControlResponse::Fence { term: st.term, at: st.now },
-            ControlRequest::Fenced { order, .. } => self.answer(st, *order),
             ControlRequest::Join(..) => {
                 let d =
                     Duty { cluster: self.state.view.cluster, cores: self.members.voters.clone(), ..Duty::default() };
@@ -311,6 +248,7 @@
                 Some((rev, text, _)) => ControlResponse::Config { rev: *rev, text: text.clone() },
                 None => ControlResponse::Unknown("no config of that revision is kept".into()),
             },
+            ControlRequest::OrderNumber(subject) => self.order_number(st, &subject),
             ControlRequest::RetirementNamed(n) if !self.knows(&n) => self.no_name(st.now),
             a => match self.json(st, &a) {
                 Some(j) => ControlResponse::Json(j.dump()),
@@ -324,8 +262,91 @@
             // the same bytes fail the same way on every replica
             return ControlResponse::Lost;
         };
-        let stale = ControlResponse::Refused { code: "stale_term".into(), why: "decided under an earlier term".into() };
         match cmd {
+            ControlCommand::Ordered { id, after, command } => self.ordered(index, term, id, after, *command),
+            command => self.unstamped(index, term, command),
+        }
+    }
+
+    fn members_agreed(&mut self, index: u64, m: &Members) -> ControlResponse {
+        self.members = m.clone();
+        self.emit(index, Event::Cores(m.voters.clone()));
+        ControlResponse::Duty(Duty { cluster: self.state.view.cluster, cores: m.voters.clone(), ..Duty::default() })
+    }
+
+    fn snapshot(&self) -> SnapshotData {
+        to_bytes(&self.state).into()
+    }
+
+    fn restore(&mut self, data: &SnapshotData) {
+        self.state = minicbor::decode(&data.to_vec()).expect("a snapshot that passed its digest can be decoded");
+        self.take_over_old_changes();
+        // what came before the capture can only be fed whole
+        self.journal = Journal::new(FEED_EVENTS, self.state.view.rev);
+    }
+
+    fn became_leader(&mut self, st: LeaderContext) {
+        self.ledger = Ledger::new(st.now);
+        self.store_nodes.clear();
+        self.merged.clear();
+        self.seen.clear();
+        self.births.clear();
+        self.idle.clear();
+        self.cells.clear();
+        self.alive.clear();
+        self.sights.clear();
+        self.check_at = st.now + CHECK_MS;
+    }
+
+    fn stepped_down(&mut self) {
+        self.ledger = Ledger::default();
+    }
+
+    fn tick(&mut self, st: LeaderContext, raft: &Raft) -> Vec<LeaderTask<Scene>> {
+        let mut out = vec![];
+        self.members = raft.members().clone();
+        // heard in this term: a new leader knows of nobody
+        let caught_up = self.members.voters.iter().map(|m| m.id).filter(|id| raft.caught_up(st.now, *id));
+        self.alive = caught_up.chain([raft.id]).collect();
+        self.ledger.sweep(st.now);
+        for (server, (since, born, fell)) in std::mem::take(&mut self.births) {
+            let cmd = ControlCommand::Born { term: st.term, server, since, born, fell };
+            out.push(LeaderTask::Propose(to_bytes(&cmd)));
+        }
+        if st.now >= self.last_own + CHECK_IN_MS {
+            self.last_own = st.now;
+            self.own(st, &mut out);
+        }
+        // a repair goes on as soon as the step before is agreed, and no step is taken twice
+        let calm = raft.applied() == raft.last() && st.now >= self.last_change + MEND_MS;
+        if calm || st.now >= self.last_change + CHECK_IN_MS {
+            self.last_change = st.now;
+            if let Some((group, is)) = self.next_stores(st.now) {
+                out.push(LeaderTask::Propose(to_bytes(&ControlCommand::Stores { term: st.term, group, is })));
+            }
+            out.extend(self.next_core(st.now, raft).map(LeaderTask::Change));
+        }
+        out.extend(self.think(st).map(LeaderTask::Compute));
+        out
+    }
+
+    fn denied(&self, why: Denial, leader: Option<Member>) -> ControlResponse {
+        match why {
+            Denial::NotLeader => ControlResponse::NotLeader(leader),
+            Denial::Busy => ControlResponse::Busy,
+            Denial::Lost => ControlResponse::Lost,
+            Denial::Unsafe(why) => ControlResponse::Refused { code: "unsafe".into(), why },
+        }
+    }
+}
+
+impl Core {
+    /// Applies one agreed command. A command's outcome depends on the log alone.
+    fn apply_command(&mut self, index: u64, term: u64, command: ControlCommand) -> ControlResponse {
+        let stale = ControlResponse::Refused { code: "stale_term".into(), why: "decided under an earlier term".into() };
+        match command {
+            // stamped orders are not nested
+            ControlCommand::Ordered { .. } => ControlResponse::Lost,
             ControlCommand::Found(c) => {
                 // the first one names the cluster for ever
                 if self.state.view.cluster == 0 {
@@ -361,6 +382,10 @@
                 }
                 ControlResponse::Agreed(index)
             }
+            ControlCommand::Zone(zone) => {
+                self.note_zone(&zone);
+                ControlResponse::Agreed(index)
+            }
             ControlCommand::RetireNamed(name) => {
                 if !self.state.retired_names.contains(&name) {
                     self.state.retired_names.push(name);
@@ -418,74 +443,88 @@
         }
     }
 
-    fn members_agreed(&mut self, index: u64, m: &Members) -> ControlResponse {
-        self.members = m.clone();
-        self.emit(index, Event::Cores(m.voters.clone()));
-        ControlResponse::Duty(Duty { cluster: self.state.view.cluster, cores: m.voters.clone(), ..Duty::default() })
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        to_bytes(&self.state)
-    }
-
-    fn restore(&mut self, data: &[u8]) {
-        self.state = minicbor::decode(data).unwrap_or_default();
-        self.take_over_old_changes();
-        // what came before the capture can only be fed whole
-        self.journal = Journal::new(FEED_EVENTS, self.state.view.rev);
-    }
-
-    fn became_leader(&mut self, st: LeaderContext) {
-        self.ledger = Ledger::new(st.now);
-        self.store_nodes.clear();
-        self.merged.clear();
-        self.seen.clear();
-        self.births.clear();
-        self.idle.clear();
-        self.cells.clear();
-        self.alive.clear();
-        self.sights.clear();
-        self.check_at = st.now + CHECK_MS;
-    }
-
-    fn stepped_down(&mut self) {
-        self.ledger = Ledger::default();
-    }
-
-    fn tick(&mut self, st: LeaderContext, raft: &Raft) -> Vec<LeaderTask<Scene>> {
-        let mut out = vec![];
-        self.members = raft.members().clone();
-        // heard in this term: a new leader knows of nobody
-        let caught_up = self.members.voters.iter().map(|m| m.id).filter(|id| raft.caught_up(st.now, *id));
-        self.alive = caught_up.chain([raft.id]).collect();
-        self.ledger.sweep(st.now);
-        for (server, (since, born, fell)) in std::mem::take(&mut self.births) {
-            let cmd = ControlCommand::Born { term: st.term, server, since, born, fell };
-            out.push(LeaderTask::Propose(to_bytes(&cmd)));
-        }
-        if st.now >= self.last_own + CHECK_IN_MS {
-            self.last_own = st.now;
-            self.own(st, &mut out);
-        }
-        // a repair goes on as soon as the step before is agreed, and no step is taken twice
-        let calm = raft.applied() == raft.last() && st.now >= self.last_change + MEND_MS;
-        if calm || st.now >= self.last_change + CHECK_IN_MS {
-            self.last_change = st.now;
-            if let Some((group, is)) = self.next_stores(st.now) {
-                out.push(LeaderTask::Propose(to_bytes(&ControlCommand::Stores { term: st.term, group, is })));
+    /// The command that carries out a request; or the plan for one that needs none.
+    fn command(&mut self, st: LeaderContext, request: ControlRequest) -> Result<ControlCommand, Plan<ControlResponse>> {
+        let command = match request {
+            ControlRequest::CheckIn(c) => match self.group_news(&c) {
+                Some(is) => {
+                    self.check_in(st, c.clone());
+                    let group = c.leads.expect("news comes from a leader").0;
+                    ControlCommand::Stores { term: st.term, group, is }
+                }
+                None => return Err(Plan::Read),
+            },
+            ControlRequest::Join(m, cell) => {
+                self.cells.insert(m.id, cell);
+                if self.state.retired.contains(&m.id) {
+                    let why = "it was removed by an operator; start it with an empty folder".to_string();
+                    return Err(Plan::Reply(ControlResponse::Refused { code: "removed".into(), why }));
+                }
+                return Err(match self.members.all().find(|x| x.id == m.id) {
+                    Some(x) if x.addr == m.addr => Plan::Read,
+                    Some(_) => Plan::Change(Change::Readdress(m)),
+                    None => Plan::Change(Change::AddLearner(m)),
+                });
             }
-            out.extend(self.next_core(st.now, raft).map(LeaderTask::Change));
-        }
-        out.extend(self.think(st).map(LeaderTask::Compute));
-        out
-    }
-
-    fn denied(&self, why: Denial, leader: Option<Member>) -> ControlResponse {
-        match why {
-            Denial::NotLeader => ControlResponse::NotLeader(leader),
-            Denial::Busy => ControlResponse::Busy,
-            Denial::Lost => ControlResponse::Lost,
-            Denial::Unsafe(why) => ControlResponse::Refused { code: "unsafe".into(), why },
-        }
+            ControlRequest::RemoveCore(id) => {
+                let rest: Vec<&Member> = self.members.voters.iter().filter(|m| m.id != id).collect();
+                let alive = rest.iter().filter(|m| self.alive.contains(&m.id)).count();
+                if alive < rest.len() / 2 + 1 && !self.hears_all(st.now) {
+                    return Err(Plan::Reply(ControlResponse::Busy));
+                }
+                if alive < rest.len() / 2 + 1 {
+                    let why = "the members left would have no live quorum".to_string();
+                    return Err(Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why }));
+                }
+                ControlCommand::Dismiss(id)
+            }
+            ControlRequest::PutConfig { base_version, change, text, config, number, content_digest } => {
+                let content_digest = if content_digest == 0 { document_digest(&text) } else { content_digest };
+                let identity = ChangeIdentity { base_version, number, change, content_digest };
+                if let Some(first) = self.known_outcome(&identity) {
+                    return Err(Plan::Reply(first));
+                }
+                ControlCommand::Config { base_version, change: identity.change, text, config, number, content_digest }
+            }
+            ControlRequest::ConfigOutcome { base_version, change, number, content_digest } => {
+                let identity = ChangeIdentity { base_version, number, change, content_digest };
+                if let Some(first) = self.known_outcome(&identity) {
+                    return Err(Plan::Reply(first));
+                }
+                ControlCommand::DecideConfig { base_version, change: identity.change, number, content_digest }
+            }
+            ControlRequest::List { name, group, addr, cell } => ControlCommand::List { name, group, addr, cell },
+            ControlRequest::Leave(n) => ControlCommand::Leave(n),
+            ControlRequest::Remove { name, anyway } => {
+                let busy = self.ledger.busy(&name);
+                if !anyway && busy == 0 && !self.ledger.accounted {
+                    return Err(Plan::Reply(ControlResponse::Busy));
+                }
+                if !anyway && busy > 0 {
+                    let why = format!("{busy} jobs are under way there; let it leave first, or say that it is meant");
+                    return Err(Plan::Reply(ControlResponse::Refused { code: "has_work".into(), why }));
+                }
+                ControlCommand::Remove(name)
+            }
+            ControlRequest::Ordered { stamp, order } => return Err(self.plan_order(st, stamp, *order)),
+            ControlRequest::Evacuate { cell, out } => return self.plan_evacuation(st, cell, out),
+            ControlRequest::Retire(n) => {
+                let strands = self.strands(st.now, n);
+                if strands.is_some() && !self.hears_all(st.now) {
+                    return Err(Plan::Reply(ControlResponse::Busy));
+                }
+                if let Some(why) = strands {
+                    return Err(Plan::Reply(ControlResponse::Refused { code: "no_quorum".into(), why }));
+                }
+                ControlCommand::Retire(n)
+            }
+            ControlRequest::RetireNamed(n) => return Err(self.retire_named(st.now, n)),
+            ControlRequest::Directory { term, servers } => return Err(self.directory(st, term, &servers)),
+            ControlRequest::Thought { term, decision, sample } => {
+                return Err(self.thought(st, term, &decision, &sample))
+            }
+            _ => return Err(Plan::Read),
+        };
+        Ok(command)
     }
 }
