--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -745,10 +745,21 @@
     }
 }
 
+/// A back end ends a run whose time is over, also where its reader sleeps and takes nothing more.
+fn end_after(world: &World, run_ms: u64, hold: &Rc<Hold>) {
+    let (hold, way) = (Rc::downgrade(hold), world.way("outside"));
+    world.spawn("outside", async move {
+        way.nap(run_ms).await;
+        if let Some(hold) = hold.upgrade() {
+            hold.let_go(false);
+        }
+    });
+}
+
 /// A stand-in's answer: one token a word.
 pub struct Brook {
     way: Way,
-    hold: Hold,
+    hold: Rc<Hold>,
     piece_ms: u64,
     per_piece: u64,
     silent: bool,
@@ -802,8 +813,10 @@
     }
 
     async fn model(&self, c: ModelCall) -> Result<Result<Brook, u16>, Broke> {
-        let (way, cap) = (self.way.clone(), c.cap);
+        let (way, cap, run_ms) = (self.way.clone(), c.cap, c.run_ms);
         let flow = move |no: u64, b: Back, hold| {
+            let hold = Rc::new(hold);
+            end_after(&way.world, run_ms, &hold);
             let over = u64::from(b.busy).div_ceil(u64::from(b.slots.max(1))).max(1);
             let lost = b.lose_every > 0 && no.is_multiple_of(b.lose_every);
             let left = if b.ignores_cap { b.pieces } else { cap.min(b.pieces) };
