--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -634,6 +634,10 @@
         self.world.now()
     }
 
+    fn draw(&self) -> u64 {
+        self.world.0.borrow_mut().rng.next_u64()
+    }
+
     async fn nap(&self, ms: u64) {
         let (tx, rx) = oneshot::channel();
         {
