--- a/hutbook/src/coordination/control/configuration.rs
+++ b/hutbook/src/coordination/control/configuration.rs
@@ -13,6 +13,9 @@
 use sha2::Digest;
 use std::collections::VecDeque;
 
+#[cfg(test)]
+mod tests;
+
 /// A digest that names a text: half of its SHA-256.
 pub type TextDigest = [u8; 16];
 
--- a/scramble/tests/orders.rs
+++ b/scramble/tests/orders.rs
@@ -2,6 +2,8 @@
 
 use hutbook::constants::*;
 use hutbook::coordination::control::{ControlRequest, ControlResponse};
+use hutbook::coordination::view::hash;
+use hutbook::protocol::config;
 use hutbook::protocol::wire::Body;
 use hutbook::transport::reach::{Reach, Speak};
 use rand_chacha::ChaCha8Rng;
@@ -247,3 +249,86 @@
     assert!(agreed(&order(&w, &Sent::default(), evacuate("moor", true))));
     assert!(is_out(&w, "moor"));
 }
+
+/// One operator's change: the version it builds on, its number, and its words.
+fn change(base_version: u64, number: u64, words: &str) -> ControlRequest {
+    let config = Box::new(config::read(CONFIG).expect("a good config"));
+    let change = format!("{base_version}-{number}-{words}");
+    let content_digest = hash(words);
+    ControlRequest::PutConfig { base_version, change, text: words.into(), config, number, content_digest }
+}
+
+/// Sends calls at once, each from an operator of its own to the members in an order of its own; gives their answers.
+fn at_once(w: &World, r: &mut ChaCha8Rng, calls: &[ControlRequest]) -> Vec<Option<ControlResponse>> {
+    let answers: Rc<RefCell<Vec<Option<Option<ControlResponse>>>>> = Rc::new(RefCell::new(vec![None; calls.len()]));
+    for (i, call) in calls.iter().enumerate() {
+        let (out, w2, call) = (answers.clone(), w.clone(), call.clone());
+        let mut addrs = w.names("refuge");
+        addrs.rotate_left((r.next_u64() % 3) as usize);
+        let later = r.next_u64() % 60;
+        w.spawn("outside", async move {
+            w2.way("outside").nap(1 + later).await;
+            let t = Reach::new(w2.way("outside")).operate(&addrs, call, OPERATOR_MS, CALL_MS).await;
+            out.borrow_mut()[i] = Some(t);
+        });
+    }
+    assert!(w.until(OPERATOR_MS * 3, |_| answers.borrow().iter().all(Option::is_some)), "no end");
+    let all = answers.borrow().iter().cloned().map(|t| t.expect("just seen")).collect();
+    all
+}
+
+/// All power is lost at once, and comes back.
+fn lose_power(w: &World) {
+    let names = w.names("refuge");
+    names.iter().for_each(|n| w.kill(n));
+    w.run(500);
+    names.iter().for_each(|n| w.start(n));
+    assert!(w.until(15_000, |w| w.leaders("refuge").len() == 1));
+}
+
+#[rstest]
+fn of_eight_orders_at_once_one_is_accepted_and_each_keeps_its_answer(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    // given a numbered configuration, and a network that loses messages
+    let w = World::new(seed);
+    w.founders(3);
+    let mut r = ChaCha8Rng::seed_from_u64(seed);
+    assert!(agreed(&w.operate(change(0, 1, "first"))));
+    let mut base = 1;
+    let mut sent: Vec<(ControlRequest, Option<bool>)> = vec![];
+    for round in 0..12 {
+        // when four operators build on it, some under one number, and each call is sent twice at once
+        let four: Vec<ControlRequest> = (0..4)
+            .map(|i| change(base, base + 1 + r.next_u64() % 3, &format!("round {round}, operator {i}")))
+            .collect();
+        let eight: Vec<ControlRequest> = four.iter().chain(&four).cloned().collect();
+        w.lose(r.next_u64() % 250);
+        let struck = match r.next_u64() % 4 {
+            0 => Some(w.leaders("refuge")),
+            _ => None,
+        };
+        struck.iter().flatten().for_each(|n| w.kill(n));
+        let answers = at_once(&w, &mut r, &eight);
+        w.lose(0);
+        struck.iter().flatten().for_each(|n| w.start(n));
+        if r.next_u64() % 5 == 0 {
+            lose_power(&w);
+        }
+        assert!(w.until(15_000, |w| w.leaders("refuge").len() == 1));
+        // then sent again, each has one answer, whichever copy is asked, and one of the four is accepted
+        let again: Vec<Option<ControlResponse>> = four.iter().map(|c| w.operate(c.clone())).collect();
+        let accepted = again.iter().filter(|t| agreed(t)).count();
+        assert_eq!(accepted, 1, "round {round}: {again:?}");
+        for (i, t) in answers.iter().enumerate().filter(|x| x.1.is_some()) {
+            assert_eq!(t, &again[i % 4], "round {round}, call {i}");
+        }
+        base = w.view(&w.leader("refuge")).config_number;
+        sent.extend(four.into_iter().zip(again.iter().map(|t| Some(agreed(t)))));
+    }
+    // and all of them keep their answers to the end, after a loss of power too
+    lose_power(&w);
+    for (call, was) in sent {
+        let t = w.operate(call);
+        assert_eq!(Some(agreed(&t)), was, "{t:?}");
+        assert!(agreed(&t) || matches!(t, Some(ControlResponse::Raced(_))), "{t:?}");
+    }
+}
