--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -230,6 +230,17 @@
 pub const ACCEPTED_CONFIGS_KEPT: usize = 65_536;
 /// ms. An order of an operator is proposed no later than this after its number was read.
 pub const ORDER_LIFE_MS: u64 = OPERATOR_MS;
+/// ms. How long an order may wait at its door until its fence is read. With `STALL_MS` this is less
+/// than the second after which a caller goes elsewhere, so that what it orders there comes later.
+pub const FENCE_MS: u64 = 600;
+/// ms. One try of reading it.
+pub const FENCE_TRY_MS: u64 = 250;
+/// ms. A process whose timer is late by more has stood still.
+pub const STALL_MS: u64 = 300;
+/// ms. Between rings of that timer.
+pub const STALL_BEAT_MS: u64 = 50;
+/// ms. After a stall, what had waited meanwhile has been read by then.
+pub const AFTER_STALL_MS: u64 = 200;
 /// zones. Remembered as such, whoever has gone from them: far more than a fleet has.
 pub const ZONES_KEPT: usize = 1_024;
 /// subjects. Zones and servers whose last order is kept: more than a fleet has.
--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -14,3 +14,4 @@
 pub mod reach;
 pub mod serve;
 pub mod sessions;
+pub mod stall;
--- a/hutbook/src/transport/operators.rs
+++ b/hutbook/src/transport/operators.rs
@@ -50,9 +50,13 @@
     }
 }
 
-/// Asks the leader, wherever it is; `addrs` are the members this node knows.
-pub async fn answer<S: Speak>(reach: &Reach<S>, addrs: Vec<String>, a: Asked, d: &dyn Dialect) -> Said {
+/// Asks the leader, wherever it is; `addrs` are the members this node knows. After a stall, an order
+/// that a later one can undo is not taken: its caller may have gone elsewhere long ago.
+pub async fn answer<S: Speak>(reach: &Reach<S>, addrs: Vec<String>, a: Asked, d: &dyn Dialect, stalled: bool) -> Said {
     let ask = match d.order(&a) {
+        Ok(Order::Ask(x)) if stalled && x.subject().is_some() => {
+            return Said::no(503, "stalled", "this member stood still until now").with("retry-after", "1")
+        }
         Ok(Order::Ask(x)) => x,
         Ok(Order::Patch(p)) => {
             // the change is worked out on what is in force, and holds only if that still is
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -145,9 +145,12 @@
         let end = self.way.now() + ms;
         let id = order_id(&self.way);
         let mut fence = None;
+        // a fence read later could lie past an order that the caller has given elsewhere since
+        let fence_end = end.min(self.way.now() + FENCE_MS);
         loop {
-            let left = end.saturating_sub(self.way.now());
-            let number = self.core(addrs, ControlRequest::OrderNumber(subject.clone()), left, each).await?;
+            let (until, one) = if fence.is_none() { (fence_end, FENCE_TRY_MS) } else { (end, each) };
+            let left = until.saturating_sub(self.way.now());
+            let number = self.core(addrs, ControlRequest::OrderNumber(subject.clone()), left, one).await?;
             let ControlResponse::OrderNumber { last, term, at } = number else { return Some(number) };
             // whoever leads now, it counts only if nothing was agreed since it came in
             let after = *fence.get_or_insert(last);
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -16,6 +16,7 @@
 use hutbook::transport::operators::{self, Dialect};
 use hutbook::transport::post::{Handler, Post};
 use hutbook::transport::reach::{Reach, Wired};
+use hutbook::transport::stall::StallWatch;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -92,15 +93,20 @@
     let (h, p, c, r) = (hut.clone(), post.clone(), closing.clone(), reach.clone());
     let (my, first) = (me.clone(), seeds.clone());
     let cell = s.cell.clone();
+    let watch = Arc::new(StallWatch::new(clock.now()));
+    actix_rt::spawn(watch_for_stalls(watch.clone(), clock));
     let (server, active) =
         http::serve(s.http, s.workers.unwrap_or_else(daemon::workers), OPERATOR_BYTES, closing.clone(), move |a| {
+            let w = watch.clone();
             let (d, h, p, c, r, my, first, cell) =
                 (dialect.clone(), h.clone(), p.clone(), c.clone(), r.clone(), my.clone(), first.clone(), cell.clone());
             async move {
                 let ready = h.look(|x| x.leader().map(drop).ok_or("no leader is known".to_string()));
                 match common(&a, &c, ready, || metrics(&h, &p), || beliefs(&h, &my, &cell)).filter(|_| d.common(&a)) {
                     Some(s) => s,
-                    None => operators::answer(&r, members(&h, &my, &first), a, &*d).await,
+                    None => {
+                        operators::answer(&r, members(&h, &my, &first), a, &*d, w.stalled_lately(clock.now())).await
+                    }
                 }
             }
         })
@@ -149,6 +155,13 @@
     }
 }
 
+async fn watch_for_stalls(watch: Arc<StallWatch>, clock: Clock) {
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(STALL_BEAT_MS)).await;
+        watch.ring(clock.now());
+    }
+}
+
 /// Whom to ask for the leader: this node itself, the members, and the seeds.
 fn members(hut: &Hut<Core>, me: &Member, seeds: &[String]) -> Vec<String> {
     let mut v = vec![me.addr.clone()];
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -146,7 +146,16 @@
         let (o, w) = (out.clone(), self.clone());
         self.spawn("outside", async move {
             let addrs = w.names("refuge");
-            let r = Reach::new(w.way("outside")).operate(&addrs, ask, OPERATOR_MS, CALL_MS).await;
+            let way = w.way("outside");
+            let end = w.now() + OPERATOR_MS;
+            // without an answer an operator calls again
+            let r = loop {
+                let r = Reach::new(way.clone()).operate(&addrs, ask.clone(), OPERATOR_MS, CALL_MS).await;
+                if r.is_some() || w.now() >= end {
+                    break r;
+                }
+                way.nap(HUNT_MS).await;
+            };
             *o.borrow_mut() = Some(r);
         });
         let t = self.now() + OPERATOR_MS * 2;
--- a/scramble/tests/orders.rs
+++ b/scramble/tests/orders.rs
@@ -15,6 +15,9 @@
 
 const CONFIG: &str = include_str!("../../examples/glenmorven.json");
 
+/// ms. A caller that hears nothing for this long goes to another member.
+const CALLER_PATIENCE_MS: u64 = 1_000;
+
 type Sent = Rc<RefCell<Vec<Body>>>;
 
 /// An operator's way into the fleet that keeps a copy of each message it sends.
@@ -332,3 +335,23 @@
         assert!(agreed(&t) || matches!(t, Some(ControlResponse::Raced(_))), "{t:?}");
     }
 }
+
+#[rstest]
+fn an_order_held_up_at_its_door_does_not_undo_a_later_one(#[values(1, 2, 3)] seed: u64) {
+    // given an evacuation whose door can't reach a leader for two seconds; its caller goes elsewhere
+    let w = fleet(seed);
+    w.lose(1_000);
+    let (w2, names) = (w.clone(), w.names("refuge"));
+    w.spawn("outside", async move {
+        let way = w2.way("outside");
+        drop(Reach::new(way).operate(&names, evacuate("glen", true), OPERATOR_MS, CALL_MS).await);
+    });
+    w.run(CALLER_PATIENCE_MS);
+    w.lose(0);
+    assert!(w.until(10_000, |w| w.leaders("refuge").len() == 1));
+    // when it is evacuated there and taken back, both acknowledged, then it stays taken back
+    assert!(agreed(&order(&w, &Sent::default(), evacuate("glen", true))));
+    assert!(agreed(&order(&w, &Sent::default(), evacuate("glen", false))));
+    w.run(OPERATOR_MS + 1_000);
+    assert!(!is_out(&w, "glen"));
+}
