--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -225,6 +225,11 @@
     type Computation = Scene;
 
     fn plan(&mut self, st: LeaderContext, ask: &ControlRequest) -> Plan<ControlResponse> {
+        if let ControlRequest::Fenced { term, until, order } = ask {
+            // whoever sent it has stopped waiting, and its operator may have said the opposite since
+            let late = st.term != *term || st.now >= *until;
+            return if late { Plan::Reply(ControlResponse::Busy) } else { self.plan(st, order) };
+        }
         match self.command(st, ask.clone()) {
             Ok(command) => Plan::Propose(to_bytes(&command)),
             Err(plan) => plan,
@@ -235,6 +240,8 @@
         match ask {
             ControlRequest::Renew(r) => self.grant(st, r),
             ControlRequest::CheckIn(c) => self.check_in(st, c),
+            ControlRequest::Fence => ControlResponse::Fence { term: st.term, at: st.now },
+            ControlRequest::Fenced { order, .. } => self.answer(st, *order),
             ControlRequest::Join(..) => {
                 let d =
                     Duty { cluster: self.state.view.cluster, cores: self.members.voters.clone(), ..Duty::default() };
@@ -292,6 +299,7 @@
         self.births.clear();
         self.idle.clear();
         self.cells.clear();
+        self.alive.clear();
         self.sights.clear();
         self.check_at = st.now + CHECK_MS;
     }
@@ -303,8 +311,9 @@
     fn tick(&mut self, st: LeaderContext, raft: &Raft) -> Vec<LeaderTask<Scene>> {
         let mut out = vec![];
         self.members = raft.members().clone();
-        self.alive = raft.peer_status().into_iter().filter(|h| st.now < h.2 + ELECTION_MS).map(|h| h.0).collect();
-        self.alive.insert(raft.id);
+        // heard in this term: a new leader knows of nobody
+        let caught_up = self.members.voters.iter().map(|m| m.id).filter(|id| raft.caught_up(st.now, *id));
+        self.alive = caught_up.chain([raft.id]).collect();
         self.ledger.sweep(st.now);
         for (server, (since, born, fell)) in std::mem::take(&mut self.births) {
             let cmd = ControlCommand::Born { term: st.term, server, since, born, fell };
