--- a/hutbook/src/coordination/control/configuration/tests.rs
+++ b/hutbook/src/coordination/control/configuration/tests.rs
@@ -1,7 +1,6 @@
 use super::*;
 use crate::coordination::replica::StateMachine;
 use crate::state::config::{Limits, Tuning};
-use crate::state::entry::to_bytes;
 use std::collections::BTreeMap;
 
 /// bytes. What one remembered configuration may cost in the snapshot.
@@ -119,7 +118,7 @@
     core.state.old_changes = vec![("lost".into(), false, 5, 1), (old.change.clone(), true, 90, old.content_digest)];
     // when it is restored, then what it accepted is known
     let mut other = Core::new();
-    other.restore(&to_bytes(&core.state));
+    other.restore(&core.snapshot());
     assert_eq!(other.known_outcome(&old), Some(ControlResponse::Agreed(90)));
     // and what it may have forgotten gets no clear answer, and a new change is accepted
     assert!(matches!(put(&mut other, 91, &change(3, 4)), ControlResponse::Unclear(_)));
--- a/hutbook/src/coordination/control/messages.rs
+++ b/hutbook/src/coordination/control/messages.rs
@@ -110,11 +110,6 @@
         #[n(24)] OrderNumber(#[n(0)] String),
         #[n(25)] Ordered { #[n(0)] stamp: OrderStamp, #[n(1)] order: Box<ControlRequest> },
         #[n(19)] Thought { #[n(0)] term: u64, #[n(1)] decision: Box<Decision>, #[n(2)] sample: Box<Sample> },
-        /// The leader's term and clock, by which an order is fenced.
-        #[n(30)] Fence,
-        /// An order that is taken in this term alone, and before `until` (ms) on its leader's clock:
-        /// a copy of it that comes later does nothing.
-        #[n(31)] Fenced { #[n(0)] term: u64, #[n(1)] until: u64, #[n(2)] order: Box<ControlRequest> },
     }
     /// What a directory says of one server, with the revision of its cold time that this may
     /// end: 0 where it may not.
@@ -154,7 +149,6 @@
         #[n(12)] OrderNumber { #[n(0)] last: u64, #[n(1)] term: u64, #[n(2)] at: u64 },
         /// An order's stamp is of another term, or too old. Nothing was done.
         #[n(13)] Expired,
-        #[n(20)] Fence { #[n(0)] term: u64, #[n(1)] at: u64 },
     }
     pub(super) enum ControlCommand {
         #[n(0)] Found(#[n(0)] u64),
@@ -190,20 +184,3 @@
         #[n(3)] pub outcome: String,
     }
 }
-
-impl ControlRequest {
-    /// Does a late copy of it undo a later order? Such an order goes to the leader fenced. Others
-    /// read, carry an identity or a term, or say again what is said anew all the time.
-    pub fn needs_fence(&self) -> bool {
-        matches!(
-            self,
-            ControlRequest::List { .. }
-                | ControlRequest::Leave(_)
-                | ControlRequest::Remove { .. }
-                | ControlRequest::Evacuate { .. }
-                | ControlRequest::Retire(_)
-                | ControlRequest::RetireNamed(_)
-                | ControlRequest::RemoveCore(_)
-        )
-    }
-}
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -29,6 +29,7 @@
 use crate::constants::*;
 use crate::state::entry::{to_bytes, Member, Members};
 use crate::state::journal::Journal;
+use crate::state::snapshot_data::SnapshotData;
 use configuration::{document_digest, ChangeOutcomes};
 use directory::Sight;
 use leases::Merged;
@@ -225,11 +226,6 @@
     type Computation = Scene;
 
     fn plan(&mut self, st: LeaderContext, ask: &ControlRequest) -> Plan<ControlResponse> {
-        if let ControlRequest::Fenced { term, until, order } = ask {
-            // whoever sent it has stopped waiting, and its operator may have said the opposite since
-            let late = st.term != *term || st.now >= *until;
-            return if late { Plan::Reply(ControlResponse::Busy) } else { self.plan(st, order) };
-        }
         match self.command(st, ask.clone()) {
             Ok(command) => Plan::Propose(to_bytes(&command)),
             Err(plan) => plan,
@@ -240,8 +236,6 @@
         match ask {
             ControlRequest::Renew(r) => self.grant(st, r),
             ControlRequest::CheckIn(c) => self.check_in(st, c),
-            ControlRequest::Fence => ControlResponse::Fence { term: st.term, at: st.now },
-            ControlRequest::Fenced { order, .. } => self.answer(st, *order),
             ControlRequest::Join(..) => {
                 let d =
                     Duty { cluster: self.state.view.cluster, cores: self.members.voters.clone(), ..Duty::default() };
@@ -280,12 +274,12 @@
         ControlResponse::Duty(Duty { cluster: self.state.view.cluster, cores: m.voters.clone(), ..Duty::default() })
     }
 
-    fn snapshot(&self) -> Vec<u8> {
-        to_bytes(&self.state)
+    fn snapshot(&self) -> SnapshotData {
+        to_bytes(&self.state).into()
     }
 
-    fn restore(&mut self, data: &[u8]) {
-        self.state = minicbor::decode(data).unwrap_or_default();
+    fn restore(&mut self, data: &SnapshotData) {
+        self.state = minicbor::decode(&data.to_vec()).expect("a snapshot that passed its digest can be decoded");
         self.take_over_old_changes();
         // what came before the capture can only be fed whole
         self.journal = Journal::new(FEED_EVENTS, self.state.view.rev);
--- a/hutbook/src/coordination/control/orders.rs
+++ b/hutbook/src/coordination/control/orders.rs
@@ -25,6 +25,8 @@
         /// Term and clock of the leader that was asked for that number.
         #[n(2)] pub term: u64,
         #[n(3)] pub at: u64,
+        /// ms. What was left of the operator's call then: no copy acts once the call is over.
+        #[cbor(n(4), default)] pub left: u64,
     }
     /// The last order on one subject.
     struct LastOrder {
@@ -115,7 +117,7 @@
             return Plan::Reply(first);
         }
         // the clock is this leader's own, in this term; another one is asked for the number anew
-        if stamp.term != st.term || st.now > stamp.at + ORDER_LIFE_MS {
+        if stamp.term != st.term || st.now >= stamp.at + stamp.left.min(ORDER_LIFE_MS) {
             return Plan::Reply(ControlResponse::Expired);
         }
         match self.command(st, order) {
--- a/hutbook/src/coordination/raft/fingerprint.rs
+++ b/hutbook/src/coordination/raft/fingerprint.rs
@@ -66,7 +66,7 @@
         (self.next_index, self.match_index, self.acknowledged_round, age(now, self.last_contact, ELECTION_MS))
             .hash(hasher);
         (self.probing_since.map(|at| age(now, at, HEARTBEAT_MS)), self.snapshot_progress).hash(hasher);
-        age(now, self.chunk_sent_at, SNAPSHOT_CHUNK_RETRY_MS).hash(hasher);
+        (age(now, self.chunk_sent_at, self.chunk_retry_ms), self.chunk_retry_ms, self.chunk_repeated).hash(hasher);
     }
 }
 
--- a/hutbook/src/coordination/raft/tests.rs
+++ b/hutbook/src/coordination/raft/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::constants::*;
 use crate::state::entry::Member;
+use crate::state::snapshot_data::SnapshotData;
 use rstest::rstest;
 
 /// A voter among three whose log ends with an entry of term 2, leading in a later term.
@@ -149,8 +150,16 @@
 fn whole_snapshot() -> RaftInput {
     let Some(Entry { what: What::Members(members), .. }) = entries(1..=1, 1).pop() else { unreachable!() };
     let (index, index_term) = (9, 2);
-    let msg =
-        RaftMessage::SnapshotChunk { term: 2, index, index_term, members, offset: 0, total: 4, bytes: vec![0; 4] };
+    let msg = RaftMessage::SnapshotChunk {
+        term: 2,
+        index,
+        index_term,
+        members,
+        offset: 0,
+        total: 4,
+        bytes: vec![0; 4],
+        digest: SnapshotData::from(vec![0; 4]).digest(),
+    };
     RaftInput::Message { from: 2, msg }
 }
 
