--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -16,3 +16,4 @@
 pub mod reach;
 pub mod serve;
 pub mod sessions;
+pub mod stall;
--- a/scramble/src/fleet/operators.rs
+++ b/scramble/src/fleet/operators.rs
@@ -60,10 +60,18 @@
         answer.flatten()
     }
 
-    /// Asks the core as an operator would, and runs the fleet until it is answered.
+    /// Asks the core as an operator would, again while there is no answer, and runs the fleet until
+    /// it is answered. Each call is an order of its own.
     pub fn operate(&self, request: ControlRequest) -> Option<ControlResponse> {
-        let pending = self.order(&self.names("refuge"), request, OPERATOR_MS);
-        self.wait(&pending, OPERATOR_MS * 2)
+        let end = self.now() + OPERATOR_MS;
+        loop {
+            let pending = self.order(&self.names("refuge"), request.clone(), OPERATOR_MS);
+            let answer = self.wait(&pending, OPERATOR_MS * 2);
+            if answer.is_some() || self.now() >= end {
+                return answer;
+            }
+            self.run(HUNT_MS);
+        }
     }
 
     /// Reads the list of the configurations accepted last, and adds them to those known.
