--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -6,16 +6,25 @@
 use crate::state::entry::{Entry, Member, Members, What};
 use std::collections::BTreeMap;
 
-/// What a question needs before it can be answered.
+/// What a request needs before it can be answered.
 pub enum Plan<T> {
-    /// Known without the group.
+    /// This answer, refusals among them, if it is still the plan once a majority has confirmed the leader.
     Reply(T),
     /// A confirmed leader, then `answer`.
     Read,
     Propose(Vec<u8>),
+    /// Begun once a majority has confirmed the leader, if it is still the plan then.
     Change(Change),
 }
 
+/// What becomes of a request once a majority has confirmed the leader.
+#[derive(Clone, Copy, PartialEq, Debug, Hash)]
+enum OnceConfirmed {
+    Answer,
+    /// Planned again on the state as of then: a leader that was cut off may have known less.
+    Plan,
+}
+
 /// Where a machine stands when it is asked: always the leader's side.
 #[derive(Clone, Copy)]
 pub struct LeaderContext {
@@ -80,7 +89,8 @@
     pub machine: M,
     /// Proposals under way, by log index.
     waits: BTreeMap<u64, (u64, u64)>,
-    asks: BTreeMap<u64, M::Request>,
+    /// Requests that wait for a majority to confirm this leader, by ticket.
+    asks: BTreeMap<u64, (OnceConfirmed, M::Request)>,
     /// Addresses as members told them, when they are newer than the log's.
     pub addrs: BTreeMap<u64, String>,
     snapshot_index: u64,
@@ -149,22 +159,44 @@
         fruit
     }
 
+    /// Nothing is told, refusals and changes of members included, before a majority was heard after the
+    /// request came: an order by its being agreed, everything else by read-index (Raft thesis 6.4).
     fn ask(&mut self, now: u64, ticket: u64, ask: M::Request, fruit: &mut Outputs<M>) {
         if !self.leads() {
             let tell = self.machine.denied(Denial::NotLeader, self.leader());
             return fruit.push(Output::Reply { ticket, response: tell });
         }
-        let st = LeaderContext { now, term: self.raft.term };
-        let o = match self.machine.plan(st, &ask) {
-            Plan::Reply(tell) => return fruit.push(Output::Reply { ticket, response: tell }),
-            Plan::Propose(bytes) => self.raft.step(now, RaftInput::Propose { ticket, bytes }),
-            Plan::Change(change) => self.raft.step(now, RaftInput::Change { ticket, change }),
+        let context = LeaderContext { now, term: self.raft.term };
+        let input = match self.machine.plan(context, &ask) {
+            Plan::Propose(bytes) => RaftInput::Propose { ticket, bytes },
+            plan => {
+                let then = if matches!(plan, Plan::Read) { OnceConfirmed::Answer } else { OnceConfirmed::Plan };
+                self.asks.insert(ticket, (then, ask));
+                RaftInput::Read { ticket }
+            }
+        };
+        let outputs = self.raft.step(now, input);
+        self.take(now, outputs, fruit);
+    }
+
+    /// Carries out what is still the plan for a request, now that a majority has confirmed this leader.
+    fn carry_out(&mut self, now: u64, ticket: u64, request: M::Request, fruit: &mut Outputs<M>) {
+        if !self.leads() {
+            let response = self.machine.denied(Denial::NotLeader, self.leader());
+            return self.tell(ticket, response, fruit);
+        }
+        let context = LeaderContext { now, term: self.raft.term };
+        let input = match self.machine.plan(context, &request) {
+            Plan::Reply(response) => return self.tell(ticket, response, fruit),
             Plan::Read => {
-                self.asks.insert(ticket, ask);
-                self.raft.step(now, RaftInput::Read { ticket })
+                let response = self.machine.answer(context, request);
+                return self.tell(ticket, response, fruit);
             }
+            Plan::Propose(bytes) => RaftInput::Propose { ticket, bytes },
+            Plan::Change(change) => RaftInput::Change { ticket, change },
         };
-        self.take(now, o, fruit);
+        let outputs = self.raft.step(now, input);
+        self.take(now, outputs, fruit);
     }
 
     fn own(&mut self, now: u64, fruit: &mut Outputs<M>) {
@@ -208,6 +240,7 @@
     }
 
     fn take(&mut self, now: u64, outs: Vec<RaftOutput>, fruit: &mut Outputs<M>) {
+        let mut confirmed = vec![];
         for o in outs {
             match o {
                 RaftOutput::Send { to, msg } => {
@@ -226,12 +259,15 @@
                 RaftOutput::Accepted { ticket, index } => {
                     self.waits.insert(index, (self.raft.term, ticket));
                 }
-                RaftOutput::Readable { ticket } => {
-                    if let Some(a) = self.asks.remove(&ticket) {
-                        let tell = self.machine.answer(LeaderContext { now, term: self.raft.term }, a);
-                        self.tell(ticket, tell, fruit);
+                RaftOutput::Readable { ticket } => match self.asks.remove(&ticket) {
+                    Some((OnceConfirmed::Answer, request)) => {
+                        let context = LeaderContext { now, term: self.raft.term };
+                        let response = self.machine.answer(context, request);
+                        self.tell(ticket, response, fruit);
                     }
-                }
+                    Some((OnceConfirmed::Plan, request)) => confirmed.push((ticket, request)),
+                    None => {}
+                },
                 RaftOutput::Denied { ticket, why } => {
                     self.asks.remove(&ticket);
                     let tell = self.machine.denied(why, self.leader());
@@ -244,6 +280,10 @@
                 }
             }
         }
+        // only now: each is a step of its own, whose outputs come after these
+        for (ticket, request) in confirmed {
+            self.carry_out(now, ticket, request, fruit);
+        }
     }
 
     /// What was under way may or may not come to pass; say just that.
