--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -225,8 +225,11 @@
 pub const DECISIONS_KEPT: usize = 64;
 /// machines. Whose names are kept, with the id of each of their lives: far more than a fleet has.
 pub const NAMES_KEPT: usize = 1_024;
-/// change ids. Remembered so that a repeated change gets its first verdict.
-pub const CHANGES_KEPT: usize = 256;
+/// configurations. Accepted ones that are remembered, to know them when they come again: a year
+/// and a half at 120 a day, in some 2 MB of the snapshot.
+pub const ACCEPTED_CONFIGS_KEPT: usize = 65_536;
+/// changes. Refused ones that name a version which does not exist yet; more get no clear answer.
+pub const REFUSED_CONFIGS_KEPT: usize = 256;
 /// events. Kept for edges that are a little behind; older ones get a whole capture.
 pub const FEED_EVENTS: usize = 2_048;
 /// ms. Connecting to a server that takes work passed through: a few round trips; a dead one says nothing.
@@ -237,7 +240,7 @@
 pub const PASS_KEEP_ROOM_MS: u64 = 400;
 /// ms. Longest that an idle session is used again, whatever the server says.
 pub const PASS_KEEP_MOST_MS: u64 = 10_000;
-/// answers. Surplus ones of other jobs that are read past before a session is given up.
+/// answers. Surplus ones of other jobs that are read past to find a job's own; its connection is closed after it.
 pub const PASS_SURPLUS: usize = 3;
 /// ms. A job that may run once only uses an idle session that was used this lately: servers close
 /// those that have been idle for longer, and what is written into a closing one may have run.
--- a/hutbook/src/coordination/raft/messages.rs
+++ b/hutbook/src/coordination/raft/messages.rs
@@ -6,6 +6,7 @@
 
 messages! {
     /// One message between two members of a group.
+    #[derive(Hash)]
     pub enum RaftMessage {
         /// Asks for a vote in `term`. `pre_vote`: would it be granted, were it asked (Raft thesis 9.6).
         /// `forced`: a transfer of leadership, so that the live leader's lease is no reason against it (3.10).
@@ -23,6 +24,7 @@
         #[n(6)] TimeoutNow { #[n(0)] term: u64 },
     }
     /// A change of one member (single-server changes, Raft thesis 4.1).
+    #[derive(Hash)]
     pub enum Change {
         #[n(0)] AddLearner(#[n(0)] Member),
         #[n(1)] Promote(#[n(0)] u64),
@@ -74,7 +76,7 @@
 }
 
 /// What a step brings forth, to be carried out in order.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub enum RaftOutput {
     Send {
         to: u64,
@@ -109,6 +111,7 @@
 
 messages! {
     /// Why a proposal, read or change was not taken.
+    #[derive(Hash)]
     pub enum Denial {
         /// Surely not taken: this node does not lead.
         #[n(0)] NotLeader,
--- a/hutbook/src/coordination/raft/replication.rs
+++ b/hutbook/src/coordination/raft/replication.rs
@@ -6,6 +6,7 @@
 use crate::state::entry::{Entry, What};
 
 /// What a leader knows of another member.
+#[derive(Clone)]
 pub(super) struct Peer {
     /// The next entry to send.
     pub(super) next_index: u64,
@@ -45,6 +46,7 @@
 }
 
 /// A read that waits for a majority to confirm this leader (read-index, Raft thesis 6.4).
+#[derive(Clone, Hash)]
 pub(super) struct PendingRead {
     pub(super) ticket: u64,
     /// The first round of heartbeats that was sent after the read came.
@@ -290,6 +292,7 @@
         }
         if self.role == Role::Leader && self.advance_commit() {
             self.broadcast(now);
+            self.hand_over(now);
             self.apply_ready();
             return self.step_down(now);
         }
