--- a/hutbook/src/coordination/replica/tests.rs
+++ b/hutbook/src/coordination/replica/tests.rs
@@ -109,10 +109,10 @@
     fn members_agreed(&mut self, _index: u64, _m: &Members) -> Told {
         Told::Agreed
     }
-    fn snapshot(&self) -> Vec<u8> {
-        self.0.clone()
+    fn snapshot(&self) -> SnapshotData {
+        self.0.clone().into()
     }
-    fn restore(&mut self, data: &[u8]) {
+    fn restore(&mut self, data: &SnapshotData) {
         self.0 = data.to_vec();
     }
     fn became_leader(&mut self, _st: LeaderContext) {}
