--- a/scramble/src/linearize/evacuation.rs
+++ b/scramble/src/linearize/evacuation.rs
@@ -19,6 +19,13 @@
     fn is(self, revision: u64) -> bool {
         self == Since::Unseen || self == Since::Revision(revision)
     }
+
+    fn not_after(self, revision: u64) -> bool {
+        match self {
+            Since::Unseen => true,
+            Since::Revision(since) => since <= revision,
+        }
+    }
 }
 
 /// An order or a read of one zone, with its outcome.
@@ -57,9 +64,9 @@
     fn step(&self, state: &Self::State, (order, outcome): &Self::Operation) -> Vec<Self::State> {
         match (order, outcome, state) {
             (Order::Evacuate { out: true, .. }, Outcome::Accepted(r), None) => vec![Some(Since::Revision(*r))],
-            // it is evacuated already: the first order's revision
-            (Order::Evacuate { out: true, .. }, Outcome::Accepted(r), Some(since)) if since.is(*r) => {
-                vec![Some(Since::Revision(*r))]
+            // it is evacuated already: told at any revision since then
+            (Order::Evacuate { out: true, .. }, Outcome::Accepted(r), Some(since)) if since.not_after(*r) => {
+                vec![*state]
             }
             (Order::Evacuate { out: true, .. }, Outcome::Unclear, None) => vec![Some(Since::Unseen)],
             (Order::Evacuate { out: false, .. }, Outcome::Accepted(_) | Outcome::Unclear, _) => vec![None],
