--- a/scramble/tests/stories.rs
+++ b/scramble/tests/stories.rs
@@ -1176,3 +1176,26 @@
     assert!(told.iter().any(|v| v.1 == "in_doubt" && v.2 == "edge_lost"), "{told:?}");
     assert_eq!(check(&saw), vec![]);
 }
+
+/// An intent that was said and never sent must not lapse while its edge lives and waits for another place.
+#[rstest]
+fn what_was_never_sent_is_not_told_in_doubt(#[values(1, 2, 3)] seed: u64) {
+    // given stores whose syncs are slow, so that licences lapse between intents and their sends
+    let w = World::new(seed);
+    w.raise();
+    w.furnish(CONFIG, 12, 8, "tiles");
+    w.names("bothy").iter().for_each(|n| w.disk(n, Some(300)));
+    // when the core loses its majority under many short calls, for longer than such a call may run
+    let core: Vec<String> = w.names("refuge").into_iter().take(2).collect();
+    core.iter().for_each(|n| w.kill(n));
+    w.callers(300, 2_500, Kind { name: "pictures", route: "", turns: 0, tool: Some(("thumbnail", false)) });
+    w.run(30_000);
+    core.iter().for_each(|n| w.start(n));
+    w.names("bothy").iter().for_each(|n| w.disk(n, Some(3)));
+    // then nobody is told that a call may have run which never did
+    let saw = w.evening(60_000);
+    let ran = |key: &str| saw.runs.iter().any(|r| r.key == key);
+    let doubted: Vec<_> =
+        saw.jobs.iter().filter(|j| !ran(&j.key) && j.verdicts.iter().any(|v| v.1 == "in_doubt")).collect();
+    assert!(doubted.is_empty(), "{} of {}, first: {:?}", doubted.len(), saw.jobs.len(), doubted[0].verdicts);
+}
