--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -128,6 +128,15 @@
 pub const LEDGERS_KEPT: usize = 100_000;
 /// bytes. Texts of turns kept; beyond them no turn gets leave, so that memory stays bounded.
 pub const TEXT_BYTES: u64 = 64 * 1024 * 1024;
+/// bytes. A segment of texts ends once it has this size. Small, so that those of a minute are many, and little
+/// lies on disk beside what is still named; large, so that a second brings no more than a few.
+pub const SEGMENT_BYTES: u32 = 1024 * 1024;
+/// share. Of a machine's memory for the newest texts.
+pub const TEXT_CACHE_SHARE: f64 = 0.04;
+/// bytes. The most for these: turns that go on do so within seconds.
+pub const TEXT_CACHE_BYTES: usize = 32 * 1024 * 1024;
+/// reads. Of chains, that wait for the disk; beyond them a turn is told to come back.
+pub const OPEN_TEXT_READS: usize = 1_024;
 /// bytes. Texts of one chain that go out with a leave: below the frame bound.
 pub const CHAIN_BYTES: u64 = 6 * 1024 * 1024;
 /// slots. Programs are spread over store groups by this table; many more than groups ever.
--- a/hutbook/src/coordination/raft/fingerprint.rs
+++ b/hutbook/src/coordination/raft/fingerprint.rs
@@ -65,7 +65,8 @@
     fn fingerprint(&self, now: u64, hasher: &mut impl Hasher) {
         (self.next_index, self.match_index, self.acknowledged_round, age(now, self.last_contact, ELECTION_MS))
             .hash(hasher);
-        (self.probing_since.map(|at| age(now, at, HEARTBEAT_MS)), self.snapshot_progress).hash(hasher);
+        (self.probing_since.map(|at| age(now, at, HEARTBEAT_MS)), self.snapshot_progress, self.takes_texts)
+            .hash(hasher);
         (age(now, self.chunk_sent_at, self.chunk_retry_ms), self.chunk_retry_ms, self.chunk_repeated).hash(hasher);
     }
 }
--- a/hutbook/src/coordination/raft/log.rs
+++ b/hutbook/src/coordination/raft/log.rs
@@ -4,6 +4,7 @@
 use crate::constants::DISK_BOUND_MS;
 use crate::state::disk::DiskOp;
 use crate::state::entry::{Entry, What};
+use crate::state::texts::TextOp;
 
 /// What may be said only once a write is on disk.
 #[derive(Clone)]
@@ -14,7 +15,7 @@
     /// The log's last index and the term that are on disk with this write.
     pub(super) last: u64,
     pub(super) term: u64,
-    /// False for a write that no promise rests on: a snapshot of what the log holds already.
+    /// False for a write that no promise rests on: a snapshot, or texts, of what the log holds already.
     pub(super) binds: bool,
     pub(super) outputs: Vec<RaftOutput>,
 }
@@ -70,11 +71,19 @@
     pub(super) fn persist(&mut self, now: u64, ops: Vec<DiskOp>) {
         self.sync_ticket += 1;
         let (sync_ticket, last, term) = (self.sync_ticket, self.last(), self.term);
-        let binds = ops.iter().any(|op| !matches!(op, DiskOp::Snapshot { clear: false, .. }));
+        let binds = ops.iter().any(|op| !matches!(op, DiskOp::Snapshot { clear: false, .. } | DiskOp::Texts(_)));
         self.held_outputs.push_back(HeldOutputs { sync_ticket, since: now, last, term, binds, outputs: vec![] });
         self.outputs.push(RaftOutput::Persist { sync_ticket, ops });
     }
 
+    /// Writes texts that committed entries brought.
+    pub fn persist_texts(&mut self, now: u64, ops: Vec<TextOp>) -> Vec<RaftOutput> {
+        if !ops.is_empty() {
+            self.persist(now, vec![DiskOp::Texts(ops)]);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
     pub(super) fn persist_meta(&mut self, now: u64) {
         let op = DiskOp::Meta { term: self.term, voted: self.voted_for };
         self.persist(now, vec![op]);
--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -20,12 +20,13 @@
 
 use crate::state::disk::Boot;
 use crate::state::entry::{Entry, Members, Snapshot, What};
-use bytes::Bytes;
+use crate::state::snapshot_data::SegmentPart;
 use election::Transfer;
 use log::HeldOutputs;
 use rand_chacha::ChaCha8Rng;
 use rand_core::SeedableRng;
 use replication::{Peer, PendingRead};
+use snapshot::{IncomingSnapshot, WholeSnapshot};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -74,8 +75,8 @@
     answered_round: u64,
     reads: VecDeque<PendingRead>,
     transfer: Option<Transfer>,
-    /// Index and bytes so far of a snapshot that the leader is sending.
-    incoming_snapshot: Option<(u64, Vec<Bytes>)>,
+    /// What has come of a snapshot that the leader is sending.
+    incoming_snapshot: Option<IncomingSnapshot>,
     outputs: Vec<RaftOutput>,
 }
 
@@ -188,9 +189,15 @@
                     self.on_append_response(now, from, success, index, round);
                 }
             }
-            RaftMessage::SnapshotChunk { term, index, index_term, members, offset, total, bytes, digest } => {
+            RaftMessage::SnapshotChunk { term, index, index_term, members, offset, total, bytes, digest, texts } => {
                 if self.accept_leader(now, from, term) {
-                    self.on_snapshot_chunk(now, from, (index, index_term), members, offset, total, bytes, digest);
+                    let whole = WholeSnapshot { index, term: index_term, members, total, digest, texts };
+                    self.on_snapshot_chunk(now, from, whole, offset, bytes);
+                }
+            }
+            RaftMessage::SnapshotTexts { term, index, received, segment, offset, length, bytes } => {
+                if self.accept_leader(now, from, term) {
+                    self.on_snapshot_texts(now, from, index, received, SegmentPart { segment, offset, length, bytes });
                 }
             }
             RaftMessage::SnapshotChunkAck { term, index, received } => {
--- a/hutbook/src/coordination/raft/snapshot.rs
+++ b/hutbook/src/coordination/raft/snapshot.rs
@@ -5,10 +5,47 @@
 use crate::constants::*;
 use crate::state::disk::DiskOp;
 use crate::state::entry::{Members, Snapshot};
-use crate::state::snapshot_data::SnapshotData;
+use crate::state::snapshot_data::{SegmentPart, SnapshotData};
 use bytes::Bytes;
 use std::sync::Arc;
 
+/// What a chunk says of the whole snapshot.
+pub(super) struct WholeSnapshot {
+    pub(super) index: u64,
+    pub(super) term: u64,
+    pub(super) members: Members,
+    /// bytes. Of the state.
+    pub(super) total: u64,
+    /// CRC-32 of the state.
+    pub(super) digest: u32,
+    /// bytes. Of the segments that the state names.
+    pub(super) texts: u64,
+}
+
+/// What has come of a snapshot: its texts, which are on their way to the disk, then its state.
+#[derive(Clone, Default, Hash)]
+pub(super) struct IncomingSnapshot {
+    index: u64,
+    /// bytes.
+    texts: u64,
+    pieces: Vec<Bytes>,
+}
+
+impl IncomingSnapshot {
+    /// `begun` where it is of the snapshot at `index`, else nothing of that one yet.
+    fn going_on(begun: Option<IncomingSnapshot>, index: u64) -> IncomingSnapshot {
+        begun.filter(|begun| begun.index == index).unwrap_or(IncomingSnapshot { index, ..IncomingSnapshot::default() })
+    }
+
+    fn state_bytes(&self) -> u64 {
+        self.pieces.iter().map(|piece| piece.len() as u64).sum()
+    }
+
+    fn received(&self) -> u64 {
+        self.texts + self.state_bytes()
+    }
+}
+
 impl Raft {
     /// Keeps the state up to `index` as a snapshot and lets the log before it go.
     pub fn compact(&mut self, now: u64, index: u64, data: impl Into<SnapshotData>) -> Vec<RaftOutput> {
@@ -43,13 +80,20 @@
         self.snapshot = Some(snapshot);
     }
 
-    /// Sends the chunk that comes after what the peer has acknowledged.
+    /// Sends what comes after what the peer has acknowledged: texts first, then the state that names them.
     pub(super) fn send_snapshot_chunk(&mut self, to: u64) {
         let Some(snapshot) = self.snapshot.clone() else { return };
         let peer = self.peers.get_mut(&to).expect("only members are sent to");
         let progress = peer.snapshot_progress.filter(|(index, _)| *index == snapshot.index);
-        let offset = progress.map_or(0, |(_, received)| received);
-        peer.snapshot_progress = Some((snapshot.index, offset));
+        let received = progress.map_or(0, |(_, received)| received);
+        peer.snapshot_progress = Some((snapshot.index, received));
+        let texts = snapshot.data.texts_len();
+        // a member of the version before doesn't know how to take a state whose texts lie apart: it leaves the first
+        // message about texts unanswered, also where there are none to send
+        let takes_texts = peer.takes_texts || snapshot.data.texts().is_none();
+        let Some(offset) = received.checked_sub(texts).filter(|_| takes_texts) else {
+            return self.send_texts(to, &snapshot, received);
+        };
         let msg = RaftMessage::SnapshotChunk {
             term: self.term,
             index: snapshot.index,
@@ -59,15 +103,26 @@
             total: snapshot.data.len() as u64,
             bytes: snapshot.data.copy_from(offset as usize, SNAPSHOT_CHUNK_BYTES),
             digest: snapshot.data.digest(),
+            texts,
         };
         self.send(to, msg);
     }
 
+    /// Sends the texts after the first `received` bytes; later, where they are not on this disk yet.
+    fn send_texts(&mut self, to: u64, snapshot: &Snapshot, received: u64) {
+        let Some(texts) = snapshot.data.texts() else { return };
+        let Some(part) = texts.part(received, SNAPSHOT_CHUNK_BYTES as u32) else { return };
+        let SegmentPart { segment, offset, length, bytes } = part;
+        let (term, index) = (self.term, snapshot.index);
+        self.send(to, RaftMessage::SnapshotTexts { term, index, received, segment, offset, length, bytes });
+    }
+
     /// The peer has the first `received` bytes of the snapshot at `index`: on with the next chunk.
     pub(super) fn on_snapshot_chunk_ack(&mut self, now: u64, from: u64, index: u64, received: u64) {
         let Some(peer) = self.peers.get_mut(&from) else { return };
         if peer.snapshot_progress.is_some_and(|(sending, _)| sending == index) {
             peer.snapshot_progress = Some((index, received));
+            peer.takes_texts = true;
             if !peer.chunk_repeated && peer.chunk_sent_at != 0 {
                 let took = now.saturating_sub(peer.chunk_sent_at);
                 peer.chunk_retry_ms = (2 * took).clamp(SNAPSHOT_CHUNK_RETRY_MS, SNAPSHOT_CHUNK_RETRY_MOST_MS);
@@ -77,47 +132,56 @@
         }
     }
 
-    /// Takes a chunk in order; with the last one the snapshot replaces state and log.
-    #[allow(clippy::too_many_arguments)]
-    pub(super) fn on_snapshot_chunk(
-        &mut self,
-        now: u64,
-        from: u64,
-        position: (u64, u64),
-        members: Members,
-        offset: u64,
-        total: u64,
-        bytes: Vec<u8>,
-        digest: u32,
-    ) {
-        if self.disk_late(now) {
+    /// What the snapshot at `index` covers is here already: says so, and the leader goes on with the log. What
+    /// comes after it in the log stays, for the leader may have counted it (Raft thesis, figure 5.3, step 6).
+    fn has_snapshot(&mut self, from: u64, index: u64, term: Option<u64>) -> bool {
+        if index > self.commit && (term.is_none() || self.term_at(index) != term) {
+            return false;
+        }
+        self.commit = self.commit.max(index);
+        let index = self.commit;
+        self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
+        true
+    }
+
+    /// Takes bytes of segments in order and hands them to the disk. The acknowledgement waits for it.
+    pub(super) fn on_snapshot_texts(&mut self, now: u64, from: u64, index: u64, before: u64, part: SegmentPart) {
+        if self.disk_late(now) || self.has_snapshot(from, index, None) {
             return;
         }
-        let (index, term) = position;
-        // what it covers is here already: say so and go on with the log. What comes after it in the log stays, for
-        // the leader may have counted it (Raft thesis, figure 5.3, step 6)
-        if index <= self.commit || self.term_at(index) == Some(term) {
-            self.commit = self.commit.max(index);
-            let index = self.commit;
-            return self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
+        let mut incoming = IncomingSnapshot::going_on(self.incoming_snapshot.take(), index);
+        if incoming.texts == before && incoming.pieces.is_empty() {
+            incoming.texts += u64::from(part.length);
+            if !part.bytes.is_empty() {
+                let (segment, offset, bytes) = (part.segment, part.offset, part.bytes.into());
+                self.persist(now, vec![DiskOp::StageTexts { segment, offset, bytes }]);
+            }
         }
-        let mut pieces = match self.incoming_snapshot.take() {
-            Some((incoming, pieces)) if incoming == index => pieces,
-            _ => vec![],
-        };
-        let mut received = pieces.iter().map(Bytes::len).sum::<usize>() as u64;
-        if received == offset {
-            received += bytes.len() as u64;
-            pieces.push(bytes.into());
+        let received = incoming.received();
+        self.incoming_snapshot = Some(incoming);
+        self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received });
+    }
+
+    /// Takes a chunk of the state in order; with the last one the snapshot replaces state and log.
+    pub(super) fn on_snapshot_chunk(&mut self, now: u64, from: u64, whole: WholeSnapshot, offset: u64, bytes: Vec<u8>) {
+        let WholeSnapshot { index, term, members, total, digest, texts } = whole;
+        if self.disk_late(now) || self.has_snapshot(from, index, Some(term)) {
+            return;
+        }
+        let mut incoming = IncomingSnapshot::going_on(self.incoming_snapshot.take(), index);
+        if incoming.texts == texts && incoming.state_bytes() == offset {
+            incoming.pieces.push(bytes.into());
         }
-        if received < total {
-            self.incoming_snapshot = Some((index, pieces));
+        if incoming.texts < texts || incoming.state_bytes() < total {
+            let received = incoming.received();
+            self.incoming_snapshot = Some(incoming);
             return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received });
         }
-        let data = SnapshotData::from_pieces(pieces);
+        let data = SnapshotData::from_pieces(incoming.pieces);
         if digest != data.digest() {
             log::error!("the snapshot at {index} came with a wrong digest: refused, and asked for again");
-            return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received: 0 });
+            self.incoming_snapshot = Some(IncomingSnapshot { index, texts, pieces: vec![] });
+            return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received: texts });
         }
         self.install_snapshot(now, Arc::new(Snapshot { index, term, members, data }));
         self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
--- a/hutbook/src/coordination/raft/tests.rs
+++ b/hutbook/src/coordination/raft/tests.rs
@@ -159,6 +159,7 @@
         total: 4,
         bytes: vec![0; 4],
         digest: SnapshotData::from(vec![0; 4]).digest(),
+        texts: 0,
     };
     RaftInput::Message { from: 2, msg }
 }
--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -6,6 +6,8 @@
 use crate::state::entry::{Entry, Member, Members, What};
 use crate::state::memory::MemoryBudget;
 use crate::state::snapshot_data::SnapshotData;
+use crate::state::texts::{TextOp, TextPlace};
+use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 
@@ -56,6 +58,18 @@
     /// The leader's own proposals and long computations.
     fn tick(&mut self, st: LeaderContext, raft: &Raft) -> Vec<LeaderTask<Self::Computation>>;
     fn denied(&self, why: Denial, leader: Option<Member>) -> Self::Response;
+    /// What has become of texts on disk since this was last asked, in order.
+    fn take_text_ops(&mut self) -> Vec<TextOp> {
+        vec![]
+    }
+    /// Texts on this member's disk that the response still lacks: read away from the agreement.
+    fn lacking_texts(_response: &Self::Response) -> Vec<TextPlace> {
+        vec![]
+    }
+    /// The response with those texts, in that order. Without one of them it says that it isn't sure.
+    fn with_texts(response: Self::Response, _texts: Vec<Option<Bytes>>) -> Self::Response {
+        response
+    }
 }
 
 pub enum LeaderTask<K> {
@@ -195,9 +209,17 @@
             }
             Input::Request { ticket, request: ask } => self.ask(now, ticket, ask, &mut fruit),
         }
+        self.persist_texts(now, &mut fruit);
         fruit
     }
 
+    /// Hands texts of applied entries to the disk.
+    fn persist_texts(&mut self, now: u64, fruit: &mut Outputs<M>) {
+        let ops = self.machine.take_text_ops();
+        let outputs = self.raft.persist_texts(now, ops);
+        self.take(now, outputs, fruit);
+    }
+
     /// Nothing is told, refusals and changes of members included, before a majority was heard after the
     /// request came: an order by its being agreed, everything else by read-index (Raft thesis 6.4).
     fn ask(&mut self, now: u64, ticket: u64, ask: M::Request, fruit: &mut Outputs<M>) {
@@ -269,6 +291,8 @@
             return;
         }
         self.snapshot_index = self.raft.applied();
+        // a snapshot names them: they are on disk before it
+        self.persist_texts(now, fruit);
         let data = self.machine.snapshot();
         (self.since, self.snapshot_bytes) = (0, data.len());
         let o = self.raft.compact(now, self.snapshot_index, data);
--- a/hutbook/src/state/disk.rs
+++ b/hutbook/src/state/disk.rs
@@ -5,6 +5,7 @@
 
 use super::entry::{to_bytes, Entry, Member, Members, Snapshot, What};
 use super::snapshot_data::SnapshotData;
+use super::texts::{StoredTexts, TextFiles, TextOp};
 use crate::constants::{DISK_CACHE_BYTES, DISK_PIECE_BYTES, DISK_VERSION};
 use bytes::Bytes;
 use redb::{Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, TableDefinition};
@@ -27,6 +28,20 @@
         snapshot: Arc<Snapshot>,
         clear: bool,
     },
+    /// Texts that the state names, and segments that it needs no more. On disk for good with the next snapshot.
+    Texts(Vec<TextOp>),
+    /// Bytes of a segment that belong to a snapshot under way from another member.
+    StageTexts {
+        segment: u32,
+        offset: u32,
+        bytes: Bytes,
+    },
+}
+
+impl DiskOp {
+    fn retains_segments(&self) -> bool {
+        matches!(self, DiskOp::Texts(ops) if ops.iter().any(|op| matches!(op, TextOp::RetainSegments(_))))
+    }
 }
 
 /// What a node finds when it starts.
@@ -70,6 +85,8 @@
                 self.entries.retain(|x| !clear && x.index > snapshot.index);
                 self.snapshot = Some((**snapshot).clone());
             }
+            // segments are no part of what is read at a start
+            DiskOp::Texts(_) | DiskOp::StageTexts { .. } => {}
         }
     }
 }
@@ -136,10 +153,16 @@
     b
 }
 
+/// The folder in which the database lies.
+fn folder_of(path: &Path) -> &Path {
+    path.parent().unwrap_or(Path::new("."))
+}
+
 pub struct Disk {
     path: PathBuf,
     opener: Opener,
     db: Option<Database>,
+    texts: TextFiles,
     pub id: u64,
     pub cluster: u64,
 }
@@ -185,7 +208,8 @@
     }
 
     fn over(path: PathBuf, opener: Opener, fresh: bool, kind: u64, draw: impl Fn() -> u64) -> Result<Disk, DiskError> {
-        let mut d = Disk { path, opener, db: None, id: 0, cluster: 0 };
+        let texts = TextFiles::in_folder(folder_of(&path));
+        let mut d = Disk { path, opener, db: None, texts, id: 0, cluster: 0 };
         if fresh {
             d.found_folder(kind, draw())?;
         }
@@ -339,11 +363,51 @@
         Ok(b)
     }
 
-    /// Everything in `ops` is on disk when this returns, or none of it.
+    /// A reader of this folder's texts, with so many bytes of the newest in memory.
+    pub fn stored_texts(&self, cache_bytes: usize) -> StoredTexts {
+        StoredTexts::in_folder(folder_of(&self.path), cache_bytes)
+    }
+
+    /// Everything in `ops` is on disk when this returns; texts are so once a snapshot after them is.
     pub fn write(&mut self, ops: &[DiskOp]) -> Result<(), DiskError> {
+        let mut rest = ops;
+        // segments that a replaced state named go only once the state that replaces it is on disk
+        while let Some(at) = rest.iter().position(DiskOp::retains_segments) {
+            let (before, from) = rest.split_at(at);
+            self.write_batch(before)?;
+            self.write_texts(&from[..1])?;
+            rest = &from[1..];
+        }
+        self.write_batch(rest)
+    }
+
+    fn write_texts(&mut self, ops: &[DiskOp]) -> Result<(), DiskError> {
+        let files = &mut self.texts;
+        let written = ops.iter().try_for_each(|op| match op {
+            DiskOp::Texts(ops) => ops.iter().try_for_each(|op| files.apply(op)),
+            DiskOp::StageTexts { segment, offset, bytes } => files.write_at(*segment, *offset, bytes),
+            _ => Ok(()),
+        });
+        written.map_err(|e| self.texts_failed(e))
+    }
+
+    fn texts_failed(&self, e: std::io::Error) -> DiskError {
+        DiskError::Failed(format!("texts beside {}: {e}", self.path.display()))
+    }
+
+    fn write_batch(&mut self, ops: &[DiskOp]) -> Result<(), DiskError> {
+        self.write_texts(ops)?;
+        if ops.iter().any(|op| matches!(op, DiskOp::Snapshot { .. })) {
+            // the log that still has the texts goes with it
+            self.texts.sync().map_err(|e| self.texts_failed(e))?;
+        }
+        if ops.iter().all(|op| matches!(op, DiskOp::Texts(_) | DiskOp::StageTexts { .. })) {
+            return Ok(());
+        }
         self.transact(|t| {
             for op in ops {
                 match op {
+                    DiskOp::Texts(_) | DiskOp::StageTexts { .. } => {}
                     DiskOp::Meta { term, voted } => {
                         let mut f = t.open_table(FACTS)?;
                         f.insert("term", *term)?;
--- a/hutbook/src/state/memory.rs
+++ b/hutbook/src/state/memory.rs
@@ -2,7 +2,7 @@
 
 use crate::constants::{
     DISK_CACHE_BYTES, DISK_CACHE_LEAST_BYTES, DISK_CACHE_SHARE, LOG_SHARE, SNAPSHOT_BYTES, SNAPSHOT_LEAST_BYTES,
-    STATE_SHARE, TEXT_BYTES,
+    STATE_SHARE, TEXT_BYTES, TEXT_CACHE_BYTES, TEXT_CACHE_SHARE,
 };
 
 /// bytes. In a megabyte, as machines' memory is told.
@@ -17,6 +17,8 @@
     pub log: usize,
     /// What the database keeps of its file.
     pub disk_cache: usize,
+    /// The newest texts, so that a turn that goes on at once needn't wait for the disk.
+    pub text_cache: usize,
 }
 
 impl MemoryBudget {
@@ -28,6 +30,7 @@
             state: part(STATE_SHARE, 0, TEXT_BYTES as usize),
             log: part(LOG_SHARE, SNAPSHOT_LEAST_BYTES, SNAPSHOT_BYTES),
             disk_cache: part(DISK_CACHE_SHARE, DISK_CACHE_LEAST_BYTES, DISK_CACHE_BYTES),
+            text_cache: part(TEXT_CACHE_SHARE, 0, TEXT_CACHE_BYTES),
         }
     }
 }
--- a/hutbook/src/state/mod.rs
+++ b/hutbook/src/state/mod.rs
@@ -7,5 +7,6 @@
 pub mod kept_text;
 pub mod memory;
 pub mod snapshot_data;
+pub mod texts;
 #[cfg(test)]
 mod unsteady;
--- a/hutbook/src/state/snapshot_data.rs
+++ b/hutbook/src/state/snapshot_data.rs
@@ -9,6 +9,7 @@
 //! behind, and the disk's queue. All of them hold handles, so that what is in memory can be exchanged
 //! for equal bytes that are shared with the state.
 
+use super::texts::{SegmentBytes, SegmentSource};
 use bytes::Bytes;
 use minicbor::decode::{self, Decode, Decoder};
 use minicbor::encode::{self, Encoder};
@@ -27,6 +28,61 @@
     list: Vec<Bytes>,
     len: usize,
     digest: Option<u32>,
+    texts: Option<Arc<SnapshotTexts>>,
+}
+
+/// The segments that a snapshot's state names. They lie on the disk, are no part of the snapshot's bytes,
+/// and go to another member before those.
+pub struct SnapshotTexts {
+    source: Arc<dyn SegmentSource>,
+    /// Number and length in bytes, in order.
+    segments: Vec<(u32, u32)>,
+}
+
+/// Some bytes of one segment on their way to another member.
+#[derive(Debug, PartialEq)]
+pub struct SegmentPart {
+    pub segment: u32,
+    pub offset: u32,
+    /// bytes. That this part stands for; `bytes` is empty where the segment has gone.
+    pub length: u32,
+    pub bytes: Vec<u8>,
+}
+
+impl SnapshotTexts {
+    pub fn new(source: Arc<dyn SegmentSource>, segments: Vec<(u32, u32)>) -> SnapshotTexts {
+        SnapshotTexts { source, segments }
+    }
+
+    /// bytes. Of all segments.
+    pub fn len(&self) -> u64 {
+        self.segments.iter().map(|(_, length)| u64::from(*length)).sum()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// At most so many bytes, all of one segment, from `at` on, counted over all segments. None while they
+    /// are still on their way to the disk; an empty part after the last byte.
+    pub fn part(&self, at: u64, most: u32) -> Option<SegmentPart> {
+        let mut start = 0;
+        for (segment, length) in &self.segments {
+            let end = start + u64::from(*length);
+            if at < end {
+                let offset = (at - start) as u32;
+                let part = most.min(length - offset);
+                let bytes = match self.source.read(*segment, offset, part) {
+                    SegmentBytes::Bytes(bytes) => bytes,
+                    SegmentBytes::NotWritten => return None,
+                    SegmentBytes::Gone => vec![],
+                };
+                return Some(SegmentPart { segment: *segment, offset, length: part, bytes });
+            }
+            start = end;
+        }
+        Some(SegmentPart { segment: 0, offset: 0, length: 0, bytes: vec![] })
+    }
 }
 
 impl SnapshotData {
@@ -34,7 +90,23 @@
     pub fn from_pieces(list: Vec<Bytes>) -> SnapshotData {
         let list: Vec<Bytes> = list.into_iter().filter(|piece| !piece.is_empty()).collect();
         let len = list.iter().map(Bytes::len).sum();
-        SnapshotData(Arc::new(Mutex::new(Pieces { list, len, digest: None })))
+        SnapshotData(Arc::new(Mutex::new(Pieces { list, len, digest: None, texts: None })))
+    }
+
+    /// The same bytes, of a state that names these segments.
+    pub fn with_texts(self, texts: SnapshotTexts) -> SnapshotData {
+        self.pieces().texts = Some(Arc::new(texts));
+        self
+    }
+
+    /// The segments that the state names, where it keeps texts on disk.
+    pub fn texts(&self) -> Option<Arc<SnapshotTexts>> {
+        self.pieces().texts.clone()
+    }
+
+    /// bytes. Of those segments.
+    pub fn texts_len(&self) -> u64 {
+        self.texts().map_or(0, |texts| texts.len())
     }
 
     fn pieces(&self) -> MutexGuard<'_, Pieces> {
@@ -115,7 +187,7 @@
     pub fn share(&self, other: &SnapshotData) {
         let other = {
             let pieces = other.pieces();
-            Pieces { list: pieces.list.clone(), ..*pieces }
+            Pieces { list: pieces.list.clone(), texts: pieces.texts.clone(), ..*pieces }
         };
         *self.pieces() = other;
     }
--- /dev/null
+++ b/hutbook/src/state/texts/files.rs
@@ -0,0 +1,149 @@
+//! Segments as files of one folder.
+
+use super::{SegmentBytes, TextOp, TextPlace};
+use std::collections::BTreeSet;
+use std::fs::{File, OpenOptions};
+use std::io::{Error, ErrorKind, Result};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+/// Name of the folder beside the database.
+const FOLDER: &str = "texts";
+const EXTENSION: &str = "segment";
+
+/// The folder of a data folder's segments.
+pub fn folder_in(data: &Path) -> PathBuf {
+    data.join(FOLDER)
+}
+
+fn file_of(folder: &Path, segment: u32) -> PathBuf {
+    folder.join(format!("{segment:010}.{EXTENSION}"))
+}
+
+/// Reads a part of a segment's file. A file that ends sooner is as good as none.
+pub fn read(folder: &Path, segment: u32, offset: u32, length: u32) -> SegmentBytes {
+    let path = file_of(folder, segment);
+    let mut bytes = vec![0; length as usize];
+    match File::open(&path).and_then(|file| file.read_exact_at(&mut bytes, offset.into())) {
+        Ok(()) => SegmentBytes::Bytes(bytes),
+        Err(e) => {
+            if e.kind() != ErrorKind::NotFound {
+                log::error!("{} at {offset}: {length} bytes can't be read: {e}", path.display());
+            }
+            SegmentBytes::Gone
+        }
+    }
+}
+
+/// Writes segments. Nothing is synced before `sync`.
+pub struct TextFiles {
+    folder: PathBuf,
+    /// The segment that was written last.
+    newest: Option<(u32, File)>,
+    /// Written to since the last sync.
+    unsynced: BTreeSet<u32>,
+    /// A file was made or removed since the last sync.
+    names_unsynced: bool,
+}
+
+impl TextFiles {
+    /// The segments of this data folder; nothing is made before something is written.
+    pub fn in_folder(data: &Path) -> TextFiles {
+        TextFiles { folder: folder_in(data), newest: None, unsynced: BTreeSet::new(), names_unsynced: false }
+    }
+
+    /// Carries out a change. It may be repeated, also after it failed.
+    pub fn apply(&mut self, op: &TextOp) -> Result<()> {
+        match op {
+            TextOp::Write { place, text } => self.write(place, text),
+            TextOp::DropSegment(segment) => self.remove(*segment),
+            TextOp::RetainSegments(segments) => self.retain(segments),
+        }
+    }
+
+    /// Writes bytes of a segment that may hold several texts.
+    pub fn write_at(&mut self, segment: u32, offset: u32, bytes: &[u8]) -> Result<()> {
+        if self.newest.as_ref().is_none_or(|(number, _)| *number != segment) {
+            let file = self.open(segment)?;
+            self.newest = Some((segment, file));
+        }
+        let (_, file) = self.newest.as_ref().expect("just opened");
+        self.unsynced.insert(segment);
+        let written = file.write_all_at(bytes, offset.into());
+        self.reopen_after(written)
+    }
+
+    /// After a failure the file is opened anew before it is written to again.
+    fn reopen_after<T>(&mut self, result: Result<T>) -> Result<T> {
+        if result.is_err() {
+            self.newest = None;
+        }
+        result
+    }
+
+    fn write(&mut self, place: &TextPlace, text: &[u8]) -> Result<()> {
+        self.write_at(place.segment, place.offset, text)
+    }
+
+    fn open(&mut self, segment: u32) -> Result<File> {
+        let path = file_of(&self.folder, segment);
+        let open = |new| OpenOptions::new().write(true).create(new).truncate(false).open(&path);
+        match open(false) {
+            Err(e) if e.kind() == ErrorKind::NotFound => {
+                std::fs::create_dir_all(&self.folder)?;
+                self.names_unsynced = true;
+                open(true)
+            }
+            opened => opened,
+        }
+    }
+
+    fn remove(&mut self, segment: u32) -> Result<()> {
+        self.newest.take_if(|(number, _)| *number == segment);
+        self.unsynced.remove(&segment);
+        match std::fs::remove_file(file_of(&self.folder, segment)) {
+            Err(e) if e.kind() != ErrorKind::NotFound => Err(e),
+            _ => Ok(()),
+        }
+    }
+
+    fn retain(&mut self, segments: &[u32]) -> Result<()> {
+        let listed = match std::fs::read_dir(&self.folder) {
+            Err(e) if e.kind() == ErrorKind::NotFound => return Ok(()),
+            listed => listed?,
+        };
+        for entry in listed {
+            let path = entry?.path();
+            let name = path.file_stem().and_then(|name| name.to_str()).and_then(|name| name.parse().ok());
+            match name {
+                Some(number) if segments.contains(&number) => {}
+                Some(number) => self.remove(number)?,
+                None => log::warn!("{}: not a segment; left alone", path.display()),
+            }
+        }
+        Ok(())
+    }
+
+    /// What was written, and the names of the files, outlast a loss of power once this returns.
+    pub fn sync(&mut self) -> Result<()> {
+        let synced = self.sync_all();
+        self.reopen_after(synced)
+    }
+
+    fn sync_all(&mut self) -> Result<()> {
+        while let Some(segment) = self.unsynced.first().copied() {
+            let path = file_of(&self.folder, segment);
+            let named = |e: Error| Error::new(e.kind(), format!("{}: {e}", path.display()));
+            OpenOptions::new().write(true).open(&path).and_then(|file| file.sync_all()).map_err(named)?;
+            self.unsynced.remove(&segment);
+        }
+        if self.names_unsynced {
+            File::open(&self.folder)?.sync_all()?;
+            if let Some(data) = self.folder.parent() {
+                File::open(data)?.sync_all()?;
+            }
+            self.names_unsynced = false;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/hutbook/src/state/texts/recent.rs
@@ -0,0 +1,133 @@
+//! The newest texts in memory, and the way to all others.
+
+use super::files::{folder_in, read};
+use super::{SegmentBytes, SegmentSource, TextOp, TextPlace};
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, MutexGuard};
+
+/// Where a text was found.
+#[derive(Debug, PartialEq)]
+pub enum Found {
+    InMemory(Bytes),
+    /// It has to be read from the disk.
+    OnDisk,
+}
+
+/// Texts by place, in the order in which they were written. Those that are not on disk yet stay;
+/// of the others the newest stay, as far as there is room.
+#[derive(Default)]
+struct RecentTexts {
+    texts: BTreeMap<(u32, u32), Bytes>,
+    bytes: usize,
+    /// bytes. What may stand here of texts that are on disk.
+    most: usize,
+    /// Everything before this place is on disk.
+    written_to: (u32, u32),
+    /// Something is on its way to the disk.
+    writing: bool,
+}
+
+impl RecentTexts {
+    fn evict(&mut self) {
+        while self.bytes > self.most {
+            let Some(oldest) = self.texts.first_entry() else { return };
+            if self.writing && *oldest.key() >= self.written_to {
+                return;
+            }
+            self.bytes -= oldest.remove().len();
+        }
+    }
+}
+
+/// The texts of one replica: a cache of a fixed number of bytes before its segments.
+#[derive(Default)]
+pub struct StoredTexts {
+    folder: Option<PathBuf>,
+    recent: Mutex<RecentTexts>,
+}
+
+impl StoredTexts {
+    /// The texts of this data folder, with so many bytes of the newest in memory.
+    pub fn in_folder(data: &Path, cache_bytes: usize) -> StoredTexts {
+        let recent = RecentTexts { most: cache_bytes, ..RecentTexts::default() };
+        StoredTexts { folder: Some(folder_in(data)), recent: Mutex::new(recent) }
+    }
+
+    fn recent(&self) -> MutexGuard<'_, RecentTexts> {
+        self.recent.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// These changes are handed to the disk: what they write can be read from now on.
+    pub fn hand_out(&self, ops: &[TextOp]) {
+        let mut recent = self.recent();
+        for op in ops {
+            let TextOp::Write { place, text } = op else { continue };
+            if !recent.writing {
+                (recent.writing, recent.written_to) = (true, place.start());
+            }
+            // a start writes the texts of the log again
+            recent.written_to = recent.written_to.min(place.start());
+            if let Some(before) = recent.texts.insert(place.start(), text.clone()) {
+                recent.bytes -= before.len();
+            }
+            recent.bytes += text.len();
+        }
+        recent.evict();
+    }
+
+    /// These changes have been carried out.
+    pub fn written(&self, ops: &[TextOp]) {
+        let mut recent = self.recent();
+        let ends = ops.iter().filter_map(|op| match op {
+            TextOp::Write { place, .. } => Some((place.segment, place.offset + place.length)),
+            _ => None,
+        });
+        let Some(end) = ends.last() else { return };
+        recent.written_to = end;
+        recent.writing = recent.texts.range(end..).next().is_some();
+        recent.evict();
+    }
+
+    /// The text, where memory has it.
+    pub fn find(&self, place: &TextPlace) -> Found {
+        match self.recent().texts.get(&place.start()) {
+            Some(text) if place.is_text(text) => Found::InMemory(text.clone()),
+            _ => Found::OnDisk,
+        }
+    }
+
+    /// The text, from memory or disk. None where it isn't there whole, which is logged.
+    pub fn text(&self, place: &TextPlace) -> Option<Bytes> {
+        if let Found::InMemory(text) = self.find(place) {
+            return Some(text);
+        }
+        let SegmentBytes::Bytes(bytes) = read(self.folder.as_ref()?, place.segment, place.offset, place.length) else {
+            log::error!("segment {} at {}: a text of {} bytes is missing", place.segment, place.offset, place.length);
+            return None;
+        };
+        if !place.is_text(&bytes) {
+            log::error!("segment {} at {}: a text of {} bytes is damaged", place.segment, place.offset, place.length);
+            return None;
+        }
+        Some(bytes.into())
+    }
+
+    /// bytes. In memory, of texts on disk and on their way there.
+    pub fn memory_bytes(&self) -> usize {
+        self.recent().bytes
+    }
+}
+
+impl SegmentSource for StoredTexts {
+    fn read(&self, segment: u32, offset: u32, length: u32) -> SegmentBytes {
+        {
+            let recent = self.recent();
+            if recent.writing && (segment, offset + length) > recent.written_to {
+                return SegmentBytes::NotWritten;
+            }
+        }
+        self.folder.as_ref().map_or(SegmentBytes::Gone, |folder| read(folder, segment, offset, length))
+    }
+}
--- a/hutbook/src/transport/hut.rs
+++ b/hutbook/src/transport/hut.rs
@@ -1,4 +1,4 @@
-//! A replica on its own thread, with a disk thread beside it.
+//! A replica on its own thread, with a thread that writes to its disk and one that reads texts beside it.
 
 use super::logs::Seldom;
 use super::post::Post;
@@ -8,6 +8,8 @@
 use crate::protocol::wire::Body;
 use crate::state::disk::{Boot, Disk, DiskOp};
 use crate::state::memory::MemoryBudget;
+use crate::state::texts::{Found, StoredTexts, TextOp, TextPlace};
+use bytes::Bytes;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, sync_channel, Receiver, RecvTimeoutError, Sender, SyncSender, TrySendError};
@@ -45,6 +47,13 @@
     pub sync_failed: Arc<AtomicU64>,
 }
 
+/// A response that waits for texts from the disk.
+struct TextRead<M: StateMachine> {
+    places: Vec<TextPlace>,
+    response: M::Response,
+    answer: Answer<M::Response>,
+}
+
 /// What runs a long computation of the machine and says what came of it.
 pub type Thinker<M> =
     Arc<dyn Fn(<M as StateMachine>::Computation) -> Option<<M as StateMachine>::Request> + Send + Sync>;
@@ -56,13 +65,14 @@
     M::Response: Send + 'static,
     M::Computation: Send + 'static,
 {
-    /// `boot` is what `disk` holds.
+    /// `boot` is what `disk` holds, `texts` reads the texts that it holds.
     #[allow(clippy::too_many_arguments)]
     pub fn start(
         group: u32,
         disk: Disk,
         boot: Boot,
         machine: M,
+        texts: Arc<StoredTexts>,
         budget: MemoryBudget,
         seed: u64,
         clock: Clock,
@@ -79,13 +89,28 @@
             sync_ms: Arc::default(),
             sync_failed: Arc::default(),
         });
+        let (reader_tx, reader_rx) = sync_channel(OPEN_TEXT_READS);
         let h = hut.clone();
         let back = tx.clone();
         let spawn =
             |name: &str, f: Box<dyn FnOnce() + Send>| std::thread::Builder::new().name(name.into()).spawn(f).map(drop);
-        spawn("disk", Box::new(move || h.write(disk, disk_rx, back)))?;
+        let of_disk = texts.clone();
+        spawn("disk", Box::new(move || h.write(disk, disk_rx, &of_disk, back)))?;
+        let of_reader = texts.clone();
+        spawn("texts", Box::new(move || read_texts::<M>(reader_rx, &of_reader)))?;
         let h = hut.clone();
-        let run = Runner { group, clock, post, disk: disk_tx, tickets: HashMap::new(), next: 0, thinker, back: tx };
+        let run = Runner {
+            group,
+            clock,
+            post,
+            disk: disk_tx,
+            texts,
+            reader: reader_tx,
+            tickets: HashMap::new(),
+            next: 0,
+            thinker,
+            back: tx,
+        };
         spawn("replica", Box::new(move || run.run(&h.replica, rx, first)))?;
         Ok(hut)
     }
@@ -114,7 +139,13 @@
 
     /// One batch after the other, in order; a failed one is tried until it holds.
     /// Meanwhile the replica sees no sync come back, and stands down by itself.
-    fn write(&self, mut disk: Disk, rx: Receiver<(u64, Vec<DiskOp>)>, back: SyncSender<Inbound<M>>) {
+    fn write(
+        &self,
+        mut disk: Disk,
+        rx: Receiver<(u64, Vec<DiskOp>)>,
+        texts: &StoredTexts,
+        back: SyncSender<Inbound<M>>,
+    ) {
         while let Ok((mut mark, mut ops)) = rx.recv() {
             while let Ok((m, o)) = rx.try_recv() {
                 mark = m;
@@ -129,6 +160,7 @@
                 }
                 std::thread::sleep(Duration::from_millis(DISK_AGAIN_MS));
             }
+            text_ops(&ops).for_each(|ops| texts.written(ops));
             self.sync_ms.store(t.elapsed().as_millis() as u64, Ordering::Relaxed);
             if back.send(Inbound::Synced(mark)).is_err() {
                 return;
@@ -137,11 +169,28 @@
     }
 }
 
+fn text_ops(ops: &[DiskOp]) -> impl Iterator<Item = &[TextOp]> {
+    ops.iter().filter_map(|op| match op {
+        DiskOp::Texts(ops) => Some(ops.as_slice()),
+        _ => None,
+    })
+}
+
+/// Reads texts for one response after the other: a slow disk holds up these alone.
+fn read_texts<M: StateMachine>(reads: Receiver<TextRead<M>>, texts: &StoredTexts) {
+    while let Ok(TextRead { places, response, answer }) = reads.recv() {
+        let found = places.iter().map(|place| texts.text(place)).collect();
+        answer(M::with_texts(response, found));
+    }
+}
+
 struct Runner<M: StateMachine> {
     group: u32,
     clock: Clock,
     post: Arc<Post>,
     disk: Sender<(u64, Vec<DiskOp>)>,
+    texts: Arc<StoredTexts>,
+    reader: SyncSender<TextRead<M>>,
     tickets: HashMap<u64, Answer<M::Response>>,
     next: u64,
     thinker: Thinker<M>,
@@ -211,12 +260,13 @@
                     self.post.send(&addr, Body::Raft { group: self.group, msg, at: self.post.at.clone() })
                 }
                 Output::Persist { sync_ticket: mark, ops } => {
+                    text_ops(&ops).for_each(|ops| self.texts.hand_out(ops));
                     // gone only when the process ends
                     let _ = self.disk.send((mark, ops));
                 }
                 Output::Reply { ticket, response: tell } => {
                     if let Some(f) = self.tickets.remove(&ticket) {
-                        f(tell);
+                        self.reply(tell, f);
                     }
                 }
                 Output::Compute(k) => {
@@ -230,4 +280,25 @@
             }
         }
     }
+
+    /// Answers at once where memory has the texts that the response lacks, else once they have been read.
+    fn reply(&self, response: M::Response, answer: Answer<M::Response>) {
+        let places = M::lacking_texts(&response);
+        let in_memory: Vec<Option<Bytes>> = places.iter().map(|place| self.in_memory(place)).collect();
+        if in_memory.iter().all(Option::is_some) {
+            return answer(M::with_texts(response, in_memory));
+        }
+        let read = TextRead { places, response, answer };
+        if let Err(TrySendError::Full(read) | TrySendError::Disconnected(read)) = self.reader.try_send(read) {
+            let none = vec![None; read.places.len()];
+            (read.answer)(M::with_texts(read.response, none));
+        }
+    }
+
+    fn in_memory(&self, place: &TextPlace) -> Option<Bytes> {
+        match self.texts.find(place) {
+            Found::InMemory(text) => Some(text),
+            Found::OnDisk => None,
+        }
+    }
 }
--- a/hutbook/tests/late_snapshots.rs
+++ b/hutbook/tests/late_snapshots.rs
@@ -25,6 +25,7 @@
         total: 1,
         bytes: vec![0],
         digest: SnapshotData::from(vec![0]).digest(),
+        texts: 0,
     };
     RaftInput::Message { from: 1, msg }
 }
