--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -8,5 +8,4 @@
 pub mod scaler;
 pub mod shares;
 pub mod store;
-mod turns;
 pub mod view;
--- /dev/null
+++ b/hutbook/src/coordination/store/tests/mod.rs
@@ -0,0 +1,2 @@
+mod state;
+mod turns;
--- /dev/null
+++ b/hutbook/src/coordination/store/tests/state.rs
@@ -0,0 +1,126 @@
+//! The state machine: its bounds, its snapshot, and what passing time settles.
+
+use crate::constants::*;
+use crate::coordination::replica::{LeaderContext, Plan, StateMachine};
+use crate::coordination::store::{
+    Intent, Link, Store, StoreCmd, StoreRequest, StoreResponse, TurnEnd, TurnLeave, Verdict,
+};
+use crate::state::entry::to_bytes;
+use crate::state::memory::MemoryBudget;
+use crate::state::snapshot_data::SnapshotData;
+
+fn apply(s: &mut Store, clock: u64, ask: Option<StoreRequest>) -> StoreResponse {
+    s.apply(0, 1, &to_bytes(&StoreCmd { clock, ask }))
+}
+
+#[test]
+fn a_turn_whose_edge_vanished_is_settled_at_its_full_cap() {
+    // given a program with an open turn of cap 40
+    let mut s = Store::default();
+    let put = StoreRequest::Put { id: "p".into(), allowance: 50, time_left_ms: 600_000, retention_ms: 600_000 };
+    apply(&mut s, 1, Some(put));
+    let i = Intent {
+        program: "p".into(),
+        key: "k".into(),
+        digest: 3,
+        route: "chat".into(),
+        once_only: false,
+        edge: 9,
+        attempt: 0,
+        server: "m".into(),
+        cap: 40,
+        run_ms: 1_000,
+        retention_ms: 600_000,
+        group: "lang".into(),
+        nonce: 5,
+        at: String::new(),
+        unsent: false,
+        since: 0,
+    };
+    assert!(matches!(apply(&mut s, 2, Some(StoreRequest::Begin(i))), StoreResponse::Go(_)));
+    // when its run can't be going on any more and nobody has settled it
+    apply(&mut s, 2 + DISPATCH_MS + 1_000, None);
+    // then it is in doubt, and counts as if all of its cap had been handed out
+    assert!(matches!(s.known("p", "k", 3), Some(StoreResponse::Ended(e)) if e.verdict == Verdict::InDoubt));
+    let p = &s.kept.programs["p"];
+    assert_eq!((p.spent, p.reserved), (40, 0));
+}
+
+fn turn_end(turn: &str, text: usize) -> StoreRequest {
+    StoreRequest::TurnEnd(TurnEnd {
+        turn: turn.into(),
+        program: "p".into(),
+        session: "s".into(),
+        before: String::new(),
+        edge: 1,
+        tokens: 1,
+        server: String::new(),
+        kept: Some(Link { turn: turn.into(), said: vec![1; text], answer: vec![2; text] }),
+        retention_ms: 60_000,
+    })
+}
+
+fn turn_leave(turn: &str) -> StoreRequest {
+    StoreRequest::TurnLeave(TurnLeave {
+        turn: turn.into(),
+        program: "p".into(),
+        session: "s".into(),
+        before: String::new(),
+        budget: u64::MAX,
+        cap: 1,
+        edge: 1,
+        run_ms: 1_000,
+        retention_ms: 60_000,
+        have: vec![],
+    })
+}
+
+#[test]
+fn new_work_over_the_memory_is_refused_before_it_is_agreed_and_ends_are_taken() {
+    // given a store whose state has reached its part of the machine's memory
+    let budget = MemoryBudget::of(Some(MEMORY_LEAST_MB));
+    let mut s = Store::with(budget);
+    let st = LeaderContext { now: 1, term: 1 };
+    s.became_leader(st);
+    assert!(matches!(s.plan(st, &turn_leave("a")), Plan::Propose(_)));
+    apply(&mut s, 1, Some(turn_leave("a")));
+    for n in 0..budget.state / STATE_ITEM_BYTES {
+        apply(&mut s, 1, Some(turn_end(&format!("t{n}"), 0)));
+    }
+    // when new work comes, then it is told to come back and nothing is agreed
+    assert!(matches!(s.plan(st, &turn_leave("b")), Plan::Reply(StoreResponse::Busy)));
+    let put = StoreRequest::Put { id: "q".into(), allowance: 1, time_left_ms: 1, retention_ms: 1 };
+    assert!(matches!(s.plan(st, &put), Plan::Reply(StoreResponse::Busy)));
+    // but a turn that keeps no text may still run
+    let StoreRequest::TurnLeave(l) = turn_leave("c") else { unreachable!() };
+    let unkept = StoreRequest::TurnLeave(TurnLeave { retention_ms: 0, ..l });
+    assert!(matches!(s.plan(st, &unkept), Plan::Propose(_)));
+    // then the end of what had leave is taken all the same, and reads are answered
+    assert!(matches!(s.plan(st, &turn_end("a", 10)), Plan::Propose(_)));
+    assert!(matches!(s.plan(st, &StoreRequest::Status), Plan::Read));
+    // and once it is forgotten there is room again
+    apply(&mut s, 70_000, None);
+    assert!(matches!(s.plan(st, &turn_leave("b")), Plan::Propose(_)));
+}
+
+#[test]
+fn a_snapshot_has_the_bytes_of_a_plain_encoding_and_is_read_back_the_same() {
+    // given a state with programs, jobs and turns
+    let mut s = Store::default();
+    let put = StoreRequest::Put { id: "p".into(), allowance: 50, time_left_ms: 600_000, retention_ms: 600_000 };
+    apply(&mut s, 1, Some(put));
+    for i in 0..200 {
+        apply(&mut s, 2, Some(turn_leave(&format!("open{i}"))));
+        apply(&mut s, 2, Some(turn_end(&format!("end{i}"), i * 20)));
+    }
+    // when a snapshot is taken, then its bytes are as they always were
+    let data = s.snapshot();
+    assert!(data.to_vec() == to_bytes(&s.kept));
+    // when one from the disk is read, in pieces that cut items anywhere, then it is the same state
+    let whole = data.to_vec();
+    let pieces = whole.chunks(1_000).map(bytes::Bytes::copy_from_slice).collect();
+    let from_disk = SnapshotData::from_pieces(pieces);
+    let mut t = Store::default();
+    t.restore(&from_disk);
+    assert!(t.kept == s.kept && from_disk == data);
+}
