--- a/hutbook/examples/captures.rs
+++ b/hutbook/examples/captures.rs
@@ -71,7 +71,8 @@
                 have: vec![],
             };
             entries.extend(agree(&mut s, StoreRequest::TurnLeave(l)));
-            let kept = Link { turn: turn.clone(), said: vec![b'x'; TEXT / 2], answer: vec![b'y'; TEXT / 2] };
+            let kept =
+                Link { turn: turn.clone(), said: vec![b'x'; TEXT / 2], answer: vec![b'y'; TEXT / 2], stored: None };
             let e = TurnEnd {
                 turn,
                 program,
--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -2,9 +2,9 @@
 
 /// Version of what the processes say to each other; a node speaks its own and the one before.
 pub const WIRE_VERSION: u16 = 1;
-/// Version of what stands on disk. 2: a snapshot lies in pieces. 3: texts in it may be compressed.
-/// Folders of older ones are read.
-pub const DISK_VERSION: u64 = 3;
+/// Version of what stands on disk. 2: a snapshot lies in pieces. 3: texts in it may be compressed. 4: texts lie in
+/// segments beside the database. Folders of older ones are read, and are of this version with their next snapshot.
+pub const DISK_VERSION: u64 = 4;
 
 /// ms. Leader's heartbeat: four fit into the shortest election wait, so one lost packet unseats nobody.
 pub const HEARTBEAT_MS: u64 = 75;
@@ -50,6 +50,8 @@
 pub const LOG_WHILE_SENDING: usize = 2;
 /// MB. The smallest machine that a store or core may be told it has: the process alone takes 13.4.
 pub const MEMORY_LEAST_MB: u64 = 56;
+/// MB. The smallest disk that a store may be told it has: log, index and free pages take some 40.
+pub const DISK_LEAST_MB: u64 = 100;
 /// bytes. What the process takes beside the parts that have bounds: code, threads, connections.
 pub const PROCESS_BYTES: usize = 14_000_000;
 /// MB. The largest, a terabyte.
@@ -126,8 +128,13 @@
 pub const SESSIONS_KEPT: usize = 64;
 /// accounts. Beyond them a new program is told to come back, so that memory stays bounded.
 pub const LEDGERS_KEPT: usize = 100_000;
-/// bytes. Texts of turns kept; beyond them no turn gets leave, so that memory stays bounded.
-pub const TEXT_BYTES: u64 = 64 * 1024 * 1024;
+/// bytes. State of a store group on a machine that isn't told its memory.
+pub const STATE_BYTES: usize = 64 * 1024 * 1024;
+/// share. Of a machine's disk for texts, with those that are named no more but share a segment with others. The
+/// rest is for the log, the index and the database's free pages.
+pub const TEXT_DISK_SHARE: f64 = 0.6;
+/// bytes. Of texts on a machine that isn't told its disk.
+pub const TEXT_DISK_BYTES: u64 = 1024 * 1024 * 1024;
 /// bytes. A segment of texts ends once it has this size. Small, so that those of a minute are many, and little
 /// lies on disk beside what is still named; large, so that a second brings no more than a few.
 pub const SEGMENT_BYTES: u32 = 1024 * 1024;
--- a/hutbook/src/coordination/raft/fingerprint.rs
+++ b/hutbook/src/coordination/raft/fingerprint.rs
@@ -29,7 +29,7 @@
         (self.id, self.term, self.voted_for, self.role as u8, self.leader).hash(hasher);
         (self.base_index, self.base_term, self.commit, self.applied, self.synced_index, self.synced_term).hash(hasher);
         (&self.log, &self.snapshot, &self.member_log).hash(hasher);
-        (&self.votes, self.round, &self.reads, &self.incoming_snapshot).hash(hasher);
+        (&self.votes, self.round, &self.reads, &self.incoming_snapshot, self.incoming_texts).hash(hasher);
         let led = self.leader.is_some() && now < self.heard_leader + ELECTION_MS;
         (led, self.heartbeat_at.saturating_sub(now), self.probe_at.saturating_sub(now)).hash(hasher);
         let lease_left = (self.heard_leader + ELECTION_MS).saturating_sub(now);
@@ -65,7 +65,7 @@
     fn fingerprint(&self, now: u64, hasher: &mut impl Hasher) {
         (self.next_index, self.match_index, self.acknowledged_round, age(now, self.last_contact, ELECTION_MS))
             .hash(hasher);
-        (self.probing_since.map(|at| age(now, at, HEARTBEAT_MS)), self.snapshot_progress, self.takes_texts)
+        (self.probing_since.map(|at| age(now, at, HEARTBEAT_MS)), self.snapshot_progress, self.texts_sent_to)
             .hash(hasher);
         (age(now, self.chunk_sent_at, self.chunk_retry_ms), self.chunk_retry_ms, self.chunk_repeated).hash(hasher);
     }
--- a/hutbook/src/coordination/raft/messages.rs
+++ b/hutbook/src/coordination/raft/messages.rs
@@ -18,19 +18,22 @@
         #[n(3)] AppendResponse { #[n(0)] term: u64, #[n(1)] success: bool, #[n(2)] index: u64, #[n(3)] round: u64 },
         /// Bytes of the snapshot at `index` from `offset` on; it has `total` bytes, of which `digest` is the
         /// CRC-32.
-        /// `texts` bytes of segments belong to it and have come before.
+        /// Texts that it names have come before, up to the position `texts`.
         /// Number 4 was that of chunks without a digest, in which no text was compressed: a member of that
         /// version would take this one's for an empty state, and waits until it is of this version.
         #[n(7)] SnapshotChunk { #[n(0)] term: u64, #[n(1)] index: u64, #[n(2)] index_term: u64, #[n(3)] members: Members, #[n(4)] offset: u64, #[n(5)] total: u64, #[cbor(n(6), with = "minicbor::bytes")] bytes: Vec<u8>, #[n(7)] digest: u32, #[n(8)] #[cbor(default)] texts: u64 },
-        /// The first `received` bytes of the snapshot at `index` are here: of its texts, then of its state.
+        /// The first `received` bytes of the snapshot at `index` are here.
         #[n(5)] SnapshotChunkAck { #[n(0)] term: u64, #[n(1)] index: u64, #[n(2)] received: u64 },
         /// The leader of `term` asks this member to be elected in its place, without waiting.
         #[n(6)] TimeoutNow { #[n(0)] term: u64 },
-        /// Bytes of a segment that the snapshot at `index` names: `length` of them from `offset` on, which are
-        /// those after the first `received` of all its segments. `bytes` is empty where the sender has none.
+        /// Bytes of a segment that the leader's snapshot names: `length` of them from `offset` on, which follow what
+        /// was sent up to the position `after`; 0 for the first. `bytes` is empty where the sender has none; `digest`
+        /// is their CRC-32. A newer snapshot goes on where the one before was.
         /// A member of the version before, which keeps texts in its state, does not know this message and
         /// so takes no snapshot from this one.
-        #[n(8)] SnapshotTexts { #[n(0)] term: u64, #[n(1)] index: u64, #[n(2)] received: u64, #[n(3)] segment: u32, #[n(4)] offset: u32, #[n(5)] length: u32, #[cbor(n(6), with = "minicbor::bytes")] bytes: Vec<u8> },
+        #[n(8)] SnapshotTexts { #[n(0)] term: u64, #[n(1)] after: u64, #[n(2)] segment: u32, #[n(3)] offset: u32, #[n(4)] length: u32, #[cbor(n(5), with = "minicbor::bytes")] bytes: Vec<u8>, #[n(6)] digest: u32 },
+        /// Texts up to this position have been written, without a gap; None where nothing is known of any.
+        #[n(9)] SnapshotTextsAck { #[n(0)] term: u64, #[n(1)] upto: Option<u64> },
     }
     /// A change of one member (single-server changes, Raft thesis 4.1).
     #[derive(Hash)]
@@ -53,7 +56,7 @@
             // index 0 says only: I am here, in your term
             RaftMessage::AppendResponse { success, index, .. } => *success && *index > 0,
             // the sender goes on as fast as the disk takes what it sends
-            RaftMessage::SnapshotChunkAck { .. } => true,
+            RaftMessage::SnapshotTextsAck { .. } => true,
             _ => false,
         }
     }
--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -21,12 +21,13 @@
 use crate::state::disk::Boot;
 use crate::state::entry::{Entry, Members, Snapshot, What};
 use crate::state::snapshot_data::SegmentPart;
+use bytes::Bytes;
 use election::Transfer;
 use log::HeldOutputs;
 use rand_chacha::ChaCha8Rng;
 use rand_core::SeedableRng;
 use replication::{Peer, PendingRead};
-use snapshot::{IncomingSnapshot, WholeSnapshot};
+use snapshot::WholeSnapshot;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -75,8 +76,10 @@
     answered_round: u64,
     reads: VecDeque<PendingRead>,
     transfer: Option<Transfer>,
-    /// What has come of a snapshot that the leader is sending.
-    incoming_snapshot: Option<IncomingSnapshot>,
+    /// Index and bytes so far of a snapshot that the leader is sending.
+    incoming_snapshot: Option<(u64, Vec<Bytes>)>,
+    /// Up to where the leader's texts have come, for a snapshot that names them.
+    incoming_texts: Option<u64>,
     outputs: Vec<RaftOutput>,
 }
 
@@ -124,6 +127,7 @@
             reads: VecDeque::new(),
             transfer: None,
             incoming_snapshot: None,
+            incoming_texts: None,
             outputs: vec![],
         };
         if let Some(snapshot) = snapshot {
@@ -195,9 +199,16 @@
                     self.on_snapshot_chunk(now, from, whole, offset, bytes);
                 }
             }
-            RaftMessage::SnapshotTexts { term, index, received, segment, offset, length, bytes } => {
+            RaftMessage::SnapshotTexts { term, after, segment, offset, length, bytes, digest } => {
                 if self.accept_leader(now, from, term) {
-                    self.on_snapshot_texts(now, from, index, received, SegmentPart { segment, offset, length, bytes });
+                    let part = SegmentPart { segment, offset, length, bytes };
+                    self.on_snapshot_texts(now, from, after, part, digest);
+                }
+            }
+            RaftMessage::SnapshotTextsAck { term, upto } => {
+                self.observe_term(now, term);
+                if self.role == Role::Leader && term == self.term {
+                    self.on_snapshot_texts_ack(now, from, upto);
                 }
             }
             RaftMessage::SnapshotChunkAck { term, index, received } => {
--- a/hutbook/src/coordination/raft/replication.rs
+++ b/hutbook/src/coordination/raft/replication.rs
@@ -22,8 +22,8 @@
     pub(super) probing_since: Option<u64>,
     /// Index of the snapshot that is being sent and the bytes of it that the peer has.
     pub(super) snapshot_progress: Option<(u64, u64)>,
-    /// Has it acknowledged a part of a snapshot of this leader's?
-    pub(super) takes_texts: bool,
+    /// Up to where the peer has this leader's texts, once it has acknowledged any.
+    pub(super) texts_sent_to: Option<u64>,
     /// When the last chunk was sent; 0 once it has been taken.
     pub(super) chunk_sent_at: u64,
     /// ms. How long a chunk may take before it is sent again: twice what the last one took, or a link
@@ -42,7 +42,7 @@
             last_contact: now,
             probing_since: None,
             snapshot_progress: None,
-            takes_texts: false,
+            texts_sent_to: None,
             chunk_sent_at: 0,
             chunk_retry_ms: SNAPSHOT_CHUNK_RETRY_MS,
             chunk_repeated: false,
--- a/hutbook/src/coordination/raft/snapshot.rs
+++ b/hutbook/src/coordination/raft/snapshot.rs
@@ -5,7 +5,7 @@
 use crate::constants::*;
 use crate::state::disk::DiskOp;
 use crate::state::entry::{Members, Snapshot};
-use crate::state::snapshot_data::{SegmentPart, SnapshotData};
+use crate::state::snapshot_data::{SegmentPart, SnapshotData, SnapshotTexts};
 use bytes::Bytes;
 use std::sync::Arc;
 
@@ -18,31 +18,18 @@
     pub(super) total: u64,
     /// CRC-32 of the state.
     pub(super) digest: u32,
-    /// bytes. Of the segments that the state names.
+    /// Up to where the texts lie that the state names.
     pub(super) texts: u64,
 }
 
-/// What has come of a snapshot: its texts, which are on their way to the disk, then its state.
-#[derive(Clone, Default, Hash)]
-pub(super) struct IncomingSnapshot {
-    index: u64,
-    /// bytes.
-    texts: u64,
-    pieces: Vec<Bytes>,
-}
-
-impl IncomingSnapshot {
-    /// `begun` where it is of the snapshot at `index`, else nothing of that one yet.
-    fn going_on(begun: Option<IncomingSnapshot>, index: u64) -> IncomingSnapshot {
-        begun.filter(|begun| begun.index == index).unwrap_or(IncomingSnapshot { index, ..IncomingSnapshot::default() })
-    }
-
-    fn state_bytes(&self) -> u64 {
-        self.pieces.iter().map(|piece| piece.len() as u64).sum()
-    }
-
-    fn received(&self) -> u64 {
-        self.texts + self.state_bytes()
+impl Peer {
+    /// What was sent last of a snapshot has been taken.
+    fn chunk_acknowledged(&mut self, now: u64) {
+        if !self.chunk_repeated && self.chunk_sent_at != 0 {
+            let took = now.saturating_sub(self.chunk_sent_at);
+            self.chunk_retry_ms = (2 * took).clamp(SNAPSHOT_CHUNK_RETRY_MS, SNAPSHOT_CHUNK_RETRY_MOST_MS);
+        }
+        self.chunk_sent_at = 0;
     }
 }
 
@@ -85,15 +72,17 @@
         let Some(snapshot) = self.snapshot.clone() else { return };
         let peer = self.peers.get_mut(&to).expect("only members are sent to");
         let progress = peer.snapshot_progress.filter(|(index, _)| *index == snapshot.index);
-        let received = progress.map_or(0, |(_, received)| received);
-        peer.snapshot_progress = Some((snapshot.index, received));
-        let texts = snapshot.data.texts_len();
-        // a member of the version before doesn't know how to take a state whose texts lie apart: it leaves the first
-        // message about texts unanswered, also where there are none to send
-        let takes_texts = peer.takes_texts || snapshot.data.texts().is_none();
-        let Some(offset) = received.checked_sub(texts).filter(|_| takes_texts) else {
-            return self.send_texts(to, &snapshot, received);
-        };
+        let offset = progress.map_or(0, |(_, received)| received);
+        peer.snapshot_progress = Some((snapshot.index, offset));
+        let sent_to = peer.texts_sent_to;
+        let texts = snapshot.data.texts();
+        if let Some(texts) = &texts {
+            // a member of the version before doesn't know how to take a state whose texts lie apart: it leaves the
+            // first message about texts unanswered, and there is one also where there are none
+            if sent_to.is_none_or(|upto| upto < texts.end()) {
+                return self.send_texts(to, texts, sent_to.unwrap_or(0));
+            }
+        }
         let msg = RaftMessage::SnapshotChunk {
             term: self.term,
             index: snapshot.index,
@@ -103,18 +92,25 @@
             total: snapshot.data.len() as u64,
             bytes: snapshot.data.copy_from(offset as usize, SNAPSHOT_CHUNK_BYTES),
             digest: snapshot.data.digest(),
-            texts,
+            texts: texts.map_or(0, |texts| texts.end()),
         };
         self.send(to, msg);
     }
 
-    /// Sends the texts after the first `received` bytes; later, where they are not on this disk yet.
-    fn send_texts(&mut self, to: u64, snapshot: &Snapshot, received: u64) {
-        let Some(texts) = snapshot.data.texts() else { return };
-        let Some(part) = texts.part(received, SNAPSHOT_CHUNK_BYTES as u32) else { return };
+    /// Sends the texts after a position; later, where they are not on this disk yet.
+    fn send_texts(&mut self, to: u64, texts: &SnapshotTexts, after: u64) {
+        let Some(part) = texts.part(after, SNAPSHOT_CHUNK_BYTES as u32) else { return };
         let SegmentPart { segment, offset, length, bytes } = part;
-        let (term, index) = (self.term, snapshot.index);
-        self.send(to, RaftMessage::SnapshotTexts { term, index, received, segment, offset, length, bytes });
+        let (term, digest) = (self.term, crc32fast::hash(&bytes));
+        self.send(to, RaftMessage::SnapshotTexts { term, after, segment, offset, length, bytes, digest });
+    }
+
+    /// The peer has texts up to there: on with the next.
+    pub(super) fn on_snapshot_texts_ack(&mut self, now: u64, from: u64, upto: Option<u64>) {
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        peer.texts_sent_to = upto;
+        peer.chunk_acknowledged(now);
+        self.replicate_to(now, from);
     }
 
     /// The peer has the first `received` bytes of the snapshot at `index`: on with the next chunk.
@@ -122,20 +118,15 @@
         let Some(peer) = self.peers.get_mut(&from) else { return };
         if peer.snapshot_progress.is_some_and(|(sending, _)| sending == index) {
             peer.snapshot_progress = Some((index, received));
-            peer.takes_texts = true;
-            if !peer.chunk_repeated && peer.chunk_sent_at != 0 {
-                let took = now.saturating_sub(peer.chunk_sent_at);
-                peer.chunk_retry_ms = (2 * took).clamp(SNAPSHOT_CHUNK_RETRY_MS, SNAPSHOT_CHUNK_RETRY_MOST_MS);
-            }
-            peer.chunk_sent_at = 0;
+            peer.chunk_acknowledged(now);
             self.replicate_to(now, from);
         }
     }
 
     /// What the snapshot at `index` covers is here already: says so, and the leader goes on with the log. What
     /// comes after it in the log stays, for the leader may have counted it (Raft thesis, figure 5.3, step 6).
-    fn has_snapshot(&mut self, from: u64, index: u64, term: Option<u64>) -> bool {
-        if index > self.commit && (term.is_none() || self.term_at(index) != term) {
+    fn has_snapshot(&mut self, from: u64, index: u64, term: u64) -> bool {
+        if index > self.commit && self.term_at(index) != Some(term) {
             return false;
         }
         self.commit = self.commit.max(index);
@@ -145,43 +136,51 @@
     }
 
     /// Takes bytes of segments in order and hands them to the disk. The acknowledgement waits for it.
-    pub(super) fn on_snapshot_texts(&mut self, now: u64, from: u64, index: u64, before: u64, part: SegmentPart) {
-        if self.disk_late(now) || self.has_snapshot(from, index, None) {
+    pub(super) fn on_snapshot_texts(&mut self, now: u64, from: u64, after: u64, part: SegmentPart, digest: u32) {
+        if self.disk_late(now) {
             return;
         }
-        let mut incoming = IncomingSnapshot::going_on(self.incoming_snapshot.take(), index);
-        if incoming.texts == before && incoming.pieces.is_empty() {
-            incoming.texts += u64::from(part.length);
+        if crc32fast::hash(&part.bytes) != digest {
+            return log::error!("texts of a snapshot came damaged: left out, and will come again");
+        }
+        if after == 0 || self.incoming_texts == Some(after) {
+            self.incoming_texts = Some(part.end());
             if !part.bytes.is_empty() {
                 let (segment, offset, bytes) = (part.segment, part.offset, part.bytes.into());
                 self.persist(now, vec![DiskOp::StageTexts { segment, offset, bytes }]);
             }
         }
-        let received = incoming.received();
-        self.incoming_snapshot = Some(incoming);
-        self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received });
+        let upto = self.incoming_texts;
+        self.send(from, RaftMessage::SnapshotTextsAck { term: self.term, upto });
     }
 
     /// Takes a chunk of the state in order; with the last one the snapshot replaces state and log.
     pub(super) fn on_snapshot_chunk(&mut self, now: u64, from: u64, whole: WholeSnapshot, offset: u64, bytes: Vec<u8>) {
         let WholeSnapshot { index, term, members, total, digest, texts } = whole;
-        if self.disk_late(now) || self.has_snapshot(from, index, Some(term)) {
+        if self.disk_late(now) || self.has_snapshot(from, index, term) {
             return;
         }
-        let mut incoming = IncomingSnapshot::going_on(self.incoming_snapshot.take(), index);
-        if incoming.texts == texts && incoming.state_bytes() == offset {
-            incoming.pieces.push(bytes.into());
+        if self.incoming_texts.unwrap_or(0) < texts {
+            let upto = self.incoming_texts;
+            return self.send(from, RaftMessage::SnapshotTextsAck { term: self.term, upto });
+        }
+        let mut pieces = match self.incoming_snapshot.take() {
+            Some((incoming, pieces)) if incoming == index => pieces,
+            _ => vec![],
+        };
+        let mut received = pieces.iter().map(Bytes::len).sum::<usize>() as u64;
+        if received == offset {
+            received += bytes.len() as u64;
+            pieces.push(bytes.into());
         }
-        if incoming.texts < texts || incoming.state_bytes() < total {
-            let received = incoming.received();
-            self.incoming_snapshot = Some(incoming);
+        if received < total {
+            self.incoming_snapshot = Some((index, pieces));
             return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received });
         }
-        let data = SnapshotData::from_pieces(incoming.pieces);
+        let data = SnapshotData::from_pieces(pieces);
         if digest != data.digest() {
             log::error!("the snapshot at {index} came with a wrong digest: refused, and asked for again");
-            self.incoming_snapshot = Some(IncomingSnapshot { index, texts, pieces: vec![] });
-            return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received: texts });
+            return self.send(from, RaftMessage::SnapshotChunkAck { term: self.term, index, received: 0 });
         }
         self.install_snapshot(now, Arc::new(Snapshot { index, term, members, data }));
         self.send(from, RaftMessage::AppendResponse { term: self.term, success: true, index, round: 0 });
--- a/hutbook/src/coordination/store/messages.rs
+++ b/hutbook/src/coordination/store/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::shares::OpenAt;
 use crate::state::entry::Member;
+use crate::state::texts::TextPlace;
 
 messages! {
     pub struct Turn {
@@ -87,6 +88,8 @@
         #[cbor(n(1), with = "minicbor::bytes")] pub said: Vec<u8>,
         /// The data of each event, each followed by a line feed.
         #[cbor(n(2), with = "minicbor::bytes")] pub answer: Vec<u8>,
+        /// Where this link lies while it has yet to be read; never on the wire.
+        #[cbor(skip)] pub stored: Option<TextPlace>,
     }
     /// A turn of work passed through asks whether it may run: before its first byte goes to a server.
     pub struct TurnLeave {
--- a/hutbook/src/coordination/store/turns.rs
+++ b/hutbook/src/coordination/store/turns.rs
@@ -4,20 +4,31 @@
 use super::accounts::{Account, Reservation};
 use super::messages::{Link, StoreResponse, TurnEnd, TurnLeave};
 use crate::constants::*;
+use crate::state::entry::to_bytes;
 use crate::state::kept_text::KeptText;
-use crate::state::snapshot_data::{SnapshotReader, SnapshotWriter};
-use minicbor::{decode, encode, Encoder};
+use crate::state::snapshot_data::SnapshotReader;
+use crate::state::texts::{TextLog, TextOp, TextPlace};
+use minicbor::decode;
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 
 messages! {
     /// A turn that others may go on from.
     struct KeptTurn {
+        /// Of its link, encoded.
+        #[n(0)] text: TextPlace,
+        /// bytes. Of what was said and answered.
+        #[n(1)] bytes: u32,
+        #[n(2)] server: String,
+        #[n(3)] before: String,
+        /// Never sooner than that of any turn that goes on from it.
+        #[n(4)] forget: u64,
+    }
+    /// A kept turn as it stood in states of format 3 and before: with its texts.
+    struct KeptTurnWithTexts {
         #[n(0)] said: KeptText,
         #[n(1)] answer: KeptText,
         #[n(2)] server: String,
         #[n(3)] before: String,
-        /// Never sooner than that of any turn that goes on from it.
         #[n(4)] forget: u64,
     }
     /// What is looked at when its time has come.
@@ -35,52 +46,79 @@
         #[n(2)] due: BTreeMap<u64, Vec<DueItem>>,
         /// Of the texts kept.
         #[n(3)] pub(super) bytes: u64,
-        /// Of the texts as they lie in memory.
-        #[cbor(skip)] stored: usize,
+        /// Where texts lie on disk.
+        #[n(4)] texts: TextLog,
+        /// What has become of them since it was last asked for.
+        #[cbor(skip)] text_ops: Vec<TextOp>,
     }
 }
 
-impl KeptTurn {
-    fn size(&self) -> u64 {
-        (self.said.len() + self.answer.len()) as u64
-    }
-
-    /// bytes. That its texts take in memory.
-    fn stored(&self) -> usize {
-        self.said.stored_len() + self.answer.stored_len()
-    }
-}
+/// Fields of `Turns` before texts lay on disk.
+const FIELDS_WITH_TEXTS: u64 = 4;
 
 impl Turns {
-    /// Encodes as `to_bytes` would, but shares the texts.
-    pub fn write(&self, e: &mut Encoder<SnapshotWriter>) -> Result<(), encode::Error<Infallible>> {
-        e.array(4)?.encode(&self.accounts)?.map(self.kept.len() as u64)?;
-        for (turn, kept) in &self.kept {
-            e.str(turn)?.array(5)?;
-            kept.said.write(e)?;
-            kept.answer.write(e)?;
-            e.encode(&kept.server)?.encode(&kept.before)?.encode(kept.forget)?;
-        }
-        e.encode(&self.due)?.encode(self.bytes)?.ok()
-    }
-
-    /// Reads what `write` or `to_bytes` wrote, one turn after the other.
+    /// Reads what was encoded, one turn after the other.
     pub fn read(r: &mut SnapshotReader) -> Result<Turns, decode::Error> {
-        r.count(|d| d.array())?;
+        let fields = r.count(|d| d.array())?;
         let mut turns = Turns { accounts: r.item()?, ..Turns::default() };
         for _ in 0..r.count(|d| d.map())? {
-            let turn = r.item()?;
-            let kept: KeptTurn = r.item()?;
-            turns.stored += kept.stored();
+            let turn: String = r.item()?;
+            let kept = match fields {
+                FIELDS_WITH_TEXTS => turns.put_on_disk(&turn, r.item()?)?,
+                _ => r.item()?,
+            };
             turns.kept.insert(turn, kept);
         }
         (turns.due, turns.bytes) = (r.item()?, r.item()?);
+        if fields > FIELDS_WITH_TEXTS {
+            turns.texts = r.item()?;
+        }
+        // what a state before this one named is needed no more
+        let segments = turns.texts.segments().map(|(segment, _)| segment).collect();
+        turns.text_ops.insert(0, TextOp::RetainSegments(segments));
         Ok(turns)
     }
 
-    /// bytes. That the texts take in memory.
-    pub fn stored_bytes(&self) -> usize {
-        self.stored
+    /// A turn of a state that held texts: its own go to the disk.
+    fn put_on_disk(&mut self, turn: &str, kept: KeptTurnWithTexts) -> Result<KeptTurn, decode::Error> {
+        let text = |text: &KeptText| text.text().ok_or_else(|| decode::Error::message("a text is damaged"));
+        let link = Link { turn: turn.into(), said: text(&kept.said)?, answer: text(&kept.answer)?, stored: None };
+        let mut turn = self.write(&link);
+        (turn.server, turn.before, turn.forget) = (kept.server, kept.before, kept.forget);
+        Ok(turn)
+    }
+
+    /// Writes a link to the disk.
+    fn write(&mut self, link: &Link) -> KeptTurn {
+        let text = self.texts.append(to_bytes(link).into(), &mut self.text_ops);
+        let bytes = (link.said.len() + link.answer.len()) as u32;
+        KeptTurn { text, bytes, server: String::new(), before: String::new(), forget: 0 }
+    }
+
+    /// Changes of the texts on disk since this was last asked, in order.
+    pub fn take_text_ops(&mut self) -> Vec<TextOp> {
+        std::mem::take(&mut self.text_ops)
+    }
+
+    /// Where the texts of kept turns lie.
+    pub fn kept_texts(&self) -> impl Iterator<Item = TextPlace> + '_ {
+        self.kept.values().map(|kept| kept.text)
+    }
+
+    /// Segments that are needed, and how many bytes each has.
+    pub fn segments(&self) -> Vec<(u32, u32)> {
+        self.texts.segments().collect()
+    }
+
+    /// bytes. That the texts take on disk.
+    pub fn disk_bytes(&self) -> u64 {
+        self.texts.disk_bytes()
+    }
+
+    /// Is nothing remembered?
+    #[cfg(test)]
+    pub(super) fn is_empty(&self) -> bool {
+        self.accounts.is_empty() && self.kept.is_empty() && self.due.is_empty() && self.bytes == 0
     }
 
     pub fn counts(&self) -> (usize, usize, u64) {
@@ -145,7 +183,7 @@
             return StoreResponse::TurnUnknown;
         }
         // said before anything is promised: a store out of memory keeps nobody's promise
-        if self.bytes >= TEXT_BYTES || (known.is_none() && self.accounts.len() >= LEDGERS_KEPT) {
+        if known.is_none() && self.accounts.len() >= LEDGERS_KEPT {
             return StoreResponse::Busy;
         }
         if !self.fits(l) {
@@ -162,21 +200,18 @@
     /// Can its chain go out in one frame?
     fn fits(&self, l: &TurnLeave) -> bool {
         let sent = self.chain(&l.before).filter(|(t, _)| !l.have.iter().any(|h| h == t));
-        sent.map(|(_, k)| k.size()).sum::<u64>() <= CHAIN_BYTES
+        sent.map(|(_, k)| u64::from(k.bytes)).sum::<u64>() <= CHAIN_BYTES
     }
 
     fn may(&self, l: &TurnLeave, told: bool) -> StoreResponse {
         if !told {
             return StoreResponse::TurnMay { chain: vec![], server: String::new() };
         }
-        let link = |(t, k): (&str, &KeptTurn)| match l.have.iter().any(|h| h == t) {
-            true => Some(Link { turn: t.into(), said: vec![], answer: vec![] }),
-            false => Some(Link { turn: t.into(), said: k.said.text()?, answer: k.answer.text()? }),
-        };
-        // a text that can't be read any more is not told as another
-        let Some(mut chain) = self.chain(&l.before).map(link).collect::<Option<Vec<Link>>>() else {
-            return StoreResponse::Busy;
+        let link = |(turn, kept): (&str, &KeptTurn)| {
+            let stored = (!l.have.iter().any(|had| had == turn)).then_some(kept.text);
+            Link { turn: turn.into(), said: vec![], answer: vec![], stored }
         };
+        let mut chain: Vec<Link> = self.chain(&l.before).map(link).collect();
         chain.reverse();
         // what it goes on from was read there
         let before = self.kept.get(&l.before).map(|k| k.server.as_str()).filter(|s| !s.is_empty());
@@ -200,16 +235,9 @@
             if !e.before.is_empty() && !self.kept.contains_key(&e.before) {
                 return StoreResponse::TurnUnknown;
             }
-            let k = KeptTurn {
-                said: KeptText::new(link.said),
-                answer: KeptText::new(link.answer),
-                server: e.server,
-                before: e.before,
-                forget: 0,
-            };
-            self.bytes += k.size();
-            self.stored += k.stored();
-            self.kept.insert(e.turn.clone(), k);
+            let kept = KeptTurn { server: e.server, before: e.before, ..self.write(&link) };
+            self.bytes += u64::from(kept.bytes);
+            self.kept.insert(e.turn.clone(), kept);
             self.note(forget, DueItem::Turn(e.turn.clone()));
         }
         self.extend(&e.turn, forget);
@@ -240,8 +268,8 @@
                     return self.note(at, d);
                 }
                 let k = self.kept.remove(turn).expect("just seen");
-                self.bytes -= k.size();
-                self.stored -= k.stored();
+                self.bytes -= u64::from(k.bytes);
+                self.texts.forget(&k.text, &mut self.text_ops);
             }
             DueItem::Account(program) => {
                 let Some(k) = self.accounts.get(program) else { return };
--- a/hutbook/src/protocol/settings.rs
+++ b/hutbook/src/protocol/settings.rs
@@ -1,7 +1,7 @@
 //! Where a process stands: from a settings file, from flags, or both; flags win.
 
 use super::findings::{is_name, Finding, Reader};
-use crate::constants::{DAY_MS, MEMORY_LEAST_MB, MEMORY_MOST_MB};
+use crate::constants::{DAY_MS, DISK_LEAST_MB, MEMORY_LEAST_MB, MEMORY_MOST_MB};
 use crate::coordination::control::Shape;
 use getopts::Options;
 use std::net::SocketAddr;
@@ -40,6 +40,8 @@
     /// MB. The machine's memory, of which each part of the process takes its share; bounded by constants
     /// alone where it isn't said.
     pub memory_mb: Option<u64>,
+    /// MB. The machine's disk, of which a store takes a share for texts; bounded by a constant where it isn't said.
+    pub disk_mb: Option<u64>,
     pub shape: Shape,
 }
 
@@ -101,6 +103,9 @@
         o.optopt("", "memory-mb", "memory of the machine; state, log and caches each take their share of it", "MB");
         o.optopt("d", "data", "data folder; made when it is missing", "DIR");
     }
+    if who == Who::Bothy {
+        o.optopt("", "disk-mb", "the machine's disk; texts of turns take their share of it", "MB");
+    }
     if who == Who::Refuge {
         o.optflag("", "found", "form a new cluster; only ever on one machine, only once");
     }
@@ -136,6 +141,7 @@
     let mut known = vec!["wire", "advertise", "http", "cell", "seeds", "log", "name", "ready"];
     known.extend((who == Who::Trailhead).then_some("front"));
     known.extend((who != Who::Trailhead).then_some("memory_mb"));
+    known.extend((who == Who::Bothy).then_some("disk_mb"));
     known.push(if who == Who::Trailhead { "stop_s" } else { "data" });
     if !file.is_null() {
         r.keys("", file, &known);
@@ -185,16 +191,10 @@
         None if file["stop_s"].is_null() => None,
         None => Some(r.whole("", file, "stop_s", None, 0, DAY_MS / 1_000) * 1_000),
     };
-    let flag = if who == Who::Trailhead { None } else { m.opt_str("memory-mb") };
-    let memory_mb = match flag.map(|s| s.parse::<u64>()) {
-        Some(Ok(mb)) if (MEMORY_LEAST_MB..=MEMORY_MOST_MB).contains(&mb) => Some(mb),
-        Some(_) => {
-            r.find("memory-mb", format!("must be a number of megabytes from {MEMORY_LEAST_MB} to {MEMORY_MOST_MB}"));
-            None
-        }
-        None if file["memory_mb"].is_null() => None,
-        None => Some(r.whole("", file, "memory_mb", None, MEMORY_LEAST_MB, MEMORY_MOST_MB)),
-    };
+    let memory_flag = if who == Who::Trailhead { None } else { m.opt_str("memory-mb") };
+    let memory_mb = megabytes(&mut r, file, ("memory-mb", "memory_mb"), memory_flag, MEMORY_LEAST_MB);
+    let disk_flag = if who == Who::Bothy { m.opt_str("disk-mb") } else { None };
+    let disk_mb = megabytes(&mut r, file, ("disk-mb", "disk_mb"), disk_flag, DISK_LEAST_MB);
     let mut seeds = m.opt_strs("seed");
     if seeds.is_empty() && !file["seeds"].is_null() {
         if !file["seeds"].is_array() {
@@ -238,11 +238,32 @@
         workers: None,
         linger_ms: 0,
         memory_mb,
+        disk_mb,
         shape: Shape::default(),
     };
     Ok(Start::Run(Box::new(s)))
 }
 
+/// A size of the machine, from its flag or else from the settings file; `names` are those of flag and field.
+fn megabytes(
+    reader: &mut Reader,
+    file: &jzon::JsonValue,
+    names: (&str, &str),
+    flag: Option<String>,
+    least: u64,
+) -> Option<u64> {
+    let (flag_name, field) = names;
+    match flag.map(|mb| mb.parse::<u64>()) {
+        Some(Ok(mb)) if (least..=MEMORY_MOST_MB).contains(&mb) => Some(mb),
+        Some(_) => {
+            reader.find(flag_name, format!("must be a number of megabytes from {least} to {MEMORY_MOST_MB}"));
+            None
+        }
+        None if file[field].is_null() => None,
+        None => Some(reader.whole("", file, field, None, least, MEMORY_MOST_MB)),
+    }
+}
+
 fn socket(r: &mut Reader, place: &str, a: &str) -> SocketAddr {
     match a.parse::<SocketAddr>() {
         Ok(s) if s.port() != 0 && !s.ip().is_unspecified() => s,
--- a/hutbook/src/state/memory.rs
+++ b/hutbook/src/state/memory.rs
@@ -1,8 +1,8 @@
-//! What a process may keep in memory, part by part.
+//! What a process may keep in memory and on disk, part by part.
 
 use crate::constants::{
     DISK_CACHE_BYTES, DISK_CACHE_LEAST_BYTES, DISK_CACHE_SHARE, LOG_SHARE, SNAPSHOT_BYTES, SNAPSHOT_LEAST_BYTES,
-    STATE_SHARE, TEXT_BYTES, TEXT_CACHE_BYTES, TEXT_CACHE_SHARE,
+    STATE_BYTES, STATE_SHARE, TEXT_CACHE_BYTES, TEXT_CACHE_SHARE, TEXT_DISK_BYTES, TEXT_DISK_SHARE,
 };
 
 /// bytes. In a megabyte, as machines' memory is told.
@@ -19,25 +19,30 @@
     pub disk_cache: usize,
     /// The newest texts, so that a turn that goes on at once needn't wait for the disk.
     pub text_cache: usize,
+    /// Texts on disk, in the segments they lie in. What would go over it is refused before it is agreed.
+    pub texts_on_disk: u64,
 }
 
 impl MemoryBudget {
-    /// The parts of a machine of so many megabytes; the constants alone bound one that isn't told.
-    pub fn of(memory_mb: Option<u64>) -> MemoryBudget {
-        let all = memory_mb.map_or(f64::INFINITY, |mb| mb as f64 * MEGABYTE);
+    /// The parts of a machine of so many megabytes of memory and disk; the constants alone bound one that isn't
+    /// told.
+    pub fn of(memory_mb: Option<u64>, disk_mb: Option<u64>) -> MemoryBudget {
+        let bytes = |mb: Option<u64>| mb.map_or(f64::INFINITY, |mb| mb as f64 * MEGABYTE);
+        let all = bytes(memory_mb);
         let part = |share: f64, least: usize, most: usize| ((all * share) as usize).clamp(least, most);
         MemoryBudget {
-            state: part(STATE_SHARE, 0, TEXT_BYTES as usize),
+            state: part(STATE_SHARE, 0, STATE_BYTES),
             log: part(LOG_SHARE, SNAPSHOT_LEAST_BYTES, SNAPSHOT_BYTES),
             disk_cache: part(DISK_CACHE_SHARE, DISK_CACHE_LEAST_BYTES, DISK_CACHE_BYTES),
             text_cache: part(TEXT_CACHE_SHARE, 0, TEXT_CACHE_BYTES),
+            texts_on_disk: (bytes(disk_mb) * TEXT_DISK_SHARE).min(TEXT_DISK_BYTES as f64) as u64,
         }
     }
 }
 
 impl Default for MemoryBudget {
     fn default() -> MemoryBudget {
-        MemoryBudget::of(None)
+        MemoryBudget::of(None, None)
     }
 }
 
--- a/hutbook/src/state/snapshot_data.rs
+++ b/hutbook/src/state/snapshot_data.rs
@@ -49,39 +49,43 @@
     pub bytes: Vec<u8>,
 }
 
+/// Where a byte of a segment lies, as one number that grows along the segments.
+fn position(segment: u32, offset: u32) -> u64 {
+    u64::from(segment) << u32::BITS | u64::from(offset)
+}
+
+impl SegmentPart {
+    /// The position after its last byte.
+    pub fn end(&self) -> u64 {
+        position(self.segment, self.offset + self.length)
+    }
+}
+
 impl SnapshotTexts {
     pub fn new(source: Arc<dyn SegmentSource>, segments: Vec<(u32, u32)>) -> SnapshotTexts {
         SnapshotTexts { source, segments }
     }
 
-    /// bytes. Of all segments.
-    pub fn len(&self) -> u64 {
-        self.segments.iter().map(|(_, length)| u64::from(*length)).sum()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
+    /// The position after the last byte; 0 where there is none.
+    pub fn end(&self) -> u64 {
+        self.segments.last().map_or(0, |(segment, length)| position(*segment, *length))
     }
 
-    /// At most so many bytes, all of one segment, from `at` on, counted over all segments. None while they
-    /// are still on their way to the disk; an empty part after the last byte.
-    pub fn part(&self, at: u64, most: u32) -> Option<SegmentPart> {
-        let mut start = 0;
-        for (segment, length) in &self.segments {
-            let end = start + u64::from(*length);
-            if at < end {
-                let offset = (at - start) as u32;
-                let part = most.min(length - offset);
-                let bytes = match self.source.read(*segment, offset, part) {
-                    SegmentBytes::Bytes(bytes) => bytes,
-                    SegmentBytes::NotWritten => return None,
-                    SegmentBytes::Gone => vec![],
-                };
-                return Some(SegmentPart { segment: *segment, offset, length: part, bytes });
-            }
-            start = end;
-        }
-        Some(SegmentPart { segment: 0, offset: 0, length: 0, bytes: vec![] })
+    /// At most so many bytes, all of one segment: the first at or after a position. An empty part where there are
+    /// none. None while they are still on their way to the disk.
+    pub fn part(&self, after: u64, most: u32) -> Option<SegmentPart> {
+        let next = self.segments.iter().find(|(segment, length)| after < position(*segment, *length));
+        let Some((segment, length)) = next.copied() else {
+            return Some(SegmentPart { segment: 0, offset: 0, length: 0, bytes: vec![] });
+        };
+        let offset = after.saturating_sub(position(segment, 0)) as u32;
+        let part = most.min(length - offset);
+        let bytes = match self.source.read(segment, offset, part) {
+            SegmentBytes::Bytes(bytes) => bytes,
+            SegmentBytes::NotWritten => return None,
+            SegmentBytes::Gone => vec![],
+        };
+        Some(SegmentPart { segment, offset, length: part, bytes })
     }
 }
 
@@ -104,11 +108,6 @@
         self.pieces().texts.clone()
     }
 
-    /// bytes. Of those segments.
-    pub fn texts_len(&self) -> u64 {
-        self.texts().map_or(0, |texts| texts.len())
-    }
-
     fn pieces(&self) -> MutexGuard<'_, Pieces> {
         self.0.lock().unwrap_or_else(|e| e.into_inner())
     }
--- /dev/null
+++ b/hutbook/src/state/texts/memory.rs
@@ -0,0 +1,73 @@
+//! Segments in memory, for replicas that run without a disk: simulations and tests.
+
+use super::{SegmentBytes, SegmentSource, TextOp, TextPlace};
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard};
+
+/// Segments as they would lie on a disk. What is not written yet is not here.
+#[derive(Default)]
+pub struct MemoryTexts(Mutex<BTreeMap<u32, Vec<u8>>>);
+
+impl MemoryTexts {
+    fn segments(&self) -> MutexGuard<'_, BTreeMap<u32, Vec<u8>>> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Carries out a change. It may be repeated.
+    pub fn apply(&self, op: &TextOp) {
+        match op {
+            TextOp::Write { place, text } => self.write_at(place.segment, place.offset, text),
+            TextOp::DropSegment(segment) => drop(self.segments().remove(segment)),
+            TextOp::RetainSegments(segments) => self.segments().retain(|number, _| segments.contains(number)),
+        }
+    }
+
+    /// Writes bytes of a segment that may hold several texts.
+    pub fn write_at(&self, segment: u32, offset: u32, bytes: &[u8]) {
+        let mut segments = self.segments();
+        let held = segments.entry(segment).or_default();
+        let (start, end) = (offset as usize, offset as usize + bytes.len());
+        if held.len() < end {
+            held.resize(end, 0);
+        }
+        held[start..end].copy_from_slice(bytes);
+    }
+
+    /// Damages or loses a part of a segment, as a disk may.
+    pub fn spoil(&self, segment: u32, spoil: impl FnOnce(&mut Vec<u8>)) {
+        if let Some(held) = self.segments().get_mut(&segment) {
+            spoil(held);
+        }
+    }
+
+    /// The text, if it is there whole.
+    pub fn text(&self, place: &TextPlace) -> Option<Bytes> {
+        let segments = self.segments();
+        let start = place.offset as usize;
+        let bytes = segments.get(&place.segment)?.get(start..start + place.length as usize)?;
+        place.is_text(bytes).then(|| Bytes::copy_from_slice(bytes))
+    }
+
+    /// bytes. Of all segments.
+    pub fn len(&self) -> usize {
+        self.segments().values().map(Vec::len).sum()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl SegmentSource for MemoryTexts {
+    fn read(&self, segment: u32, offset: u32, length: u32) -> SegmentBytes {
+        let segments = self.segments();
+        let range = offset as usize..(offset + length) as usize;
+        match segments.get(&segment).and_then(|held| held.get(range)) {
+            Some(bytes) => SegmentBytes::Bytes(bytes.to_vec()),
+            // here what is written comes at once or not at all: a part that is not there may yet come
+            None if segments.last_key_value().is_none_or(|(newest, _)| *newest <= segment) => SegmentBytes::NotWritten,
+            None => SegmentBytes::Gone,
+        }
+    }
+}
--- a/hutbook/src/state/texts/mod.rs
+++ b/hutbook/src/state/texts/mod.rs
@@ -10,10 +10,12 @@
 //! power is written again, to the same place, when the log after the snapshot is applied again.
 
 mod files;
+mod memory;
 mod recent;
 mod text_log;
 
 pub use files::TextFiles;
+pub use memory::MemoryTexts;
 pub use recent::{Found, StoredTexts};
 pub use text_log::TextLog;
 
--- a/hutbook/src/transport/passing.rs
+++ b/hutbook/src/transport/passing.rs
@@ -615,7 +615,8 @@
     let tokens = ev.count * piece;
     if kept && whole {
         let t = s.turn.as_ref().expect("a kept turn has its leave");
-        let link = Link { turn: t.turn.clone(), said: a.body.to_vec(), answer: ev.data.take().unwrap_or_default() };
+        let (said, answer) = (a.body.to_vec(), ev.data.take().unwrap_or_default());
+        let link = Link { turn: t.turn.clone(), said, answer, stored: None };
         // its end is agreed before the answer is whole; unsure, it must not look complete
         if !settle(g, e, s, tokens, at.server, Some(link), PASS_KEPT_MS).await {
             if let Some(t) = &tx {
--- /dev/null
+++ b/hutbook/tests/snapshot_texts.rs
@@ -0,0 +1,271 @@
+//! The texts of a snapshot on their way to a member: before its state, acknowledged once written, never with a gap.
+
+use bytes::Bytes;
+use hutbook::constants::*;
+use hutbook::coordination::raft::{Raft, RaftInput, RaftMessage, RaftOutput, Role};
+use hutbook::state::disk::{Boot, DiskOp};
+use hutbook::state::entry::{Entry, Member, Members, What};
+use hutbook::state::snapshot_data::{SnapshotData, SnapshotTexts};
+use hutbook::state::texts::{MemoryTexts, TextLog, TextOp};
+use std::sync::Arc;
+
+const LEADER: u64 = 1;
+const VOTER: u64 = 2;
+const BEHIND: u64 = 3;
+
+fn members() -> Members {
+    Members { voters: [LEADER, VOTER, BEHIND].map(|id| Member { id, addr: String::new() }).into(), learners: vec![] }
+}
+
+fn message(from: u64, msg: RaftMessage) -> RaftInput {
+    RaftInput::Message { from, msg }
+}
+
+/// What is sent to a member in these outputs.
+fn sent(outputs: Vec<RaftOutput>, member: u64) -> Vec<RaftMessage> {
+    let to_member = |output| match output {
+        RaftOutput::Send { to, msg } if to == member => Some(msg),
+        _ => None,
+    };
+    outputs.into_iter().filter_map(to_member).collect()
+}
+
+fn is_state(msg: &RaftMessage) -> bool {
+    matches!(msg, RaftMessage::SnapshotChunk { .. })
+}
+
+fn texts_of(messages: Vec<RaftMessage>) -> Option<RaftMessage> {
+    messages.into_iter().find(|msg| matches!(msg, RaftMessage::SnapshotTexts { .. }))
+}
+
+struct Cluster {
+    now: u64,
+    leader: Raft,
+    behind: Raft,
+    texts: Arc<MemoryTexts>,
+    log: TextLog,
+}
+
+impl Cluster {
+    /// A leader with a snapshot that names texts of so many bytes, and a member without a log.
+    fn new(sizes: &[usize]) -> Cluster {
+        let command = |index| Entry { index, term: 1, what: What::Command(vec![index as u8]) };
+        let entries = vec![Entry { index: 1, term: 1, what: What::Members(members()) }, command(2)];
+        let boot = Boot { term: 1, entries, ..Boot::default() };
+        let now = ELECTION_MS + ELECTION_SPREAD_MS;
+        let mut leader = Raft::new(LEADER, boot, 1, 0);
+        leader.step(now, RaftInput::Tick);
+        for pre_vote in [true, false] {
+            leader.step(now, message(VOTER, RaftMessage::VoteResponse { term: 2, pre_vote, granted: true }));
+        }
+        let mut cluster = Cluster {
+            now,
+            leader,
+            behind: Raft::new(BEHIND, Boot::default(), 1, 0),
+            texts: Arc::default(),
+            log: TextLog::default(),
+        };
+        cluster.sync_leader();
+        assert_eq!(cluster.leader.role, Role::Leader);
+        cluster.voter_answers(3);
+        cluster.append_texts(sizes);
+        cluster.compact(3);
+        let behind = RaftMessage::AppendResponse { term: 2, success: false, index: 0, round: 1 };
+        cluster.leader.step(now, message(BEHIND, behind));
+        cluster
+    }
+
+    fn append_texts(&mut self, sizes: &[usize]) {
+        let mut ops = vec![];
+        for size in sizes {
+            self.log.append(Bytes::from(vec![*size as u8; *size]), &mut ops);
+        }
+        ops.iter().for_each(|op| self.texts.apply(op));
+    }
+
+    fn compact(&mut self, index: u64) {
+        let texts = SnapshotTexts::new(self.texts.clone(), self.log.segments().collect());
+        let data = SnapshotData::from(vec![index as u8; 10]).with_texts(texts);
+        self.leader.compact(self.now, index, data);
+    }
+
+    fn sync_leader(&mut self) {
+        (1..100).for_each(|ticket| drop(self.leader.step(self.now, RaftInput::Synced(ticket))));
+    }
+
+    fn voter_answers(&mut self, index: u64) {
+        let answer = RaftMessage::AppendResponse { term: 2, success: true, index, round: 1 };
+        self.leader.step(self.now, message(VOTER, answer));
+    }
+
+    /// The next message about the snapshot that the leader sends to the member that is behind.
+    fn next(&mut self) -> RaftMessage {
+        for _ in 0..1_000 {
+            self.now += TICK_MS;
+            self.sync_leader();
+            for msg in sent(self.leader.step(self.now, RaftInput::Tick), BEHIND) {
+                match msg {
+                    RaftMessage::SnapshotChunk { .. } | RaftMessage::SnapshotTexts { .. } => return msg,
+                    RaftMessage::AppendRequest { round, .. } => self.heartbeat(round),
+                    _ => {}
+                }
+            }
+        }
+        panic!("the leader sends nothing more");
+    }
+
+    fn heartbeat(&mut self, round: u64) {
+        let answer = |index| RaftMessage::AppendResponse { term: 2, success: true, index, round };
+        self.leader.step(self.now, message(VOTER, answer(3)));
+        self.leader.step(self.now, message(BEHIND, answer(0)));
+    }
+
+    /// The member takes a message: what its disk is given, and its answers before and after the sync.
+    fn take(&mut self, msg: RaftMessage) -> (Vec<DiskOp>, Vec<RaftMessage>, Vec<RaftMessage>) {
+        let outputs = self.behind.step(self.now, message(LEADER, msg));
+        let mut ops = vec![];
+        let mut last = 0;
+        for output in &outputs {
+            if let RaftOutput::Persist { sync_ticket, ops: written } = output {
+                last = *sync_ticket;
+                ops.extend(written.iter().cloned());
+            }
+        }
+        let before = sent(outputs, LEADER);
+        let after = sent(self.behind.step(self.now, RaftInput::Synced(last)), LEADER);
+        (ops, before, after)
+    }
+
+    /// The member takes a message and the leader its answers.
+    fn pass(&mut self, msg: RaftMessage) -> Vec<DiskOp> {
+        let (ops, before, after) = self.take(msg);
+        for answer in before.into_iter().chain(after) {
+            self.leader.step(self.now, message(BEHIND, answer));
+        }
+        ops
+    }
+}
+
+#[test]
+fn texts_come_before_the_state_and_are_acknowledged_once_written() {
+    // given a member that needs a snapshot which names texts of one segment and a part of another
+    let mut cluster = Cluster::new(&[SEGMENT_BYTES as usize, 1_000]);
+    let staged = Arc::new(MemoryTexts::default());
+    let mut parts = 0;
+    loop {
+        let msg = cluster.next();
+        if is_state(&msg) {
+            break;
+        }
+        // when a part comes, then its acknowledgement waits for the disk
+        let (ops, before, after) = cluster.take(msg);
+        assert!(!before.iter().any(|msg| matches!(msg, RaftMessage::SnapshotTextsAck { .. })), "acknowledged too soon");
+        assert!(after.iter().any(|msg| matches!(msg, RaftMessage::SnapshotTextsAck { upto: Some(_), .. })));
+        for op in ops {
+            let DiskOp::StageTexts { segment, offset, bytes } = op else { continue };
+            staged.write_at(segment, offset, &bytes);
+        }
+        for answer in after {
+            cluster.leader.step(cluster.now, message(BEHIND, answer));
+        }
+        parts += 1;
+    }
+    // then all bytes are there before the state comes
+    assert_eq!(parts, SEGMENT_BYTES as usize / SNAPSHOT_CHUNK_BYTES + 1);
+    assert_eq!(staged.len(), SEGMENT_BYTES as usize + 1_000);
+    // and with the state the snapshot is written
+    let state = cluster.next();
+    let ops = cluster.pass(state);
+    assert!(ops.iter().any(|op| matches!(op, DiskOp::Snapshot { clear: true, .. })));
+    assert_eq!(cluster.behind.commit, 3);
+}
+
+#[test]
+fn a_member_of_the_version_before_is_never_sent_the_state() {
+    for sizes in [vec![1_000], vec![]] {
+        // given a member that doesn't know the messages about texts, and a snapshot with or without any
+        let mut cluster = Cluster::new(&sizes);
+        // when it answers heartbeats only, then it is asked about texts again and again, and gets no state
+        for _ in 0..20 {
+            let msg = cluster.next();
+            assert!(!is_state(&msg), "{sizes:?}: it would take the state for one that holds its texts");
+        }
+    }
+}
+
+#[test]
+fn a_state_whose_texts_are_not_here_is_not_installed() {
+    // given a member that has had the texts, and the state of the snapshot on its way
+    let mut cluster = Cluster::new(&[1_000]);
+    let texts = cluster.next();
+    cluster.pass(texts.clone());
+    let state = cluster.next();
+    assert!(is_state(&state));
+    // when it starts again before the state comes, then it asks for the texts
+    cluster.behind = Raft::new(BEHIND, Boot::default(), 1, 0);
+    let (ops, before, after) = cluster.take(state);
+    assert!(!ops.iter().any(|op| matches!(op, DiskOp::Snapshot { .. })));
+    let answers: Vec<RaftMessage> = before.into_iter().chain(after).collect();
+    assert!(answers.contains(&RaftMessage::SnapshotTextsAck { term: 2, upto: None }), "{answers:?}");
+    // and gets them from the first on
+    for answer in answers {
+        cluster.leader.step(cluster.now, message(BEHIND, answer));
+    }
+    assert_eq!(cluster.next(), texts);
+}
+
+#[test]
+fn a_damaged_part_is_left_out_and_comes_again() {
+    let mut cluster = Cluster::new(&[1_000]);
+    let whole = cluster.next();
+    let RaftMessage::SnapshotTexts { term, after, segment, offset, length, mut bytes, digest } = whole.clone() else {
+        unreachable!()
+    };
+    bytes[7] ^= 1;
+    let damaged = RaftMessage::SnapshotTexts { term, after, segment, offset, length, bytes, digest };
+    let ops = cluster.pass(damaged);
+    assert!(!ops.iter().any(|op| matches!(op, DiskOp::StageTexts { .. })));
+    assert_eq!(cluster.next(), whole);
+}
+
+#[test]
+fn a_newer_snapshot_goes_on_where_the_texts_of_the_one_before_were() {
+    // given a member that has the first part of the texts
+    let mut cluster = Cluster::new(&[SEGMENT_BYTES as usize]);
+    let first = cluster.next();
+    cluster.pass(first);
+    // when the leader takes a newer snapshot, which names more texts
+    let outputs = cluster.leader.step(cluster.now, RaftInput::Propose { ticket: 1, bytes: vec![1] });
+    drop(outputs);
+    cluster.sync_leader();
+    cluster.voter_answers(4);
+    cluster.append_texts(&[500]);
+    cluster.compact(4);
+    // then the transfer goes on
+    let next = texts_of(vec![cluster.next()]).expect("texts");
+    assert!(
+        matches!(next, RaftMessage::SnapshotTexts { after, .. } if after == SNAPSHOT_CHUNK_BYTES as u64),
+        "{next:?}"
+    );
+}
+
+#[test]
+fn a_segment_that_has_gone_is_passed_over() {
+    // given a leader one of whose segments was dropped after its snapshot was taken
+    let mut cluster = Cluster::new(&[SEGMENT_BYTES as usize, SEGMENT_BYTES as usize, 10]);
+    cluster.texts.apply(&TextOp::DropSegment(0));
+    // when the texts are sent, then the others come all the same, and then the state
+    let mut staged = 0;
+    loop {
+        let msg = cluster.next();
+        if is_state(&msg) {
+            break;
+        }
+        for op in cluster.pass(msg) {
+            if let DiskOp::StageTexts { bytes, .. } = op {
+                staged += bytes.len();
+            }
+        }
+    }
+    assert_eq!(staged, SEGMENT_BYTES as usize + 10);
+}
--- a/huts/src/bothy.rs
+++ b/huts/src/bothy.rs
@@ -32,7 +32,7 @@
     let closing = Closing::default();
     daemon::bear_limits();
     let dir = s.data.clone().expect("checked with the settings");
-    let budget = MemoryBudget::of(s.memory_mb);
+    let budget = MemoryBudget::of(s.memory_mb, s.disk_mb);
     let disk = daemon::with_room(|| Disk::open_within(&dir, KIND, budget.disk_cache, draw)).await?;
     let slot = Slot::default();
     let h = slot.clone();
@@ -194,11 +194,13 @@
         let Some(boot) = ready.await? else { return Ok(()) };
         let Some(disk) = self.disk.lock().unwrap_or_else(|e| e.into_inner()).take() else { return Ok(()) };
         let none = Arc::new(|_| None);
+        let texts = Arc::new(disk.stored_texts(self.budget.text_cache));
         let h = Hut::start(
             group,
             disk,
             boot,
-            Store::with(self.budget),
+            Store::with(self.budget, texts.clone()),
+            texts,
             self.budget,
             draw(),
             self.clock,
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -44,7 +44,7 @@
     let founders: Vec<String> = s.founders.iter().map(|a| a.to_string()).collect();
     let at = s.at().to_string();
     let id = || if founders.contains(&at) { founder_id(&at) } else { draw() };
-    let budget = MemoryBudget::of(s.memory_mb);
+    let budget = MemoryBudget::of(s.memory_mb, s.disk_mb);
     let mut disk = daemon::with_room(|| Disk::open_within(&dir, KIND, budget.disk_cache, id)).await?;
     let me = Member { id: disk.id, addr: s.at().to_string() };
     let founders: Vec<Member> = match s.found {
@@ -88,8 +88,9 @@
     post.cluster.store(disk.cluster, Ordering::Relaxed);
     let think = Arc::new(|k| Some(ponder(&k)));
     let boot = daemon::with_room(|| disk.boot()).await?;
-    let hut = Hut::start(CORE, disk, boot, Core::with(s.shape), Arc::default(), budget, draw(), clock, post.clone(), think)
-        .map_err(|e| e.to_string())?;
+    let hut =
+        Hut::start(CORE, disk, boot, Core::with(s.shape), Arc::default(), budget, draw(), clock, post.clone(), think)
+            .map_err(|e| e.to_string())?;
     let _ = slot.set(hut.clone());
     log::info!("refuge {} stands at {}", id_text(me.id), me.addr);
 
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -5,6 +5,7 @@
 use hutbook::coordination::line::Look;
 use hutbook::coordination::store::StoreRequest;
 use hutbook::coordination::view::View;
+use hutbook::state::memory::MemoryBudget;
 use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::reach::{open_jobs, pump, renew, Reach, Speak, Stores};
 use hutbook::transport::serve::{look_around, Bit, Ground, ModelCall, Stream, ToolCall};
@@ -231,7 +232,8 @@
             Part::Store { group, replica, .. } => {
                 // a folder with a group in it serves at once
                 if let Some(g) = *group {
-                    let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), Store::default(), seed, now);
+                    let store = Store::with(MemoryBudget::default(), n.disk.texts.clone());
+                    let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), store, seed, now);
                     *replica = Some(Box::new(rep));
                     *group = Some(g);
                     w.store_fruit(name, f);
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 use hutbook::protocol::wire::{Body, CORE};
 use hutbook::state::disk::{Boot, DiskOp};
 use hutbook::state::entry::Member;
+use hutbook::state::memory::MemoryBudget;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -403,6 +404,8 @@
                 Output::Persist { sync_ticket: mark, ops } => self.persist(name, mark, ops),
                 Output::Reply { ticket, response: tell } => {
                     let n = self.nodes.get_mut(name).expect("known node");
+                    let texts = M::lacking_texts(&tell).iter().map(|place| n.disk.text(place)).collect();
+                    let tell = M::with_texts(tell, texts);
                     if let Some(a) = n.asks.remove(&ticket) {
                         self.answer(name, a, said(tell));
                     }
@@ -444,7 +447,8 @@
                     n.disk.synced = Boot::founding(n.id, name, None);
                 }
                 *group = Some(g);
-                let (r, f) = Replica::new(n.id, n.disk.synced.clone(), Store::default(), seed, now);
+                let store = Store::with(MemoryBudget::default(), n.disk.texts.clone());
+                let (r, f) = Replica::new(n.id, n.disk.synced.clone(), store, seed, now);
                 n.part = Part::Store { group: Some(g), replica: Some(Box::new(r)), cores: d.cores.clone() };
                 self.store_fruit(name, f);
             }
