--- a/hutbook/examples/captures.rs
+++ b/hutbook/examples/captures.rs
@@ -69,6 +69,7 @@
                 run_ms: 4_000,
                 retention_ms: 60_000,
                 have: vec![],
+                account_retention_ms: Some(60_000),
             };
             entries.extend(agree(&mut s, StoreRequest::TurnLeave(l)));
             let kept = Link { turn: turn.clone(), said: vec![b'x'; TEXT / 2], answer: vec![b'y'; TEXT / 2] };
--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -64,9 +64,29 @@
 pub const DISK_CACHE_SHARE: f64 = 0.04;
 /// bytes. Least for these: some ten pages of each table and one piece of a snapshot.
 pub const DISK_CACHE_LEAST_BYTES: usize = 1024 * 1024;
-/// bytes. What a turn, account, program or job takes in a store's memory beside its texts, with its ids,
-/// times and what the allocator loses: measured as growth of the process under load.
-pub const STATE_ITEM_BYTES: usize = 1_250;
+/// bytes. An account in a store's memory, with its place in the queue of those that expire. This one and the
+/// others of this kind are what the allocator held a thing: `examples/state_memory.rs` with 10,000 things.
+pub const STATE_ACCOUNT_BYTES: usize = 174;
+/// bytes. A turn that was settled lately, likewise.
+pub const STATE_SETTLED_BYTES: usize = 80;
+/// bytes. A reservation's place in the queue of those that are due.
+pub const STATE_RESERVATION_BYTES: usize = 63;
+/// bytes. A kept turn's index entry without its text, with its place in the queue of those that expire.
+pub const STATE_TURN_BYTES: usize = 151;
+/// bytes. A server's name in the table, beside its text.
+pub const STATE_SERVER_BYTES: usize = 30;
+/// bytes. A job beside its texts.
+pub const STATE_JOB_BYTES: usize = 300;
+/// bytes. The id of a job that is open, beside its text.
+pub const STATE_OPEN_JOB_BYTES: usize = 35;
+/// bytes. A program beside its texts.
+pub const STATE_PROGRAM_BYTES: usize = 250;
+/// bytes. A job's or program's place in the queue of what is due, beside its name.
+pub const STATE_DUE_BYTES: usize = 40;
+/// bytes. A text of this length or more is shared with snapshots, which takes a counter.
+pub const STATE_SHARED_LEAST: usize = 128;
+/// bytes. That counter.
+pub const STATE_SHARED_BYTES: usize = 32;
 /// times. The state's bound for turns that keep no text: they go on while those that do are refused.
 pub const STATE_UNKEPT: f64 = 1.1;
 
@@ -116,16 +136,21 @@
 pub const RUN_MS: u64 = 120_000;
 /// ms. How often a store leader commits its clock while nothing else does.
 pub const CLOCK_MS: u64 = 500;
-/// ms. A program's account stands this long after its last use: far longer than any pause between two
-/// turns, and as long as the end of a turn may be offered late.
-pub const LEDGER_MS: u64 = SETTLE_FOR_MS;
-/// turns. Settled ones that an account remembers; many times what a program takes in the time that a
-/// message can be late.
-pub const ENDED_KEPT: usize = 1_024;
+/// bytes. Of a digest that stands for a name in a store's state: among a thousand million names at once,
+/// two are alike with a chance of one in 10^20.
+pub const ID_BYTES: usize = 16;
+/// ms. A program's account stands at least this long after its last use, however short its route's
+/// retention: longer than a pause between two turns, which a tool's time bounds.
+pub const ACCOUNT_LEAST_MS: u64 = 60_000;
+/// ms. Likewise where the edge doesn't tell the route's retention: what the version before kept.
+pub const ACCOUNT_UNTOLD_MS: u64 = 600_000;
+/// ms. A settled turn gets no reservation for this long. Edges ask for `PASS_LEAVE_MS`, and a copy of what
+/// they asked is late by what a network or a process that stood still holds back: many times less.
+pub const SETTLED_TURN_MS: u64 = 30_000;
 /// sessions. Whose last server an account remembers: more than a program's lines of turns side by side.
 pub const SESSIONS_KEPT: usize = 64;
 /// accounts. Beyond them a new program is told to come back, so that memory stays bounded.
-pub const LEDGERS_KEPT: usize = 100_000;
+pub const ACCOUNTS_KEPT: usize = 100_000;
 /// bytes. Texts of turns kept; beyond them no turn gets leave, so that memory stays bounded.
 pub const TEXT_BYTES: u64 = 64 * 1024 * 1024;
 /// bytes. Texts of one chain that go out with a leave: below the frame bound.
--- a/hutbook/src/coordination/store/messages.rs
+++ b/hutbook/src/coordination/store/messages.rs
@@ -109,6 +109,9 @@
         #[n(8)] pub retention_ms: u64,
         /// Turns of the chain that this edge holds already: their texts needn't be sent.
         #[n(9)] pub have: Vec<String>,
+        /// ms. Its program's account stands at least this long after its last use, also where its route
+        /// keeps no turns. None from an edge of the version before.
+        #[n(10)] #[cbor(default)] pub account_retention_ms: Option<u64>,
     }
     /// The end of such a turn, before its last event is given.
     pub struct TurnEnd {
--- a/hutbook/src/coordination/store/mod.rs
+++ b/hutbook/src/coordination/store/mod.rs
@@ -2,13 +2,21 @@
 //! passed through.
 
 mod accounts;
+mod expiry;
+mod format_3;
 mod group_membership;
+mod ids;
+mod kept_turns;
+mod measured;
 mod messages;
 mod programs;
+mod servers;
 mod turns;
+mod usage;
 
 pub use group_membership::follow_orders;
 pub use messages::*;
+pub use usage::StateUsage;
 
 use super::raft::{Denial, Raft};
 use super::replica::{LeaderContext, LeaderTask, Plan, StateMachine};
@@ -17,22 +25,29 @@
 use crate::state::entry::{to_bytes, Member, Members};
 use crate::state::memory::MemoryBudget;
 use crate::state::snapshot_data::{SnapshotData, SnapshotReader, SnapshotWriter};
+use expiry::ExpiryQueue;
+use measured::MeasuredMap;
 use minicbor::{decode, encode, Encoder};
-use std::collections::{BTreeMap, BTreeSet};
+use programs::job_due;
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use turns::Turns;
 
-messages! {
-    /// The agreed state, as a snapshot holds it.
-    #[derive(Default)]
-    struct State {
-        #[n(0)] clock: u64,
-        #[n(1)] programs: BTreeMap<String, Program>,
-        #[n(2)] jobs: BTreeMap<String, Job>,
-        #[n(3)] ends: BTreeMap<u64, Vec<String>>,
-        /// Work passed through; a snapshot from before it was kept holds none.
-        #[cbor(n(4), default)] turns: Turns,
-    }
+/// Fields of a state in a snapshot: the clock, programs, jobs, turns.
+const FIELDS: u64 = 4;
+/// Fields up to disk format 3: the clock, programs, jobs, their times, turns.
+const FIELDS_3: u64 = 5;
+
+/// The agreed state, as a snapshot holds it.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct State {
+    clock: u64,
+    programs: MeasuredMap<String, Program>,
+    jobs: MeasuredMap<String, Job>,
+    /// When programs and jobs are to be looked at; follows from them.
+    due: ExpiryQueue<Box<str>>,
+    /// Work passed through.
+    turns: Turns,
 }
 
 /// What the core asks of this group's leader.
@@ -42,29 +57,43 @@
 }
 
 impl State {
-    /// Encodes as `to_bytes` would, but shares the texts of turns.
+    /// Encodes it for a snapshot, which shares the texts of turns.
     fn write(&self, e: &mut Encoder<SnapshotWriter>) -> Result<(), encode::Error<Infallible>> {
-        e.array(5)?.encode(self.clock)?.encode(&self.programs)?.encode(&self.jobs)?.encode(&self.ends)?;
+        e.array(FIELDS)?.encode(self.clock)?.encode(&self.programs)?.encode(&self.jobs)?;
         self.turns.write(e)
     }
 
-    /// Reads what `write` or `to_bytes` wrote, item by item.
+    /// Reads what `write` wrote, or what disk format 3 and those before it hold, item by item.
     fn read(mut r: SnapshotReader) -> Result<State, decode::Error> {
         let fields = r.count(|d| d.array())?;
-        let mut kept =
-            State { clock: r.item()?, programs: r.item()?, jobs: r.item()?, ends: r.item()?, ..State::default() };
-        // a snapshot from before work was passed through has none of it
-        if fields > 4 {
-            kept.turns = Turns::read(&mut r)?;
+        let mut state = State { clock: r.item()?, ..State::default() };
+        for _ in 0..r.count(|d| d.map())? {
+            let (id, program): (String, Program) = (r.item()?, r.item()?);
+            state.due.schedule(program.forget, id.as_str().into());
+            state.programs.insert(id, program);
+        }
+        for _ in 0..r.count(|d| d.map())? {
+            let (id, job): (String, Job) = (r.item()?, r.item()?);
+            state.due.schedule(job_due(&job), id.as_str().into());
+            state.jobs.insert(id, job);
         }
-        Ok(kept)
+        if fields == FIELDS_3 {
+            // times follow from the rest
+            r.read(|d| d.skip())?;
+        }
+        state.turns = Turns::read(&mut r, state.clock)?;
+        Ok(state)
     }
 
-    /// bytes, roughly, that this state takes in memory.
-    fn size(&self) -> usize {
-        let (accounts, turns, _) = self.turns.counts();
-        let things = accounts + turns + self.programs.len() + self.jobs.len();
-        self.turns.stored_bytes() + things * STATE_ITEM_BYTES
+    /// bytes that this state takes in memory, by kind.
+    fn usage(&self) -> StateUsage {
+        StateUsage {
+            turn_index: self.turns.index_bytes(),
+            texts: self.turns.kept.text_memory(),
+            accounts: self.turns.accounts.bytes(),
+            jobs: self.jobs.bytes(STATE_JOB_BYTES) + self.due.bytes(STATE_DUE_BYTES),
+            programs: self.programs.bytes(STATE_PROGRAM_BYTES),
+        }
     }
 }
 
@@ -73,7 +102,7 @@
     kept: State,
     budget: MemoryBudget,
     /// Ids of the jobs whose intents stand: folded from what is kept.
-    open: BTreeSet<String>,
+    open: MeasuredMap<String, ()>,
     /// The leader's clock: the committed one, run on from when it rose.
     base: Option<(u64, u64)>,
     clock_at: u64,
@@ -88,7 +117,14 @@
 
     /// bytes, roughly, that the state takes, and how many it may take.
     pub fn state_bytes(&self) -> (usize, usize) {
-        (self.kept.size(), self.budget.state)
+        (self.usage().total(), self.budget.state)
+    }
+
+    /// What the state takes in memory, by kind.
+    pub fn usage(&self) -> StateUsage {
+        let mut usage = self.kept.usage();
+        usage.jobs += self.open.bytes(STATE_OPEN_JOB_BYTES);
+        usage
     }
 
     /// Is this new work that there is no memory for? What ends work under way is always taken.
@@ -98,7 +134,7 @@
             StoreRequest::Put { .. } | StoreRequest::Begin(_) | StoreRequest::TurnLeave(_) => self.budget.state,
             _ => return false,
         };
-        self.kept.size() >= bound
+        self.usage().total() >= bound
     }
 
     fn clock(&mut self, now: u64) -> u64 {
@@ -159,7 +195,7 @@
             },
             StoreRequest::Open => {
                 let mut by: BTreeMap<(u64, &str, &str), u32> = BTreeMap::new();
-                for j in self.open.iter().filter_map(|id| self.kept.jobs.get(id)) {
+                for j in self.open.iter().filter_map(|(id, ())| self.kept.jobs.get(id)) {
                     if let JobState::Open { edge, server, at, .. } = &j.state {
                         *by.entry((*edge, at, server)).or_default() += 1;
                     }
@@ -242,11 +278,11 @@
     fn restore(&mut self, data: &SnapshotData) {
         // the state that it replaces is let go first: both at once may be more than the machine has
         self.kept = State::default();
-        self.open.clear();
+        self.open = MeasuredMap::default();
         // its digest was looked at before it came here: going on from nothing would lose promises
         self.kept = State::read(data.drain()).expect("a snapshot that passed its digest can be decoded");
         let open = self.kept.jobs.iter().filter(|(_, j)| matches!(j.state, JobState::Open { .. }));
-        self.open = open.map(|(id, _)| id.clone()).collect();
+        self.open = open.map(|(id, _)| (id.clone(), ())).collect();
         data.share(&self.snapshot());
     }
 
--- a/hutbook/src/coordination/store/tests/mod.rs
+++ b/hutbook/src/coordination/store/tests/mod.rs
@@ -1,2 +1,5 @@
+mod accounts;
+mod format_3;
+mod interleavings;
 mod state;
 mod turns;
--- a/hutbook/src/transport/passing.rs
+++ b/hutbook/src/transport/passing.rs
@@ -138,6 +138,7 @@
         run_ms: left,
         retention_ms: if w.kept { w.retention_ms } else { 0 },
         have: vec![],
+        account_retention_ms: Some(w.retention_ms),
     });
     let once = w.nature == Nature::OnceOnly || w.nature == Nature::Stream && !w.resumable;
     Some(Said {
--- /dev/null
+++ b/hutbook/tests/store_accounts.rs
@@ -0,0 +1,92 @@
+//! Accounts of work passed through, over a long time of one store's clock.
+
+use hutbook::coordination::replica::{LeaderContext, Plan, StateMachine};
+use hutbook::coordination::store::{Link, Store, StoreRequest, StoreResponse, TurnEnd, TurnLeave};
+use rstest::rstest;
+
+/// programs a second that begin, as on a grown site.
+const PROGRAMS_PER_SECOND: u64 = 70;
+/// ms. `RetentionS` of the route.
+const RETENTION_MS: u64 = 60_000;
+/// ms of the store's clock.
+const RUN_MS: u64 = 300_000;
+/// bytes. Of a turn's text, where its route keeps it.
+const TEXT_BYTES: usize = 500;
+
+/// A store that leads its group, and what it applies.
+struct Leader {
+    store: Store,
+    index: u64,
+}
+
+impl Leader {
+    fn elected() -> Leader {
+        let mut store = Store::default();
+        store.became_leader(LeaderContext { now: 0, term: 1 });
+        Leader { store, index: 0 }
+    }
+
+    fn agree(&mut self, now: u64, request: StoreRequest) -> StoreResponse {
+        let Plan::Propose(command) = self.store.plan(LeaderContext { now, term: 1 }, &request) else {
+            panic!("not for the log: {request:?}")
+        };
+        self.index += 1;
+        self.store.apply(self.index, 1, &command)
+    }
+
+    /// A program of one turn, from its admission to its end.
+    fn run_program(&mut self, now: u64, number: u64, kept: bool) {
+        let turn = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let program = format!("{number:06x}");
+        let leave = TurnLeave {
+            turn: turn.clone(),
+            program: program.clone(),
+            session: program.clone(),
+            before: String::new(),
+            budget: 1_000,
+            cap: 136,
+            edge: 1,
+            run_ms: 4_000,
+            retention_ms: if kept { RETENTION_MS } else { 0 },
+            have: vec![],
+            account_retention_ms: Some(RETENTION_MS),
+        };
+        let admitted = self.agree(now, StoreRequest::TurnLeave(leave));
+        assert!(matches!(admitted, StoreResponse::TurnMay { .. }), "{admitted:?}");
+        let text = Link { turn: turn.clone(), said: vec![b'x'; TEXT_BYTES], answer: vec![b'y'; TEXT_BYTES] };
+        let end = TurnEnd {
+            turn,
+            program: program.clone(),
+            session: program,
+            before: String::new(),
+            edge: 1,
+            tokens: 100,
+            server: format!("10.0.0.{}:8000", number % 20),
+            kept: kept.then_some(text),
+            retention_ms: if kept { RETENTION_MS } else { 0 },
+        };
+        assert_eq!(self.agree(now, StoreRequest::TurnEnd(end)), StoreResponse::Settled);
+    }
+}
+
+#[rstest]
+fn the_state_is_flat_after_two_retentions(#[values(true, false)] kept: bool) {
+    // given a store under 70 new programs a second, whose route remembers for 60 s
+    let mut leader = Leader::elected();
+    let (mut after_two, mut most) = (0, 0);
+    for number in 0..RUN_MS * PROGRAMS_PER_SECOND / 1_000 {
+        let now = number * 1_000 / PROGRAMS_PER_SECOND;
+        leader.run_program(now, number, kept);
+        // when two retentions have passed
+        let (bytes, _) = leader.store.state_bytes();
+        if now <= 2 * RETENTION_MS {
+            after_two = after_two.max(bytes);
+        }
+        most = most.max(bytes);
+    }
+    // then its state grows no more, and holds the programs of one retention
+    let (accounts, _, _) = leader.store.turn_counts();
+    println!("{after_two} bytes at the most in two retentions, {most} in all, {accounts} accounts");
+    assert!(most <= after_two + after_two / 20, "{after_two} bytes after two retentions, later {most}");
+    assert!(accounts as u64 <= PROGRAMS_PER_SECOND * (RETENTION_MS / 1_000 + 2), "{accounts} accounts");
+}
--- a/scramble/tests/turns.rs
+++ b/scramble/tests/turns.rs
@@ -43,6 +43,7 @@
         run_ms: 1_000,
         retention_ms: KEEP,
         have: vec![],
+        account_retention_ms: Some(KEEP),
     }
 }
 
