--- a/hutbook/src/coordination/store/mod.rs
+++ b/hutbook/src/coordination/store/mod.rs
@@ -2,13 +2,21 @@
 //! passed through.
 
 mod accounts;
+mod expiry;
+mod format_3;
 mod group_membership;
+mod ids;
+mod kept_turns;
+mod measured;
 mod messages;
 mod programs;
+mod servers;
 mod turns;
+mod usage;
 
 pub use group_membership::follow_orders;
 pub use messages::*;
+pub use usage::StateUsage;
 
 use super::raft::{Denial, Raft};
 use super::replica::{LeaderContext, LeaderTask, Plan, StateMachine};
@@ -19,22 +27,30 @@
 use crate::state::snapshot_data::{SnapshotData, SnapshotReader, SnapshotTexts};
 use crate::state::texts::{SegmentSource, TextOp, TextPlace};
 use bytes::Bytes;
+use expiry::ExpiryQueue;
+use measured::MeasuredMap;
 use minicbor::decode;
-use std::collections::{BTreeMap, BTreeSet};
+use minicbor::encode::{self, Encoder, Write};
+use programs::job_due;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use turns::Turns;
 
-messages! {
-    /// The agreed state, as a snapshot holds it.
-    #[derive(Default)]
-    struct State {
-        #[n(0)] clock: u64,
-        #[n(1)] programs: BTreeMap<String, Program>,
-        #[n(2)] jobs: BTreeMap<String, Job>,
-        #[n(3)] ends: BTreeMap<u64, Vec<String>>,
-        /// Work passed through; a snapshot from before it was kept holds none.
-        #[cbor(n(4), default)] turns: Turns,
-    }
+/// Fields of a state in a snapshot: the clock, programs, jobs, turns.
+const FIELDS: u64 = 4;
+/// Fields up to disk format 3: the clock, programs, jobs, their times, turns.
+const FIELDS_3: u64 = 5;
+
+/// The agreed state, as a snapshot holds it.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct State {
+    clock: u64,
+    programs: MeasuredMap<String, Program>,
+    jobs: MeasuredMap<String, Job>,
+    /// When programs and jobs are to be looked at; follows from them.
+    due: ExpiryQueue<Box<str>>,
+    /// Work passed through.
+    turns: Turns,
 }
 
 /// What the core asks of this group's leader.
@@ -44,23 +60,42 @@
 }
 
 impl State {
-    /// Reads what `to_bytes` wrote, item by item.
+    /// Encodes it for a snapshot.
+    fn write<W: Write>(&self, e: &mut Encoder<W>) -> Result<(), encode::Error<W::Error>> {
+        e.array(FIELDS)?.encode(self.clock)?.encode(&self.programs)?.encode(&self.jobs)?;
+        self.turns.write(e)
+    }
+
+    /// Reads what `write` wrote, or what disk format 3 and those before it hold, item by item.
     fn read(mut r: SnapshotReader) -> Result<State, decode::Error> {
         let fields = r.count(|d| d.array())?;
-        let mut kept =
-            State { clock: r.item()?, programs: r.item()?, jobs: r.item()?, ends: r.item()?, ..State::default() };
-        // a snapshot from before work was passed through has none of it
-        if fields > 4 {
-            kept.turns = Turns::read(&mut r)?;
+        let mut state = State { clock: r.item()?, ..State::default() };
+        for _ in 0..r.count(|d| d.map())? {
+            let (id, program): (String, Program) = (r.item()?, r.item()?);
+            state.due.schedule(program.forget, id.as_str().into());
+            state.programs.insert(id, program);
+        }
+        for _ in 0..r.count(|d| d.map())? {
+            let (id, job): (String, Job) = (r.item()?, r.item()?);
+            state.due.schedule(job_due(&job), id.as_str().into());
+            state.jobs.insert(id, job);
         }
-        Ok(kept)
+        if fields == FIELDS_3 {
+            // times follow from the rest
+            r.read(|d| d.skip())?;
+        }
+        state.turns = Turns::read(&mut r, state.clock)?;
+        Ok(state)
     }
 
-    /// bytes, roughly, that this state takes in memory.
-    fn size(&self) -> usize {
-        let (accounts, turns, _) = self.turns.counts();
-        let things = accounts + turns + self.programs.len() + self.jobs.len();
-        things * STATE_ITEM_BYTES
+    /// bytes that this state takes in memory, by kind.
+    fn usage(&self) -> StateUsage {
+        StateUsage {
+            turn_index: self.turns.index_bytes(),
+            accounts: self.turns.accounts.bytes(),
+            jobs: self.jobs.bytes(STATE_JOB_BYTES) + self.due.bytes(STATE_DUE_BYTES),
+            programs: self.programs.bytes(STATE_PROGRAM_BYTES),
+        }
     }
 }
 
@@ -69,7 +104,7 @@
     kept: State,
     budget: MemoryBudget,
     /// Ids of the jobs whose intents stand: folded from what is kept.
-    open: BTreeSet<String>,
+    open: MeasuredMap<String, ()>,
     /// The leader's clock: the committed one, run on from when it rose.
     base: Option<(u64, u64)>,
     clock_at: u64,
@@ -87,7 +122,14 @@
 
     /// bytes, roughly, that the state takes, and how many it may take.
     pub fn state_bytes(&self) -> (usize, usize) {
-        (self.kept.size(), self.budget.state)
+        (self.usage().total(), self.budget.state)
+    }
+
+    /// What the state takes in memory, by kind.
+    pub fn usage(&self) -> StateUsage {
+        let mut usage = self.kept.usage();
+        usage.jobs += self.open.bytes(STATE_OPEN_JOB_BYTES);
+        usage
     }
 
     /// Is this new work that there is no memory for? What ends work under way is always taken.
@@ -97,7 +139,8 @@
             StoreRequest::Put { .. } | StoreRequest::Begin(_) | StoreRequest::TurnLeave(_) => self.budget.state,
             _ => return false,
         };
-        self.kept.size() >= bound || self.kept.turns.disk_bytes() >= self.budget.texts_on_disk
+        let (texts, texts_most) = self.text_disk_bytes();
+        self.usage().total() >= bound || texts >= texts_most
     }
 
     fn clock(&mut self, now: u64) -> u64 {
@@ -117,7 +160,12 @@
 
     /// Where the texts of kept turns lie.
     pub fn kept_texts(&self) -> impl Iterator<Item = TextPlace> + '_ {
-        self.kept.turns.kept_texts()
+        self.kept.turns.kept.texts()
+    }
+
+    /// bytes that texts take on disk, and how many they may take.
+    pub fn text_disk_bytes(&self) -> (u64, u64) {
+        (self.kept.turns.kept.disk_bytes(), self.budget.texts_on_disk)
     }
 
     /// Of work passed through: accounts, turns kept, and bytes of their texts.
@@ -163,7 +211,7 @@
             },
             StoreRequest::Open => {
                 let mut by: BTreeMap<(u64, &str, &str), u32> = BTreeMap::new();
-                for j in self.open.iter().filter_map(|id| self.kept.jobs.get(id)) {
+                for j in self.open.iter().filter_map(|(id, ())| self.kept.jobs.get(id)) {
                     if let JobState::Open { edge, server, at, .. } = &j.state {
                         *by.entry((*edge, at, server)).or_default() += 1;
                     }
@@ -238,9 +286,11 @@
     }
 
     fn snapshot(&self) -> SnapshotData {
-        let data = SnapshotData::from(to_bytes(&self.kept));
+        let mut encoder = Encoder::new(vec![]);
+        self.kept.write(&mut encoder).expect("encoding to memory");
+        let data = SnapshotData::from(encoder.into_writer());
         match &self.texts {
-            Some(source) => data.with_texts(SnapshotTexts::new(source.clone(), self.kept.turns.segments())),
+            Some(source) => data.with_texts(SnapshotTexts::new(source.clone(), self.kept.turns.kept.segments())),
             None => data,
         }
     }
@@ -248,11 +298,12 @@
     fn restore(&mut self, data: &SnapshotData) {
         // the state that it replaces is let go first: both at once may be more than the machine has
         self.kept = State::default();
-        self.open.clear();
+        self.open = MeasuredMap::default();
         // its digest was looked at before it came here: going on from nothing would lose promises
         self.kept = State::read(data.drain()).expect("a snapshot that passed its digest can be decoded");
+        self.kept.turns.kept.retain_segments();
         let open = self.kept.jobs.iter().filter(|(_, j)| matches!(j.state, JobState::Open { .. }));
-        self.open = open.map(|(id, _)| id.clone()).collect();
+        self.open = open.map(|(id, _)| (id.clone(), ())).collect();
         data.share(&self.snapshot());
     }
 
@@ -279,7 +330,7 @@
     }
 
     fn take_text_ops(&mut self) -> Vec<TextOp> {
-        self.kept.turns.take_text_ops()
+        self.kept.turns.kept.take_text_ops()
     }
 
     fn lacking_texts(response: &StoreResponse) -> Vec<TextPlace> {
--- /dev/null
+++ b/hutbook/src/coordination/store/tests/on_disk.rs
@@ -0,0 +1,70 @@
+//! Turns with the disk that their texts lie on, for the tests of this folder.
+
+use crate::coordination::replica::StateMachine;
+use crate::coordination::store::{turns, Store, StoreResponse, TurnEnd, TurnLeave};
+use crate::state::snapshot_data::SnapshotData;
+use crate::state::texts::{MemoryTexts, TextOp};
+use std::ops::Deref;
+use std::sync::Arc;
+
+/// The response with the texts that it lacks.
+pub(super) fn with_texts(response: StoreResponse, disk: &MemoryTexts) -> StoreResponse {
+    let texts = Store::lacking_texts(&response).iter().map(|place| disk.text(place)).collect();
+    Store::with_texts(response, texts)
+}
+
+#[derive(Clone, Default)]
+pub(super) struct Turns {
+    turns: turns::Turns,
+    pub(super) disk: Arc<MemoryTexts>,
+}
+
+impl Deref for Turns {
+    type Target = turns::Turns;
+
+    fn deref(&self) -> &turns::Turns {
+        &self.turns
+    }
+}
+
+impl Turns {
+    /// What was just read from a snapshot, with the disk that it names texts of.
+    pub(super) fn read(data: &SnapshotData, clock: u64, disk: Arc<MemoryTexts>) -> Turns {
+        let mut turns = turns::Turns::read(&mut data.drain(), clock).expect("what was just written");
+        turns.kept.retain_segments();
+        let mut turns = Turns { turns, disk };
+        turns.write();
+        turns
+    }
+
+    fn write(&mut self) {
+        let ops: Vec<TextOp> = self.turns.kept.take_text_ops();
+        ops.iter().for_each(|op| self.disk.apply(op));
+    }
+
+    pub(super) fn leave(&mut self, now: u64, leave: &TurnLeave, told: bool) -> StoreResponse {
+        let response = self.turns.leave(now, leave, told);
+        with_texts(response, &self.disk)
+    }
+
+    pub(super) fn end(&mut self, now: u64, end: TurnEnd) -> StoreResponse {
+        let response = self.turns.end(now, end);
+        self.write();
+        response
+    }
+
+    pub(super) fn pass_time(&mut self, now: u64) {
+        self.turns.pass_time(now);
+        self.write();
+    }
+
+    /// Nothing is remembered, and of texts there is at most the segment that is written to.
+    pub(super) fn is_empty(&self) -> bool {
+        let empty = turns::Turns::default();
+        let segments = self.kept.segments().len();
+        self.counts() == (0, 0, 0)
+            && (&self.accounts, &self.servers) == (&empty.accounts, &empty.servers)
+            && self.kept.index_bytes() == 0
+            && segments <= 1
+    }
+}
--- a/hutbook/src/state/kept_text.rs
+++ b/hutbook/src/state/kept_text.rs
@@ -1,11 +1,9 @@
-//! Texts that are kept for long, compressed where that saves memory.
+//! Texts as states up to disk format 3 hold them: compressed where that saved memory.
 
-use super::snapshot_data::{write_shared, SnapshotWriter};
 use bytes::Bytes;
 use minicbor::data::Type;
 use minicbor::decode::{self, Decode, Decoder};
 use minicbor::encode::{self, Encode, Encoder, Write};
-use std::convert::Infallible;
 
 /// bytes. A shorter text is kept as it is: compressing it saves less than it costs.
 const COMPRESS_LEAST: usize = 256;
@@ -54,14 +52,6 @@
     pub fn stored_len(&self) -> usize {
         self.stored.len()
     }
-
-    /// Encodes it, sharing what is stored.
-    pub fn write(&self, e: &mut Encoder<SnapshotWriter>) -> Result<(), encode::Error<Infallible>> {
-        if let Some(length) = self.length {
-            e.array(2)?.u64(length as u64)?;
-        }
-        write_shared(e, &self.stored)
-    }
 }
 
 impl<C> Encode<C> for KeptText {
--- a/hutbook/src/state/snapshot_data.rs
+++ b/hutbook/src/state/snapshot_data.rs
@@ -1,24 +1,19 @@
-//! The bytes of a snapshot, in pieces that may be shared with the state they were taken from.
+//! The bytes of a snapshot, in pieces.
 //!
-//! A store's state is mostly texts that never change. A snapshot refers to them instead of copying
-//! them, so that it costs little memory beside the state, and is read piece by piece, so that a state
-//! that is being read back never stands in memory twice. The bytes themselves are one CBOR item, as
-//! if they had been encoded in one go.
+//! A snapshot is read piece by piece, and each piece is let go once it has been read, so that a state that is
+//! being read back never stands in memory twice. The bytes are one CBOR item, as if they had been encoded in
+//! one go. Texts that the state names are no part of them: they lie in segments on the disk.
 //!
 //! A snapshot is one value with several holders: the agreement, which sends it to members that are
 //! behind, and the disk's queue. All of them hold handles, so that what is in memory can be exchanged
-//! for equal bytes that are shared with the state.
+//! for equal bytes.
 
 use super::texts::{SegmentBytes, SegmentSource};
 use bytes::Bytes;
 use minicbor::decode::{self, Decode, Decoder};
 use minicbor::encode::{self, Encoder};
-use std::convert::Infallible;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// bytes. A shorter text is copied: a reference to it would cost as much.
-const SHARED_LEAST: usize = 128;
-
 /// The bytes of a snapshot. A clone is another handle of the same bytes.
 #[derive(Clone, Default)]
 pub struct SnapshotData(Arc<Mutex<Pieces>>);
@@ -216,52 +211,6 @@
     }
 }
 
-/// Encodes a snapshot whose long texts are shared with the state. All that is between them stands in
-/// one buffer: an allocation for each would be as much as a turn's text.
-#[derive(Default)]
-pub struct SnapshotWriter {
-    /// Where in `copied` a shared text belongs, in order.
-    shared: Vec<(usize, Bytes)>,
-    copied: Vec<u8>,
-}
-
-impl SnapshotWriter {
-    /// What was written.
-    pub fn finish(self) -> SnapshotData {
-        let copied = Bytes::from(self.copied.into_boxed_slice());
-        let mut pieces = Vec::with_capacity(2 * self.shared.len() + 1);
-        let mut start = 0;
-        for (at, text) in self.shared {
-            pieces.push(copied.slice(start..at));
-            pieces.push(text);
-            start = at;
-        }
-        pieces.push(copied.slice(start..));
-        SnapshotData::from_pieces(pieces)
-    }
-}
-
-impl encode::Write for SnapshotWriter {
-    type Error = Infallible;
-
-    fn write_all(&mut self, bytes: &[u8]) -> Result<(), Infallible> {
-        self.copied.extend_from_slice(bytes);
-        Ok(())
-    }
-}
-
-/// Writes a byte string that is shared where it is long enough.
-pub fn write_shared(e: &mut Encoder<SnapshotWriter>, text: &Bytes) -> Result<(), encode::Error<Infallible>> {
-    e.bytes_len(text.len() as u64)?;
-    let writer = e.writer_mut();
-    if text.len() < SHARED_LEAST {
-        writer.copied.extend_from_slice(text);
-    } else {
-        writer.shared.push((writer.copied.len(), text.clone()));
-    }
-    Ok(())
-}
-
 /// Reads a snapshot item by item. A piece that has been read is let go at once.
 pub struct SnapshotReader {
     pieces: std::vec::IntoIter<Bytes>,
