--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -333,3 +333,27 @@
 /// ms. Bytes that a partner's machine hasn't taken for this long end their session: many round trips,
 /// and less than an election should wait for.
 pub const UNACKED_MS: u64 = 800;
+
+/// ms. Between looks of a daemon at its refusals and its overdue phases: at most one line a second tells them.
+pub const OBSERVE_MS: u64 = 1_000;
+/// ms. Between looks at a replica that is coming back: fine against the phases' bounds.
+pub const RECOVERY_LOOK_MS: u64 = 25;
+/// ms. Bound on opening the data folder: a few reads and a lock, with a slow disk.
+pub const FOLDER_OPENED_BOUND_MS: u64 = 1_000;
+/// ms. Bound on reading snapshot and log: the 26 MB that the smallest store may hold, at 13 MB a second.
+pub const SNAPSHOT_READ_BOUND_MS: u64 = 2_000;
+/// ms. Bound on a group's having a leader, from the replica's start: two elections that were split, and a third.
+pub const LEADER_KNOWN_BOUND_MS: u64 = 3 * (ELECTION_MS + ELECTION_SPREAD_MS);
+/// ms. Bound on applying the log of before the start: it can't end before there is a leader.
+pub const LOG_REPLAYED_BOUND_MS: u64 = LEADER_KNOWN_BOUND_MS + 1_000;
+/// ms. Bound on an edge's lease: the core's leader and two rounds of tries.
+pub const LEASE_HELD_BOUND_MS: u64 = LEADER_KNOWN_BOUND_MS + LICENCE_MS;
+/// ms. Bound on an edge's knowing the stores: they come with the lease.
+pub const STORES_KNOWN_BOUND_MS: u64 = LEASE_HELD_BOUND_MS;
+/// ms. Bound on the first answer of a server, from the edge's first request: all but the turn's own time of
+/// the five seconds in which service is to be back.
+pub const SERVER_ANSWERED_BOUND_MS: u64 = 4_000;
+/// ms. Bound on the first turn served, likewise.
+pub const TURN_SERVED_BOUND_MS: u64 = 5_000;
+/// share. Of its bound by which a store's state must have changed before it is logged again without a refusal.
+pub const STATE_LOGGED_STEP: f64 = 1.0 / 16.0;
--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -164,6 +164,16 @@
         Some(Member { id, addr: self.addrs.get(&id).cloned().or(known)? })
     }
 
+    /// bytes. Of the entries applied since the newest snapshot.
+    pub fn applied_bytes(&self) -> usize {
+        self.since
+    }
+
+    /// bytes. Of the newest snapshot.
+    pub fn snapshot_bytes(&self) -> usize {
+        self.snapshot_bytes
+    }
+
     pub fn leads(&self) -> bool {
         self.raft.role == Role::Leader
     }
--- a/hutbook/src/transport/field.rs
+++ b/hutbook/src/transport/field.rs
@@ -4,6 +4,8 @@
 use super::http::{call, client, gated_call, gauge, was_sent, Gated};
 use super::hut::Clock;
 use super::reach::{Stores, Wired};
+use super::recovery_phases::RecoveryPhases;
+use super::refusals::RefusalCounts;
 use super::serve::{Bit, Ground, ModelCall, Stream, ToolCall};
 use crate::constants::*;
 use crate::coordination::edge::Edge;
@@ -22,11 +24,20 @@
     pub edge: Arc<Edge>,
     pub clock: Clock,
     stores: Stores<Wired>,
+    /// Answers of this edge's own that refuse a request, by the code that they carry.
+    pub refusals: RefusalCounts,
+    pub phases: RecoveryPhases,
 }
 
 impl Field {
     pub fn new(edge: Arc<Edge>, way: Wired) -> Field {
-        Field { edge, clock: way.clock, stores: Stores::new(way) }
+        let stores = Stores::new(way.clone());
+        Field { edge, clock: way.clock, stores, refusals: RefusalCounts::default(), phases: RecoveryPhases::default() }
+    }
+
+    /// Tries at stores that had to be repeated, by reason.
+    pub fn store_retries(&self) -> &RefusalCounts {
+        &self.stores.retries
     }
 }
 
--- a/hutbook/src/transport/front.rs
+++ b/hutbook/src/transport/front.rs
@@ -4,6 +4,7 @@
 use super::field::Field;
 use super::lexicon::Lexicon;
 use super::passing::{pass, Incoming, OutBody, Outgoing, PassAnswer, PassGround};
+use super::recovery_phases::Phase;
 use super::sessions::{Answer, Bite, Sending, Sessions};
 use crate::constants::*;
 use crate::coordination::pass::Spotted;
@@ -59,10 +60,20 @@
         Ok(a) => a,
         Err(status) => return plain(status),
     };
+    let now = f.clock.now();
+    f.phases.begin(Phase::ServerAnswered, now);
+    f.phases.begin(Phase::TurnServed, now);
     let (tx, rx) = oneshot::channel();
-    actix_rt::spawn(async move { pass(&f, &f.edge, lex, a, tx).await });
+    let passing = f.clone();
+    actix_rt::spawn(async move { pass(&passing, &passing.edge, lex, a, tx).await });
     match rx.await {
-        Ok(o) => reply(o, closing),
+        Ok(o) => {
+            match o.own_code {
+                Some(code) => f.refusals.count(code),
+                None => f.phases.reach(Phase::ServerAnswered, f.clock.now(), &[]),
+            }
+            reply(f, o, closing)
+        }
         // its task has ended without a word: nothing may be promised
         Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR),
     }
@@ -103,7 +114,7 @@
     })
 }
 
-fn reply(o: Outgoing, closing: bool) -> Response<BoxBody> {
+fn reply(f: Arc<Field>, o: Outgoing, closing: bool) -> Response<BoxBody> {
     let mut r = Response::new(o.status);
     for (k, v) in o.headers {
         r.headers_mut().append(k, v);
@@ -114,10 +125,14 @@
     match o.body {
         OutBody::Whole(b) => r.set_body(b.boxed()),
         OutBody::Events(rx) => {
-            let st = futures_util::stream::unfold(rx, |mut rx| async move {
-                let b: Result<Bytes, std::io::Error> =
-                    rx.recv().await?.map_err(|_| std::io::ErrorKind::ConnectionAborted.into());
-                Some((b, rx))
+            let st = futures_util::stream::unfold((rx, f), |(mut rx, f)| async move {
+                let Some(next) = rx.recv().await else {
+                    // the stream is whole: one that broke off ended with an error before
+                    f.phases.reach(Phase::TurnServed, f.clock.now(), &[]);
+                    return None;
+                };
+                let b: Result<Bytes, std::io::Error> = next.map_err(|_| std::io::ErrorKind::ConnectionAborted.into());
+                Some((b, (rx, f)))
             });
             r.set_body(BodyStream::new(Box::pin(st)).boxed())
         }
--- a/hutbook/src/transport/hut.rs
+++ b/hutbook/src/transport/hut.rs
@@ -9,7 +9,7 @@
 use crate::state::disk::{Boot, Disk, DiskOp};
 use crate::state::memory::MemoryBudget;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{channel, sync_channel, Receiver, RecvTimeoutError, Sender, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -43,6 +43,10 @@
     /// ms the newest sync took, and syncs that failed.
     pub sync_ms: Arc<AtomicU64>,
     pub sync_failed: Arc<AtomicU64>,
+    /// The newest write has failed, and is being tried again.
+    pub disk_failing: AtomicBool,
+    /// Requests that found the inbox full.
+    pub inbox_full: AtomicU64,
 }
 
 /// What runs a long computation of the machine and says what came of it.
@@ -78,6 +82,8 @@
             replica: Arc::new(Mutex::new(replica)),
             sync_ms: Arc::default(),
             sync_failed: Arc::default(),
+            disk_failing: AtomicBool::default(),
+            inbox_full: AtomicU64::default(),
         });
         let h = hut.clone();
         let back = tx.clone();
@@ -99,7 +105,10 @@
     pub fn ask(&self, ask: M::Request, busy: M::Response, f: impl FnOnce(M::Response) + Send + 'static) {
         match self.tx.try_send(Inbound::Ask(ask, Box::new(f))) {
             Ok(()) => {}
-            Err(TrySendError::Full(Inbound::Ask(_, f)) | TrySendError::Disconnected(Inbound::Ask(_, f))) => f(busy),
+            Err(TrySendError::Full(Inbound::Ask(_, f)) | TrySendError::Disconnected(Inbound::Ask(_, f))) => {
+                self.inbox_full.fetch_add(1, Ordering::Relaxed);
+                f(busy)
+            }
             Err(_) => {}
         }
     }
@@ -124,11 +133,13 @@
             let mut said = Seldom::default();
             while let Err(e) = disk.write(&ops) {
                 self.sync_failed.fetch_add(1, Ordering::Relaxed);
+                self.disk_failing.store(true, Ordering::Relaxed);
                 if said.again() {
                     log::error!("the data folder takes no write; trying again: {e}");
                 }
                 std::thread::sleep(Duration::from_millis(DISK_AGAIN_MS));
             }
+            self.disk_failing.store(false, Ordering::Relaxed);
             self.sync_ms.store(t.elapsed().as_millis() as u64, Ordering::Relaxed);
             if back.send(Inbound::Synced(mark)).is_err() {
                 return;
--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -14,6 +14,8 @@
 pub mod passing;
 pub mod post;
 pub mod reach;
+pub mod recovery_phases;
+pub mod refusals;
 pub mod serve;
 pub mod sessions;
 pub mod stall;
--- a/hutbook/src/transport/passing.rs
+++ b/hutbook/src/transport/passing.rs
@@ -38,6 +38,8 @@
     pub status: StatusCode,
     pub headers: Vec<(HeaderName, HeaderValue)>,
     pub body: OutBody,
+    /// The code of an answer of our own; None where a server gave it.
+    pub own_code: Option<&'static str>,
 }
 
 pub enum OutBody {
@@ -97,7 +99,7 @@
 }
 
 /// A final answer of our own.
-fn own(status: u16, code: &str, back_ms: Option<u64>) -> Outgoing {
+fn own(status: u16, code: &'static str, back_ms: Option<u64>) -> Outgoing {
     let j = jzon::object! { error: code };
     let mut headers = vec![(actix_http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"))];
     if let Some(ms) = back_ms {
@@ -105,11 +107,11 @@
         headers.extend(v.ok().map(|v| (actix_http::header::RETRY_AFTER, v)));
     }
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    Outgoing { status, headers, body: OutBody::Whole(Bytes::from(j.dump())) }
+    Outgoing { status, headers, body: OutBody::Whole(Bytes::from(j.dump())), own_code: Some(code) }
 }
 
 /// It did not run and never will; the user agent is told at once when to come back.
-fn refusal(code: &str) -> Outgoing {
+fn refusal(code: &'static str) -> Outgoing {
     own(503, code, Some(PASS_BACK_MS))
 }
 
@@ -336,7 +338,10 @@
             }
             timed(e, &v, g.now(), &s, &group, g.now() - came);
             let out = match whole {
-                Some(b) => Outgoing { status: ans.status(), headers: back(ans.headers()), body: OutBody::Whole(b) },
+                Some(b) => {
+                    let headers = back(ans.headers());
+                    Outgoing { status: ans.status(), headers, body: OutBody::Whole(b), own_code: None }
+                }
                 None => own(502, "answer_broke_off", None),
             };
             let _ = to.send(out);
@@ -583,7 +588,7 @@
                 if let Some(r) = reply.take() {
                     timed(e, v, g.now(), s, &at.group, g.now() - came);
                     let (t, rx) = mpsc::channel(PIECES);
-                    let head = Outgoing { status, headers: headers.clone(), body: OutBody::Events(rx) };
+                    let head = Outgoing { status, headers: headers.clone(), body: OutBody::Events(rx), own_code: None };
                     // a user agent that has gone is seen by the channel
                     let _ = r.send(head);
                     tx = Some(t);
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -6,6 +6,7 @@
 use super::field::draw;
 use super::hut::Clock;
 use super::post::Post;
+use super::refusals::RefusalCounts;
 use crate::constants::*;
 use crate::coordination::control::{ControlRequest, ControlResponse, Duty, OrderId, OrderStamp};
 use crate::coordination::edge::Edge;
@@ -56,6 +57,8 @@
 pub struct Reach<S> {
     pub way: S,
     hint: Mutex<Option<String>>,
+    /// Tries that had to be repeated.
+    pub retries: Arc<RefusalCounts>,
 }
 
 enum Word {
@@ -82,9 +85,34 @@
     }
 }
 
+/// Why a try is repeated, in a word for counters.
+fn retry_reason(answer: Option<&Body>) -> &'static str {
+    let Some(answer) = answer else { return "no_answer" };
+    match answer {
+        Body::CoreSaid(response) => match &**response {
+            ControlResponse::NotLeader(None) => "no_leader",
+            ControlResponse::NotLeader(Some(_)) => "not_leader",
+            ControlResponse::Lost => "outcome_unknown",
+            _ => "busy",
+        },
+        Body::StoreSaid(response) => match &**response {
+            StoreResponse::NotLeader(None) => "no_leader",
+            StoreResponse::NotLeader(Some(_)) => "not_leader",
+            StoreResponse::Lost => "outcome_unknown",
+            _ => "busy",
+        },
+        _ => "other_process",
+    }
+}
+
 impl<S: Speak> Reach<S> {
     pub fn new(way: S) -> Reach<S> {
-        Reach { way, hint: Mutex::default() }
+        Reach::counting(way, Arc::default())
+    }
+
+    /// One whose repeated tries are counted in `retries`.
+    pub fn counting(way: S, retries: Arc<RefusalCounts>) -> Reach<S> {
+        Reach { way, hint: Mutex::default(), retries }
     }
 
     fn set_hint(&self, h: Option<String>) {
@@ -110,7 +138,11 @@
                 }
             };
             let b = self.way.call(&to, body.clone(), each.min(end - now)).await;
-            match b.as_ref().map(word) {
+            let meaning = b.as_ref().map(word);
+            if !matches!(meaning, Some(Word::Answer)) {
+                self.retries.count(retry_reason(b.as_ref()));
+            }
+            match meaning {
                 Some(Word::Answer) => {
                     self.set_hint(Some(to));
                     return b;
@@ -182,11 +214,13 @@
 pub struct Stores<S> {
     way: S,
     groups: Mutex<BTreeMap<u32, Arc<Reach<S>>>>,
+    /// Tries that had to be repeated, over all groups.
+    pub retries: Arc<RefusalCounts>,
 }
 
 impl<S: Speak> Stores<S> {
     pub fn new(way: S) -> Stores<S> {
-        Stores { way, groups: Mutex::default() }
+        Stores { way, groups: Mutex::default(), retries: Arc::default() }
     }
 
     pub async fn ask(&self, v: &View, program: &str, ask: StoreRequest) -> Option<StoreResponse> {
@@ -196,7 +230,8 @@
         addrs.dedup();
         let reach = {
             let mut g = self.groups.lock().unwrap_or_else(|e| e.into_inner());
-            g.entry(group).or_insert_with(|| Arc::new(Reach::new(self.way.clone()))).clone()
+            let reach = || Arc::new(Reach::counting(self.way.clone(), self.retries.clone()));
+            g.entry(group).or_insert_with(reach).clone()
         };
         match reach.ask(&addrs, Body::Store { group, ask: Box::new(ask) }, STORE_MS, CALL_MS).await {
             Some(Body::StoreSaid(t)) => Some(*t),
--- a/huts/src/bin/waymark.rs
+++ b/huts/src/bin/waymark.rs
@@ -4,6 +4,7 @@
 use hutbook::protocol::config;
 use hutbook::transport::field::draw;
 use hutbook::transport::http::call;
+use huts::report::{read_records, render};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
   places                             which servers hold a place, by group
   scaler                             its decisions, with their reasons
   status                             the whole at a glance
+  report LOG...                      what the daemons' logs tell: the timeline of each return, refusals by reason and
+                                     second, state by kind over time; asks nobody. Ends with 1 where they hold
+                                     nothing of it, with 2 where one can't be read
 ";
 
 struct Ask {
@@ -85,6 +89,9 @@
     if let ["config", "check", file] = words.as_slice() {
         return check(file);
     }
+    if let ["report", logs @ ..] = words.as_slice() {
+        return report(logs);
+    }
     let a = match read(&words, &m) {
         Ok(a) => a,
         Err(e) => return usage(&e),
@@ -117,6 +124,30 @@
     }
 }
 
+fn report(logs: &[&str]) -> ExitCode {
+    if logs.is_empty() {
+        return usage("report: say which logs");
+    }
+    let mut records = vec![];
+    for log in logs {
+        match std::fs::read(log) {
+            // a torn line at the end of a log is no reason to pass over the rest
+            Ok(bytes) => records.extend(read_records(log, &String::from_utf8_lossy(&bytes))),
+            Err(e) => return usage(&format!("{log}: {e}")),
+        }
+    }
+    match render(&records) {
+        Some(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        None => {
+            eprintln!("{NAME}: no phase, refusal or state stands in {}", logs.join(", "));
+            ExitCode::from(SAID_NO)
+        }
+    }
+}
+
 fn read(words: &[&str], m: &getopts::Matches) -> Result<Ask, String> {
     let need = |k: &str| m.opt_str(k).ok_or(format!("--{k} is missing"));
     Ok(match words {
--- a/huts/src/bothy.rs
+++ b/huts/src/bothy.rs
@@ -1,5 +1,6 @@
 //! The store: keeps programs and jobs.
 
+use crate::store_metrics::{observe, StoreMetrics, StoreRefusal};
 use hutbook::constants::*;
 use hutbook::coordination::control::{id_text, members_json, CheckIn, ControlRequest, ControlResponse, Duty};
 use hutbook::coordination::store::{Store, StoreResponse};
@@ -14,6 +15,7 @@
 use hutbook::transport::hut::{Clock, Hut};
 use hutbook::transport::post::{Handler, Post};
 use hutbook::transport::reach::{open_jobs, Reach, Wired};
+use hutbook::transport::recovery_phases::{follow_replica, BootSummary, Phase};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
@@ -33,30 +35,42 @@
     daemon::bear_limits();
     let dir = s.data.clone().expect("checked with the settings");
     let budget = MemoryBudget::of(s.memory_mb);
+    let measures = Arc::new(StoreMetrics::default());
+    measures.phases.begin(Phase::FolderOpened, clock.now());
     let disk = daemon::with_room(|| Disk::open_within(&dir, KIND, budget.disk_cache, draw)).await?;
+    measures.phases.reach(Phase::FolderOpened, clock.now(), &[]);
     let slot = Slot::default();
-    let h = slot.clone();
+    let (h, m) = (slot.clone(), measures.clone());
     let handler: Handler = Arc::new(move |l, reply| match (l.body, h.get()) {
         (Body::Raft { group, msg, at }, Some((g, h))) if group == *g => h.msg(l.from, at, msg),
         (Body::Raft { .. }, _) => {}
         (Body::Store { group, ask }, Some((g, h))) if group == *g => {
-            h.ask(*ask, StoreResponse::Busy, move |t| reply.send(Body::StoreSaid(Box::new(t))))
+            let (m, hut) = (m.clone(), h.clone());
+            h.ask(*ask, StoreResponse::Busy, move |t| {
+                m.observe(&t, &hut);
+                reply.send(Body::StoreSaid(Box::new(t)))
+            })
+        }
+        (Body::Store { .. }, _) => {
+            m.refusals.count(StoreRefusal::NotMember.name());
+            reply.send(Body::StoreSaid(Box::new(StoreResponse::NotLeader(None))))
         }
-        (Body::Store { .. }, _) => reply.send(Body::StoreSaid(Box::new(StoreResponse::NotLeader(None)))),
         _ => reply.send(Body::Away("a bothy answers for its store group alone".into())),
     });
     let post =
         Post::start(disk.id, disk.cluster, Some(s.wire), s.at(), handler).map_err(|e| format!("{}: {e}", s.wire))?;
     let me = Member { id: disk.id, addr: s.at().to_string() };
     let (sl, p, c, my, cell) = (slot.clone(), post.clone(), closing.clone(), me.clone(), s.cell.clone());
+    let m = measures.clone();
     let (server, active) = http::serve(s.http, 1, BODY_BYTES, closing.clone(), move |a| {
         let (sl, p, c, my, cell) = (sl.clone(), p.clone(), c.clone(), my.clone(), cell.clone());
+        let m = m.clone();
         async move {
             let ready = match sl.get() {
                 None => Err("no store group has been assigned".to_string()),
                 Some((_, h)) => h.look(|r| r.leader().map(drop).ok_or("the group has no leader".to_string())),
             };
-            let said = common(&a, &c, ready, || metrics(&sl, &p), || beliefs(&sl, &p, &my, &cell));
+            let said = common(&a, &c, ready, || metrics(&sl, &p, &m), || beliefs(&sl, &p, &my, &cell));
             said.unwrap_or_else(|| Said::no(404, "unknown_path", "nothing is served there"))
         }
     })
@@ -66,7 +80,9 @@
     log::info!("bothy {} stands at {}", id_text(me.id), me.addr);
 
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
+    actix_rt::spawn(observe(measures.clone(), slot.clone(), clock));
     let k = Keeper {
+        measures,
         clock,
         post,
         slot: slot.clone(),
@@ -97,6 +113,7 @@
 
 /// Speaks to the core and does as it says.
 struct Keeper {
+    measures: Arc<StoreMetrics>,
     clock: Clock,
     post: Arc<Post>,
     slot: Slot,
@@ -182,6 +199,8 @@
     }
 
     async fn start(&self, group: u32, founder: bool) -> Result<(), String> {
+        let phases = &self.measures.phases;
+        phases.begin(Phase::SnapshotRead, self.clock.now());
         let ready = self.on_disk(|disk| {
             if disk.fact("group")? != Some(u64::from(group)) {
                 disk.set_fact("group", u64::from(group))?;
@@ -193,6 +212,8 @@
         });
         let Some(boot) = ready.await? else { return Ok(()) };
         let Some(disk) = self.disk.lock().unwrap_or_else(|e| e.into_inner()).take() else { return Ok(()) };
+        let summary = BootSummary::of(&boot);
+        phases.reach(Phase::SnapshotRead, self.clock.now(), &summary.fields());
         let none = Arc::new(|_| None);
         let h = Hut::start(
             group,
@@ -206,6 +227,7 @@
             none,
         )
         .map_err(|e| e.to_string())?;
+        actix_rt::spawn(follow_replica(h.clone(), summary, phases.clone(), self.clock));
         let _ = self.slot.set((group, h));
         Ok(())
     }
@@ -235,10 +257,11 @@
     j
 }
 
-fn metrics(slot: &Slot, post: &Post) -> String {
+fn metrics(slot: &Slot, post: &Post, measures: &StoreMetrics) -> String {
     let mut o = String::new();
     metric(&mut o, "frames_refused_total", &[], post.refused.load(Ordering::Relaxed));
     post.traffic.told().iter().for_each(|(n, v)| metric(&mut o, n, &[], v));
+    measures.write_metrics(&mut o, slot.get().map(|(_, hut)| &**hut));
     if let Some((_, h)) = slot.get() {
         metric(&mut o, "sync_ms", &[], h.sync_ms.load(Ordering::Relaxed));
         metric(&mut o, "sync_failed_total", &[], h.sync_failed.load(Ordering::Relaxed));
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -17,6 +17,7 @@
 use hutbook::transport::operators::{self, Dialect};
 use hutbook::transport::post::{Handler, Post};
 use hutbook::transport::reach::{Reach, Wired};
+use hutbook::transport::recovery_phases::{follow_replica, BootSummary, Phase, RecoveryPhases};
 use hutbook::transport::stall::StallWatch;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
@@ -45,7 +46,10 @@
     let at = s.at().to_string();
     let id = || if founders.contains(&at) { founder_id(&at) } else { draw() };
     let budget = MemoryBudget::of(s.memory_mb);
+    let phases = Arc::new(RecoveryPhases::default());
+    phases.begin(Phase::FolderOpened, clock.now());
     let mut disk = daemon::with_room(|| Disk::open_within(&dir, KIND, budget.disk_cache, id)).await?;
+    phases.reach(Phase::FolderOpened, clock.now(), &[]);
     let me = Member { id: disk.id, addr: s.at().to_string() };
     let founders: Vec<Member> = match s.found {
         true => vec![me.clone()],
@@ -87,10 +91,15 @@
     }
     post.cluster.store(disk.cluster, Ordering::Relaxed);
     let think = Arc::new(|k| Some(ponder(&k)));
+    phases.begin(Phase::SnapshotRead, clock.now());
     let boot = daemon::with_room(|| disk.boot()).await?;
+    let summary = BootSummary::of(&boot);
+    phases.reach(Phase::SnapshotRead, clock.now(), &summary.fields());
     let hut = Hut::start(CORE, disk, boot, Core::with(s.shape), budget, draw(), clock, post.clone(), think)
         .map_err(|e| e.to_string())?;
     let _ = slot.set(hut.clone());
+    actix_rt::spawn(follow_replica(hut.clone(), summary, phases.clone(), clock));
+    actix_rt::spawn(warn_of_overdue(phases.clone(), clock));
     log::info!("refuge {} stands at {}", id_text(me.id), me.addr);
 
     let (h, p, c, r) = (hut.clone(), post.clone(), closing.clone(), reach.clone());
@@ -100,12 +109,14 @@
     actix_rt::spawn(watch_for_stalls(watch.clone(), clock));
     let (server, active) =
         http::serve(s.http, s.workers.unwrap_or_else(daemon::workers), OPERATOR_BYTES, closing.clone(), move |a| {
-            let w = watch.clone();
+            let (w, ph) = (watch.clone(), phases.clone());
             let (d, h, p, c, r, my, first, cell) =
                 (dialect.clone(), h.clone(), p.clone(), c.clone(), r.clone(), my.clone(), first.clone(), cell.clone());
             async move {
                 let ready = h.look(|x| x.leader().map(drop).ok_or("no leader is known".to_string()));
-                match common(&a, &c, ready, || metrics(&h, &p), || beliefs(&h, &my, &cell)).filter(|_| d.common(&a)) {
+                match common(&a, &c, ready, || metrics(&h, &p, &ph), || beliefs(&h, &my, &cell))
+                    .filter(|_| d.common(&a))
+                {
                     Some(s) => s,
                     None => {
                         operators::answer(&r, members(&h, &my, &first), a, &*d, w.stalled_lately(clock.now())).await
@@ -157,6 +168,13 @@
     }
 }
 
+async fn warn_of_overdue(phases: Arc<RecoveryPhases>, clock: Clock) {
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(OBSERVE_MS)).await;
+        phases.warn_of_overdue(clock.now());
+    }
+}
+
 async fn watch_for_stalls(watch: Arc<StallWatch>, clock: Clock) {
     loop {
         actix_rt::time::sleep(Duration::from_millis(STALL_BEAT_MS)).await;
@@ -187,8 +205,9 @@
     })
 }
 
-fn metrics(hut: &Hut<Core>, post: &Post) -> String {
+fn metrics(hut: &Hut<Core>, post: &Post, phases: &RecoveryPhases) -> String {
     let mut o = String::new();
+    phases.write_metrics(&mut o);
     hut.look(|r| {
         metric(&mut o, "term", &[], r.raft.term);
         metric(&mut o, "leads", &[], u8::from(r.leads()));
--- /dev/null
+++ b/huts/src/report/records.rs
@@ -0,0 +1,50 @@
+//! Structured lines, found in logs as the daemons wrote them or as a collector passed them on.
+
+use jzon::object::Object;
+use jzon::JsonValue;
+
+/// One structured line of a log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// ms. The writer's time of day.
+    pub at_ms: u64,
+    /// Who wrote it: what a collector put before the line, or else the log's own name.
+    pub source: String,
+    pub program: String,
+    pub event: String,
+    pub fields: Object,
+}
+
+impl Record {
+    /// A field that holds a whole number.
+    pub fn number(&self, field: &str) -> Option<u64> {
+        self.fields.get(field)?.as_u64()
+    }
+
+    /// A field that holds a word.
+    pub fn word(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+}
+
+/// The structured lines of one log. All others are passed over: a log holds plain words as well.
+pub fn read_records(log_name: &str, text: &str) -> Vec<Record> {
+    text.lines().filter_map(|line| read_record(log_name, line)).collect()
+}
+
+fn read_record(log_name: &str, line: &str) -> Option<Record> {
+    let begin = line.find('{')?;
+    let mut json = jzon::parse(line[begin..].trim()).ok()?;
+    let at_ms = json["at_ms"].as_u64()?;
+    let program = json["program"].as_str()?.to_string();
+    let event = json["text"].as_str()?.to_string();
+    let JsonValue::Object(fields) = json["fields"].take() else { return None };
+    let source = source(&line[..begin]).unwrap_or(log_name).to_string();
+    Some(Record { at_ms, source, program, event, fields })
+}
+
+/// The last word before the line that isn't a time.
+fn source(before: &str) -> Option<&str> {
+    let is_name = |word: &&str| word.starts_with(|c: char| c.is_alphabetic());
+    before.split(|c: char| c.is_whitespace() || "[]|".contains(c)).map(|word| word.trim_end_matches(':')).rfind(is_name)
+}
--- /dev/null
+++ b/huts/src/report/returns.rs
@@ -0,0 +1,112 @@
+//! Timelines of returns: processes that started together, and when each phase was reached.
+
+use super::records::Record;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// ms. Processes belong to one return if no two that started one after the other lie further apart.
+const SAME_RETURN_MS: u64 = 5_000;
+
+/// Processes that started together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Return {
+    /// ms. Time of day of the first start.
+    pub started_at_ms: u64,
+    pub processes: usize,
+    /// In the order in which the phases were first reached.
+    pub phases: Vec<PhaseRow>,
+}
+
+/// One phase over all processes of one program. Times are ms from the return's first start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PhaseRow {
+    pub program: String,
+    pub phase: String,
+    /// Processes that reached it.
+    pub reached: usize,
+    pub first_ms: u64,
+    pub median_ms: u64,
+    pub last_ms: u64,
+    /// Processes that were warned of its bound.
+    pub overdue: usize,
+    /// Who reached it last; among those that never did, the first by name.
+    pub slowest: String,
+}
+
+/// One phase reached by one process.
+struct Reached<'a> {
+    record: &'a Record,
+    phase: &'a str,
+    /// ms. Time of day of the process's start.
+    started_at_ms: u64,
+}
+
+/// All returns, in order of time.
+pub fn find_returns(records: &[Record]) -> Vec<Return> {
+    let mut reached: Vec<Reached> = records.iter().filter_map(read_reached).collect();
+    reached.sort_by_key(|r| r.started_at_ms);
+    let mut waves: Vec<Vec<Reached>> = vec![];
+    for r in reached {
+        let is_near = |wave: &Vec<Reached>| {
+            wave.last().is_some_and(|last| r.started_at_ms <= last.started_at_ms + SAME_RETURN_MS)
+        };
+        match waves.last_mut().filter(|wave| is_near(wave)) {
+            Some(wave) => wave.push(r),
+            None => waves.push(vec![r]),
+        }
+    }
+    let ends: Vec<u64> = waves.iter().skip(1).map(|wave| wave[0].started_at_ms).chain([u64::MAX]).collect();
+    waves.iter().zip(ends).map(|(wave, end)| summarize(wave, records, end)).collect()
+}
+
+fn read_reached(record: &Record) -> Option<Reached<'_>> {
+    if record.event != "recovery_phase" {
+        return None;
+    }
+    let started_at_ms = record.at_ms.saturating_sub(record.number("since_start_ms")?);
+    Some(Reached { record, phase: record.word("phase")?, started_at_ms })
+}
+
+/// Warnings count towards the return in which they were given: those from its start to the next one's.
+fn summarize(wave: &[Reached], records: &[Record], end_ms: u64) -> Return {
+    let started_at_ms = wave[0].started_at_ms;
+    let processes: BTreeSet<(&str, &str)> =
+        wave.iter().map(|r| (r.record.source.as_str(), r.record.program.as_str())).collect();
+    let mut reached: BTreeMap<(&str, &str), Vec<(u64, &str)>> = BTreeMap::new();
+    for r in wave {
+        let after_ms = r.record.at_ms.saturating_sub(started_at_ms);
+        reached.entry((&r.record.program, r.phase)).or_default().push((after_ms, &r.record.source));
+    }
+    let mut overdue: BTreeMap<(&str, &str), BTreeSet<&str>> = BTreeMap::new();
+    let in_time = |record: &&Record| (started_at_ms..end_ms).contains(&record.at_ms);
+    for record in records.iter().filter(|record| record.event == "recovery_phase_overdue").filter(in_time) {
+        if let Some(phase) = record.word("phase") {
+            overdue.entry((&record.program, phase)).or_default().insert(&record.source);
+            reached.entry((&record.program, phase)).or_default();
+        }
+    }
+    let mut phases: Vec<PhaseRow> = reached
+        .into_iter()
+        .map(|((program, phase), times)| {
+            let late = overdue.get(&(program, phase)).cloned().unwrap_or_default();
+            phase_row(program, phase, times, &late)
+        })
+        .collect();
+    phases.sort_by_key(|row| (row.reached == 0, row.first_ms));
+    Return { started_at_ms, processes: processes.len(), phases }
+}
+
+fn phase_row(program: &str, phase: &str, mut times: Vec<(u64, &str)>, late: &BTreeSet<&str>) -> PhaseRow {
+    times.sort();
+    let missing = late.iter().find(|source| times.iter().all(|(_, reached_by)| reached_by != *source));
+    let last = times.last().copied();
+    PhaseRow {
+        program: program.into(),
+        phase: phase.into(),
+        reached: times.len(),
+        first_ms: times.first().map_or(0, |t| t.0),
+        median_ms: times.get(times.len() / 2).map_or(0, |t| t.0),
+        last_ms: last.map_or(0, |t| t.0),
+        overdue: late.len(),
+        slowest: missing.copied().or(last.map(|t| t.1)).unwrap_or_default().into(),
+    }
+}
--- a/huts/src/trailhead.rs
+++ b/huts/src/trailhead.rs
@@ -14,6 +14,8 @@
 use hutbook::transport::lexicon::Lexicon;
 use hutbook::transport::post::{Handler, Post};
 use hutbook::transport::reach::{pump, renew, Reach, Wired};
+use hutbook::transport::recovery_phases::Phase;
+use hutbook::transport::refusals::RefusalCounts;
 use hutbook::transport::serve::look_around;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -40,6 +42,8 @@
     let tally = Arc::new(Tally::default());
     let way = Wired { post: post.clone(), clock };
     let field = Arc::new(Field::new(edge.clone(), way.clone()));
+    field.phases.begin(Phase::LeaseHeld, clock.now());
+    field.phases.begin(Phase::StoresKnown, clock.now());
     let (f, t, c, p) = (field.clone(), tally.clone(), closing.clone(), post.clone());
     let workers = s.workers.unwrap_or_else(daemon::workers);
     let (server, active) = http::serve(s.http, workers, BODY_BYTES, closing.clone(), move |a| {
@@ -73,16 +77,22 @@
     log::info!("trailhead {} stands at {}", id_text(edge.id), s.http);
 
     let seeds: Vec<String> = s.seeds.iter().map(|a| a.to_string()).collect();
-    let (e, w, p) = (edge.clone(), way.clone(), post.clone());
+    let (e, w, p, f) = (edge.clone(), way.clone(), post.clone(), field.clone());
+    let core_retries = Arc::new(RefusalCounts::default());
+    actix_rt::spawn(observe(field.clone(), core_retries.clone()));
     actix_rt::spawn(async move {
-        let reach = Reach::new(w);
+        let reach = Reach::counting(w, core_retries);
         let told = |has| {
             // frames of another cluster are refused from the first licence on
             p.cluster.store(e.view().cluster, Ordering::Relaxed);
+            if has {
+                f.phases.reach(Phase::LeaseHeld, f.clock.now(), &[]);
+            }
             log::info!("{}", if has { "licensed" } else { "without a licence: nothing new is dispatched" });
         };
         renew(&e, &reach, &seeds, told).await;
     });
+    actix_rt::spawn(watch_for_stores(field.clone()));
     let e = edge.clone();
     actix_rt::spawn(async move { pump(&e, &way).await });
     let f = field.clone();
@@ -125,6 +135,29 @@
     Ok(())
 }
 
+/// Logs refusals, repeated tries and overdue phases for ever, each at most once a second.
+async fn observe(field: Arc<Field>, core_retries: Arc<RefusalCounts>) {
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(OBSERVE_MS)).await;
+        field.phases.warn_of_overdue(field.clock.now());
+        field.refusals.log("edge_refusals");
+        field.store_retries().log("store_retries");
+        core_retries.log("core_retries");
+    }
+}
+
+/// The stores are known once there are a configuration and a group; looked at until then.
+async fn watch_for_stores(field: Arc<Field>) {
+    loop {
+        let view = field.edge.view();
+        if view.config.is_some() && !view.stores.is_empty() {
+            let details = [("groups", view.stores.len().into()), ("servers", view.servers.len().into())];
+            return field.phases.reach(Phase::StoresKnown, field.clock.now(), &details);
+        }
+        actix_rt::time::sleep(Duration::from_millis(RECOVERY_LOOK_MS)).await;
+    }
+}
+
 /// Can it take work?
 fn ready(f: &Field) -> Result<(), String> {
     match (f.edge.licensed(f.clock.now()), f.edge.view().config.is_some()) {
@@ -156,6 +189,9 @@
     ] {
         metric(&mut o, "verdicts_total", &[("verdict", v)], n.load(Ordering::Relaxed));
     }
+    f.refusals.write_metrics(&mut o, "refusals_total");
+    f.store_retries().write_metrics(&mut o, "store_retries_total");
+    f.phases.write_metrics(&mut o);
     metric(&mut o, "under_way", &[], t.under_way.load(Ordering::Relaxed));
     metric(&mut o, "term", &[], f.edge.term());
     metric(&mut o, "licensed", &[], u8::from(f.edge.licensed(now)));
