--- a/huts/src/report/mod.rs
+++ b/huts/src/report/mod.rs
@@ -28,7 +28,7 @@
     if returns.is_empty() && refusals.is_empty() && states.is_empty() {
         return None;
     }
-    let mut out = format!("origin: {origin} ms (time of day of the first line); all times from there\n");
+    let mut out = format!("origin: {origin} ms (time of day of the first structured line); all times from there\n");
     render_returns(&mut out, origin, &returns);
     render_refusals(&mut out, origin, &refusals);
     render_states(&mut out, origin, &states);
--- /dev/null
+++ b/huts/tests/store_metrics.rs
@@ -0,0 +1,62 @@
+//! What a store tells of itself: refusals told apart, the state by kind, the process's own size.
+
+use hutbook::coordination::control::founders;
+use hutbook::coordination::replica::{Input, Replica};
+use hutbook::coordination::store::{Store, StoreResponse};
+use hutbook::state::disk::Boot;
+use hutbook::state::entry::Member;
+use hutbook::state::memory::MemoryBudget;
+use huts::store_metrics::{classify, parse_resident_bytes, resident_bytes, StateSize, StoreRefusal};
+use rstest::rstest;
+
+fn other() -> Member {
+    Member { id: 2, addr: "b".into() }
+}
+
+#[rstest]
+#[case(StoreResponse::Busy, true, false, Some(StoreRefusal::OverMemory))]
+#[case(StoreResponse::Busy, false, false, Some(StoreRefusal::Busy))]
+#[case(StoreResponse::NotLeader(None), true, false, Some(StoreRefusal::NoLeader))]
+#[case(StoreResponse::NotLeader(None), false, true, Some(StoreRefusal::DiskFailing))]
+#[case(StoreResponse::NotLeader(Some(other())), true, true, Some(StoreRefusal::NotLeader))]
+#[case(StoreResponse::WrongGroup, false, false, Some(StoreRefusal::NotMember))]
+#[case(StoreResponse::Lost, true, true, Some(StoreRefusal::OutcomeUnknown))]
+#[case(StoreResponse::TurnUnknown, true, true, Some(StoreRefusal::TurnUnknown))]
+#[case(StoreResponse::TurnSpent, true, true, Some(StoreRefusal::BudgetSpent))]
+#[case(StoreResponse::Settled, true, true, None)]
+fn refusals_are_told_apart(
+    #[case] response: StoreResponse,
+    #[case] is_over_memory: bool,
+    #[case] is_disk_failing: bool,
+    #[case] expected: Option<StoreRefusal>,
+) {
+    assert_eq!(classify(&response, || is_over_memory, || is_disk_failing), expected);
+}
+
+#[test]
+fn the_kinds_of_a_state_add_up_to_what_its_budget_counts() {
+    // given a replica that has just been founded, with a machine's budget
+    let budget = MemoryBudget::of(Some(58));
+    let boot = Boot::founding_with(&founders(&["a".into()]), None);
+    let id = founders(&["a".into()])[0].id;
+    let (mut replica, _) = Replica::new(id, boot, Store::with(budget), 1, 0);
+    replica.step(10_000, Input::Tick);
+    // when it is measured
+    let size = StateSize::of(&replica);
+    // then the kinds are the total, the bound is the budget's, and the log has its entries
+    assert_eq!(size.texts + size.turns + size.accounts + size.jobs, size.total);
+    assert_eq!(size.bound, budget.state as u64);
+    assert!(size.log_entries > 0);
+}
+
+#[test]
+fn the_resident_size_is_read_from_the_kernels_text() {
+    // given the text of a process's status, then its resident size is told in bytes
+    let status = "Name:\tbothy\nVmPeak:\t  100 kB\nVmRSS:\t   15076 kB\nThreads:\t4\n";
+    assert_eq!(parse_resident_bytes(status), Some(15_076 * 1024));
+    // and a text without it tells nothing
+    assert_eq!(parse_resident_bytes("Name:\tbothy\n"), None);
+    assert_eq!(parse_resident_bytes("VmRSS:\tmuch\n"), None);
+    // and this process has some
+    assert!(resident_bytes().is_some_and(|bytes| bytes > 0));
+}
