--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -183,6 +183,11 @@
 pub const POOLED: usize = 1_024;
 /// ms. Between tries at a partner that has no leader for us.
 pub const HUNT_MS: u64 = 50;
+/// ms. Longest pause between such tries: a group without a leader is asked five times a second and caller at
+/// the most, and a new leader is found a fifth of a second late at the latest.
+pub const HUNT_MOST_MS: u64 = 4 * HUNT_MS;
+/// times. That the pause doubles until then.
+pub const HUNT_DOUBLINGS: u32 = 2;
 /// ms. Taken off a run's time for settling it.
 pub const SETTLE_MS: u64 = 250;
 /// tries. At a repeatable job, the first one included.
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -16,6 +16,7 @@
 use crate::protocol::wire::Body;
 use crate::state::entry::Member;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -59,11 +60,30 @@
     hint: Mutex<Option<String>>,
     /// Tries that had to be repeated.
     pub retries: Arc<RefusalCounts>,
+    /// Somebody looks for the leader; None where everybody does so by himself.
+    search: Option<AtomicBool>,
+}
+
+/// The right to look for the leader on behalf of all who ask by the same `Reach`. Given back when it is dropped.
+struct Search<'a>(&'a AtomicBool);
+
+impl<'a> Search<'a> {
+    fn begin(flag: &'a AtomicBool) -> Option<Search<'a>> {
+        (!flag.swap(true, Ordering::AcqRel)).then(|| Search(flag))
+    }
+}
+
+impl Drop for Search<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Release);
+    }
 }
 
 enum Word {
     Answer,
     Go(String),
+    /// Too much is under way there.
+    Busy,
     Again,
 }
 
@@ -73,12 +93,14 @@
     match b {
         Body::CoreSaid(t) => match &**t {
             ControlResponse::NotLeader(m) => to(m),
-            ControlResponse::Lost | ControlResponse::Busy => Word::Again,
+            ControlResponse::Lost => Word::Again,
+            ControlResponse::Busy => Word::Busy,
             _ => Word::Answer,
         },
         Body::StoreSaid(t) => match &**t {
             StoreResponse::NotLeader(m) => to(m),
-            StoreResponse::Lost | StoreResponse::Busy => Word::Again,
+            StoreResponse::Lost => Word::Again,
+            StoreResponse::Busy => Word::Busy,
             _ => Word::Answer,
         },
         _ => Word::Again,
@@ -107,29 +129,55 @@
 
 impl<S: Speak> Reach<S> {
     pub fn new(way: S) -> Reach<S> {
-        Reach::counting(way, Arc::default())
+        Reach { way, hint: Mutex::default(), retries: Arc::default(), search: None }
     }
 
-    /// One whose repeated tries are counted in `retries`.
-    pub fn counting(way: S, retries: Arc<RefusalCounts>) -> Reach<S> {
-        Reach { way, hint: Mutex::default(), retries }
+    /// One for many who ask at once: while the leader isn't known one of them looks for it and the others wait
+    /// for what it finds, or a group without a leader would be asked by each of them again and again. Repeated
+    /// tries are counted in `retries`.
+    pub fn shared(way: S, retries: Arc<RefusalCounts>) -> Reach<S> {
+        Reach { way, hint: Mutex::default(), retries, search: Some(AtomicBool::new(false)) }
     }
 
     fn set_hint(&self, h: Option<String>) {
         *self.hint.lock().unwrap_or_else(|e| e.into_inner()) = h;
     }
 
+    fn hint(&self) -> Option<String> {
+        self.hint.lock().unwrap_or_else(|e| e.into_inner()).clone()
+    }
+
+    /// This address has no leader for us; what another has found meanwhile stays.
+    fn forget(&self, address: &str) {
+        let mut hint = self.hint.lock().unwrap_or_else(|e| e.into_inner());
+        if hint.as_deref() == Some(address) {
+            *hint = None;
+        }
+    }
+
     /// Asks until somebody answers or the time is over; `each` bounds one try. None: it may have run.
     /// For what may be said twice; an operator's order goes by `operate`.
     pub async fn ask(&self, addrs: &[String], body: Body, ms: u64, each: u64) -> Option<Body> {
         let end = self.way.now() + ms;
         let mut turn = 0;
-        let mut next = self.hint.lock().unwrap_or_else(|e| e.into_inner()).clone();
+        let mut next = self.hint();
+        let mut search = None;
+        let mut pauses = 0;
         loop {
             let now = self.way.now();
             if now >= end {
                 return None;
             }
+            if let (Some(flag), None, None) = (&self.search, &next, &search) {
+                next = self.hint();
+                if next.is_none() {
+                    search = Search::begin(flag);
+                }
+                if next.is_none() && search.is_none() {
+                    self.way.nap(HUNT_MS.min(end - now)).await;
+                    continue;
+                }
+            }
             let to = match next.take() {
                 Some(a) => a,
                 None => {
@@ -148,14 +196,31 @@
                     return b;
                 }
                 Some(Word::Go(a)) if a != to => next = Some(a),
+                Some(Word::Busy) => {
+                    // whoever is busy is there: looking elsewhere would only bring the others work
+                    search = None;
+                    self.set_hint(Some(to.clone()));
+                    self.back_off(end, &mut pauses).await;
+                    next = Some(to);
+                }
                 _ => {
-                    self.set_hint(None);
-                    self.pause(end).await;
+                    self.forget(&to);
+                    self.back_off(end, &mut pauses).await;
                 }
             }
         }
     }
 
+    /// Between two tries of one request: longer each time, up to a bound, and spread, so that many who began
+    /// together don't come together again.
+    async fn back_off(&self, end: u64, pauses: &mut u32) {
+        let longest = (HUNT_MS << *pauses).min(HUNT_MOST_MS);
+        *pauses = (*pauses + 1).min(HUNT_DOUBLINGS);
+        let spread = self.way.draw() % (longest - HUNT_MS / 2);
+        let left = end.saturating_sub(self.way.now());
+        self.way.nap(left.min(HUNT_MS / 2 + spread)).await;
+    }
+
     /// Between two tries, and never beyond the last one's time.
     async fn pause(&self, end: u64) {
         let left = end.saturating_sub(self.way.now());
@@ -230,7 +295,7 @@
         addrs.dedup();
         let reach = {
             let mut g = self.groups.lock().unwrap_or_else(|e| e.into_inner());
-            let reach = || Arc::new(Reach::counting(self.way.clone(), self.retries.clone()));
+            let reach = || Arc::new(Reach::shared(self.way.clone(), self.retries.clone()));
             g.entry(group).or_insert_with(reach).clone()
         };
         match reach.ask(&addrs, Body::Store { group, ask: Box::new(ask) }, STORE_MS, CALL_MS).await {
--- a/hutbook/tests/reach.rs
+++ b/hutbook/tests/reach.rs
@@ -3,11 +3,14 @@
 use hutbook::constants::*;
 use hutbook::coordination::control::{ControlRequest, ControlResponse, Core, OrderStamp};
 use hutbook::coordination::replica::{LeaderContext, Plan, StateMachine};
+use hutbook::coordination::store::{StoreRequest, StoreResponse};
 use hutbook::protocol::wire::Body;
+use hutbook::state::entry::Member;
 use hutbook::transport::reach::{Reach, Speak};
 use rstest::rstest;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 
 const ZONE: &str = "glen";
 const SERVER: &str = "tool01";
@@ -204,3 +207,61 @@
     assert!(matches!(n.take(stamped(term)), ControlResponse::Agreed(_)));
     assert!(n.evacuated());
 }
+
+/// Three members of a group, of which one leads: how often each was asked, on a clock that only waiting moves.
+#[derive(Clone)]
+struct Group {
+    now: Rc<Cell<u64>>,
+    asked: Rc<RefCell<Vec<String>>>,
+    /// Answers of the leader before it has time.
+    busy: Rc<Cell<u32>>,
+}
+
+impl Speak for Group {
+    fn now(&self) -> u64 {
+        self.now.get()
+    }
+
+    fn draw(&self) -> u64 {
+        self.now.get()
+    }
+
+    async fn nap(&self, ms: u64) {
+        self.now.set(self.now.get() + ms);
+    }
+
+    async fn call(&self, to: &str, _: Body, _: u64) -> Option<Body> {
+        self.now.set(self.now.get() + 1);
+        self.asked.borrow_mut().push(to.into());
+        let leader = Member { id: 3, addr: "c".into() };
+        let response = match (to, self.busy.get()) {
+            ("c", 0) => StoreResponse::Settled,
+            ("c", left) => {
+                self.busy.set(left - 1);
+                StoreResponse::Busy
+            }
+            _ => StoreResponse::NotLeader(Some(leader)),
+        };
+        Some(Body::StoreSaid(Box::new(response)))
+    }
+}
+
+#[rstest]
+fn a_busy_leader_is_asked_again_and_nobody_else(#[values(false, true)] is_shared: bool) {
+    // given a group whose leader is busy for ten tries
+    let group = Group { now: Rc::new(Cell::new(1)), asked: Rc::default(), busy: Rc::new(Cell::new(10)) };
+    let reach = match is_shared {
+        true => Reach::shared(group.clone(), Arc::default()),
+        false => Reach::new(group.clone()),
+    };
+    let addrs = ["a".to_string(), "b".into(), "c".into()];
+    let ask = Body::Store { group: 1, ask: Box::new(StoreRequest::Status) };
+    // when it is asked
+    let call = reach.ask(&addrs, ask, STORE_MS, CALL_MS);
+    let answer = futures_util::FutureExt::now_or_never(call).expect("only the clock is waited for");
+    // then the first member sends it on once, and from there on only the leader is asked
+    assert_eq!(answer, Some(Body::StoreSaid(Box::new(StoreResponse::Settled))));
+    assert_eq!(*group.asked.borrow(), [vec!["a"], vec!["c"; 11]].concat());
+    // and the pauses were no shorter than half of the first one
+    assert!(group.now.get() > 10 * HUNT_MS / 2);
+}
--- a/huts/src/trailhead.rs
+++ b/huts/src/trailhead.rs
@@ -81,7 +81,7 @@
     let core_retries = Arc::new(RefusalCounts::default());
     actix_rt::spawn(observe(field.clone(), core_retries.clone()));
     actix_rt::spawn(async move {
-        let reach = Reach::counting(w, core_retries);
+        let reach = Reach::shared(w, core_retries);
         let told = |has| {
             // frames of another cluster are refused from the first licence on
             p.cluster.store(e.view().cluster, Ordering::Relaxed);
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -117,6 +117,18 @@
         }
     }
 
+    /// Counts the letters that reach each node from now on.
+    pub fn count_arrivals(&self) {
+        self.0.borrow_mut().arrivals = Some(BTreeMap::new());
+    }
+
+    /// Letters that reached a node, by second of virtual time.
+    pub fn arrivals(&self, name: &str) -> Vec<(u64, u64)> {
+        let w = self.0.borrow();
+        let of_node = w.arrivals.iter().flatten().filter(|((node, _), _)| node == name);
+        of_node.map(|((_, second), letters)| (*second, *letters)).collect()
+    }
+
     pub fn run(&self, ms: u64) {
         let t = self.now() + ms;
         self.run_to(t, || false);
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -36,6 +36,8 @@
 const NET_MS: (u64, u64) = (1, 4);
 /// ms. An ordinary sync.
 pub const SYNC_MS: u64 = 3;
+/// ms. In a second.
+const SECOND_MS: u64 = 1_000;
 /// ms. How long the scaler thinks.
 const THINK_MS: u64 = 40;
 /// ms. Between looks at what the edges believe.
@@ -181,6 +183,8 @@
     jobs: BTreeMap<String, std::rc::Rc<()>>,
     /// Letters sent between our processes, by kind.
     pub letters: BTreeMap<&'static str, u64>,
+    /// Letters that reached each node, by second of virtual time; counted where a story asks for it.
+    arrivals: Option<BTreeMap<(String, u64), u64>>,
     watch: majority::Watch,
     ails: BTreeSet<(String, Ail)>,
 }
@@ -202,6 +206,7 @@
             shape: Shape::default(),
             jobs: BTreeMap::new(),
             letters: BTreeMap::new(),
+            arrivals: None,
             watch: majority::Watch::default(),
             ails: BTreeSet::new(),
         }
@@ -334,6 +339,9 @@
 
     fn on_letter(&mut self, name: &str, from: String, call: u64, body: Body) {
         let now = self.now;
+        if let Some(arrivals) = &mut self.arrivals {
+            *arrivals.entry((name.to_string(), now / SECOND_MS)).or_default() += 1;
+        }
         let id = self.nodes.get(&from).map_or(0, |n| n.id);
         let n = self.nodes.get_mut(name).expect("reached");
         match (body, &mut n.part) {
