--- a/hutbook/src/transport/serve.rs
+++ b/hutbook/src/transport/serve.rs
@@ -214,11 +214,23 @@
     ends: u64,
     /// The program as it was looked up.
     since: u64,
+    /// ms, this edge's clock. When the intent that stands was asked for; none has been yet at first.
+    intended_at: Option<u64>,
 }
 
 impl Run {
     fn new<G: Ground>(g: &G, p: &Program, ends: u64) -> Run {
-        Run { nonce: g.draw(), attempt: 0, sent: 0, unsent: false, ends, since: p.since }
+        Run { nonce: g.draw(), attempt: 0, sent: 0, unsent: false, ends, since: p.since, intended_at: None }
+    }
+
+    /// ms, this edge's clock. The longest that the next attempt may wait for a place.
+    ///
+    /// The store ends an intent in doubt once `DISPATCH_MS` and the run's time have passed since it was agreed,
+    /// which was after it was asked for. The wait ends before that, with time left to record the true end.
+    fn wait_ends(&self, run_ms: u64) -> u64 {
+        let Some(intended_at) = self.intended_at else { return self.ends };
+        let to_record = if self.unsent { DISPATCH_MS } else { SETTLE_MS };
+        self.ends.min(intended_at + DISPATCH_MS + run_ms - to_record)
     }
 
     /// May a job that went out be tried again, elsewhere?
@@ -272,7 +284,7 @@
         let seat = tokio::select! {
             biased;
             _ = ear.left(), if leaves => return Err(Told::Unavailable("caller_gone")),
-            s = seat(g, e, j, r.ends, avoid.take()) => s,
+            s = seat(g, e, j, r.wait_ends(j.route.run_ms), avoid.take()) => s,
         };
         let seat = match seat {
             Ok(s) => s,
@@ -308,6 +320,7 @@
             Some(t) => return Err(known(t)),
             None => return Err(Told::Unavailable("store_unreachable")),
         };
+        r.intended_at = Some(asked);
         // an old belief, an old intent or a sleeping process must not act
         let (at, g2, p, rev) = (e.clone(), g.clone(), seat.placed.clone(), e.view().config_rev);
         let gate: Gate =
