--- a/scramble/src/fleet/majority.rs
+++ b/scramble/src/fleet/majority.rs
@@ -27,7 +27,7 @@
 }
 
 impl Inner {
-    fn raft(&self, name: &str) -> Option<&Raft> {
+    pub(super) fn raft(&self, name: &str) -> Option<&Raft> {
         match &self.nodes[name].part {
             Part::Core(Some(r)) => Some(&r.raft),
             Part::Store { replica: Some(r), .. } => Some(&r.raft),
@@ -35,7 +35,7 @@
         }
     }
 
-    fn awake(&self, name: &str) -> bool {
+    pub(super) fn awake(&self, name: &str) -> bool {
         let n = &self.nodes[name];
         n.up && !n.frozen
     }
@@ -81,9 +81,8 @@
         let mut w = std::mem::take(&mut self.watch);
         let mut core = false;
         for kind in ["refuge", "bothy"] {
-            let names: Vec<String> = self.nodes.keys().filter(|n| n.starts_with(kind)).cloned().collect();
             let could = self.could(kind, None);
-            let leads = names.iter().any(|n| self.awake(n) && self.raft(n).is_some_and(|r| r.role == Role::Leader));
+            let leads = self.confirmed_leader(kind).is_some();
             self.saw.short.extend(mark(&mut w.short, kind, !could, now));
             self.saw.still.extend(mark(&mut w.still, kind, could && !leads, now));
             core |= kind == "refuge" && could;
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod disk;
 mod exec;
 mod ground;
+mod leadership;
 mod majority;
 mod operators;
 mod requests;
--- a/scramble/src/nemesis/faults.rs
+++ b/scramble/src/nemesis/faults.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 use crate::fleet::Pending;
-use hutbook::state::entry::Members;
 
 /// ms. A lost member is replaced within this, where a spare stands by.
 const REPAIRED_MS: u64 = 60_000;
@@ -13,28 +12,6 @@
 const SIDE_MS: u64 = 2_000;
 
 impl Nemesis {
-    fn members(&self, kind: &str) -> Option<Members> {
-        let leader = self.w.leaders(kind).into_iter().next()?;
-        let of = |n: &str| {
-            let core = self.w.core(n, |r| r.raft.members().clone());
-            core.or(self.w.store(n, |r| r.raft.members().clone()))
-        };
-        of(&leader)
-    }
-
-    /// The machines of this kind that vote.
-    fn voters(&self, kind: &str) -> Vec<String> {
-        let Some(members) = self.members(kind) else { return vec![] };
-        let votes = |n: &String| members.voters.iter().any(|v| v.id == self.w.id(n));
-        self.w.names(kind).into_iter().filter(votes).collect()
-    }
-
-    /// Every voter is a machine that is up, with its disk; no learner is on its way.
-    fn whole(&self, kind: &str) -> bool {
-        let up = self.voters(kind).iter().filter(|n| self.w.is_up(n)).count();
-        self.members(kind).is_some_and(|m| m.voters.len() >= 3 && up == m.voters.len() && m.learners.is_empty())
-    }
-
     /// A disk is lost, and as soon as that is repaired another one.
     pub(super) fn second_loss(&mut self) {
         let kind = if self.draw(2) == 0 { "refuge" } else { "bothy" };
@@ -53,10 +30,10 @@
         for n in self.down.extract_if(.., |n| n.starts_with(kind)) {
             self.w.start(&n);
         }
-        if !self.w.until(REPAIRED_MS, |_| self.whole(kind)) {
+        if !self.w.until(REPAIRED_MS, |w| w.is_whole(kind)) {
             return;
         }
-        let before = self.voters(kind);
+        let before = self.w.voter_names_now(kind);
         let Some(first) = self.pick(&before) else { return };
         let next = self.w.names(kind).len() + 1;
         if kind == "bothy" {
@@ -69,11 +46,11 @@
         self.gone.push(kind.into());
         self.w.empty(&first);
         self.down.push(first.clone());
-        let repaired = |n: &Nemesis| n.whole(kind) && !n.voters(kind).contains(&first);
-        if !self.w.until(REPAIRED_MS, |_| repaired(self)) {
+        if !self.w.until(REPAIRED_MS, |w| w.is_repaired(kind, &first)) {
             return self.did(format!("{first} was not replaced"));
         }
-        let (old, new): (Vec<String>, Vec<String>) = self.voters(kind).into_iter().partition(|n| before.contains(n));
+        let (old, new): (Vec<String>, Vec<String>) =
+            self.w.voter_names_now(kind).into_iter().partition(|n| before.contains(n));
         let newest = self.draw(2) == 0;
         let Some(second) = self.pick(if newest { &new } else { &old }) else { return };
         self.did(format!("{second} loses its disk right after the repair (newest: {newest})"));
@@ -119,7 +96,7 @@
     /// A side with a leader, or both leaders, and some edges is cut off from the rest for twenty seconds; callers
     /// and operators reach both sides.
     pub(super) fn long_cut(&mut self) {
-        let leaders = |kind: &str| self.w.leaders(kind).into_iter().next();
+        let leaders = |kind: &str| self.w.confirmed_leader(kind);
         let (kind, mut side): (_, Vec<String>) = match self.draw(3) {
             0 => (KINDS[12], leaders("refuge").into_iter().chain(leaders("bothy")).collect()),
             1 => (KINDS[14], leaders("refuge").into_iter().collect()),
@@ -159,7 +136,7 @@
         if self.draw(2) == 0 {
             kinds.remove(self.draw(2) as usize);
         }
-        let all = kinds.iter().filter_map(|kind| self.w.leaders(kind).into_iter().next());
+        let all = kinds.iter().filter_map(|kind| self.w.confirmed_leader(kind));
         let asleep: Vec<String> = all.filter(|n| self.nodes().contains(n)).collect();
         if asleep.is_empty() {
             return;
--- a/scramble/src/nemesis/mod.rs
+++ b/scramble/src/nemesis/mod.rs
@@ -233,15 +233,8 @@
     /// A disk is lost, but never while an earlier loss is not yet made good.
     fn empty(&mut self) {
         let kind = if self.draw(2) == 0 { "refuge" } else { "bothy" };
-        let whole = |n: &String| {
-            let m = self.w.core(n, |r| r.raft.members().clone()).or(self.w.store(n, |r| r.raft.members().clone()));
-            m.is_some_and(|m| {
-                m.voters.len() >= 3 && m.voters.iter().all(|v| self.w.names(kind).iter().any(|x| self.w.id(x) == v.id))
-            })
-        };
-        let Some(l) = self.w.leaders(kind).into_iter().next() else { return };
         let sick = self.down.iter().chain(&self.asleep).chain(&self.ill).any(|n| n.starts_with(kind));
-        if sick || !whole(&l) || self.gone.iter().any(|k| k == kind) {
+        if sick || !self.w.is_whole(kind) || self.gone.iter().any(|k| k == kind) {
             return;
         }
         let Some(n) = self.pick(&self.w.names(kind)) else { return };
--- a/scramble/src/nemesis/orders.rs
+++ b/scramble/src/nemesis/orders.rs
@@ -76,7 +76,7 @@
         let patience = 1 + self.draw(IMPATIENT_MS);
         let lost = self.w.order(&self.members_from(first), request.clone(), patience);
         self.w.wait(&lost, patience + 1);
-        let leader = self.w.leaders("refuge").into_iter().find(|l| self.nodes().contains(l));
+        let leader = self.w.confirmed_leader("refuge").filter(|l| self.nodes().contains(l));
         let falls = self.draw(2) == 0 && leader.is_some() && self.down.len() < 2;
         if let Some(leader) = leader.filter(|_| falls) {
             self.w.kill(&leader);
@@ -149,10 +149,7 @@
         let well: Vec<String> = self.nodes().into_iter().filter(|n| n.starts_with("bothy")).collect();
         let well: Vec<String> =
             well.into_iter().filter(|n| !self.ill.contains(n) && !self.retired.contains(n)).collect();
-        let leader = self.w.leaders("bothy").into_iter().next();
-        let members = leader.and_then(|l| self.w.store(&l, |r| r.raft.members().clone()));
-        let voter = |n: &&String| members.as_ref().is_some_and(|m| m.voters.iter().any(|v| v.id == self.w.id(n)));
-        let voters: Vec<String> = well.iter().filter(voter).cloned().collect();
+        let voters: Vec<String> = self.w.voter_names_now("bothy").into_iter().filter(|n| well.contains(n)).collect();
         if well.len() < 4 || voters.len() < 3 || !self.retired.is_empty() {
             return ControlRequest::Retirement(1);
         }
@@ -167,7 +164,7 @@
     /// Hundreds of changes; then one core machine restarts, or all, or one that was away for all of it comes back.
     pub(super) fn hundreds(&mut self) {
         let core: Vec<String> = self.nodes().into_iter().filter(|n| n.starts_with("refuge")).collect();
-        let leader = self.w.leaders("refuge").into_iter().next();
+        let leader = self.w.confirmed_leader("refuge");
         let others: Vec<String> = core.iter().filter(|n| Some(*n) != leader.as_ref()).cloned().collect();
         let Some(other) = self.pick(&others) else { return };
         let how = self.draw(3);
