--- a/scramble/tests/stories.rs
+++ b/scramble/tests/stories.rs
@@ -1230,3 +1230,24 @@
     };
     assert_eq!(ended, (Verdict::Failed, "no_server_left".to_string()));
 }
+
+/// A back end ends a run with its time; its slot is given out again then, and only then.
+#[rstest]
+fn a_stream_whose_reader_sleeps_past_its_time_floods_nobody(#[values(1, 2, 3)] seed: u64) {
+    // given turns under way at every edge, some of which fall asleep with them
+    let w = fleet(seed, 4_000);
+    w.callers(120, 400, CHAT);
+    assert!(w.until(5_000, |w| w.0.borrow().saw.runs.len() > 40));
+    ["trailhead1", "trailhead2"].iter().for_each(|n| w.freeze(n));
+    // when many more come while the sleepers' runs last, and again once their time is over
+    let lasts = w.edge("trailhead3").view().config.as_ref().expect("a config").routes["chat"].run_ms;
+    w.callers(300, 1_000, CHAT);
+    w.run(lasts + 2_000);
+    w.callers(600, 2_000, CHAT);
+    w.run(10_000);
+    ["trailhead1", "trailhead2"].iter().for_each(|n| w.wake(n));
+    // then no server has more under way than it bears, and each was full once
+    let saw = w.evening(60_000);
+    assert_eq!(check(&saw), vec![]);
+    assert!(saw.runs.iter().any(|run| run.busy >= 8 && run.at > lasts), "no server was ever full");
+}
