--- a/hutbook/src/transport/callers.rs
+++ b/hutbook/src/transport/callers.rs
@@ -2,7 +2,7 @@
 
 use super::field::Field;
 use super::http::{Asked, Out, Said};
-use super::serve::{tool, turn, Ear, Ground, Heard, Job, Told};
+use super::serve::{tool, turn, Ground, Request, Response, ResponseChannel, ResponseEvent};
 use crate::constants::*;
 use crate::coordination::store::{Ended, Program, StoreRequest, StoreResponse, Verdict};
 use crate::coordination::view::hash;
@@ -25,15 +25,15 @@
 }
 
 impl Tally {
-    fn count(&self, t: &Told) {
+    fn count(&self, t: &Response) {
         let c = match t {
-            Told::Ended(e) => match e.verdict {
+            Response::Ended(e) => match e.verdict {
                 Verdict::Done => &self.done,
                 Verdict::Failed => &self.failed,
                 Verdict::Refused => &self.refused,
                 Verdict::InDoubt => &self.in_doubt,
             },
-            Told::Unavailable(_) => &self.unavailable,
+            Response::Unavailable(_) => &self.unavailable,
             _ => return,
         };
         c.fetch_add(1, Ordering::Relaxed);
@@ -141,15 +141,15 @@
     };
     let ask = StoreRequest::Look { program: p.clone(), key: key.into(), digest: 0 };
     match f.store(p, ask).await {
-        Some(StoreResponse::Ended(e)) => Said::json(200, verdict_json(&Told::Ended(e), key)),
-        Some(StoreResponse::Running) => Said::json(200, verdict_json(&Told::Running, key)),
+        Some(StoreResponse::Ended(e)) => Said::json(200, verdict_json(&Response::Ended(e), key)),
+        Some(StoreResponse::Running) => Said::json(200, verdict_json(&Response::Running, key)),
         Some(StoreResponse::Unknown(..) | StoreResponse::NoProgram) => Said::no(404, "no_job", "no such key is kept"),
         _ => later(503, "store_unreachable", "nothing could be decided", "same_key"),
     }
 }
 
 /// What both kinds of job need: a known program name, a key, a route of the right kind.
-fn prepare(f: &Field, kind: Kind, id: &str, route: &str, a: &Asked) -> Result<(Job, Config), Said> {
+fn prepare(f: &Field, kind: Kind, id: &str, route: &str, a: &Asked) -> Result<(Request, Config), Said> {
     let c = config(f)?;
     if !is_name(id) {
         return Err(Said::no(400, "bad_program", "the program's id is not a name"));
@@ -171,7 +171,7 @@
         Some(Err(_)) => return Err(Said::no(400, "bad_since", "Program-Since is the number that PUT told")),
     };
     let digest = hash(&format!("{route}\u{1f}{}", a.body)) | 1;
-    let job = Job {
+    let job = Request {
         program: id.into(),
         key,
         digest,
@@ -193,8 +193,8 @@
     }
     let ask = StoreRequest::Look { program: id.into(), key: key.clone(), digest: 0 };
     match f.store(id, ask).await {
-        Some(StoreResponse::Ended(e)) => verdict(&Told::Ended(e), &key),
-        Some(StoreResponse::Running) => verdict(&Told::Running, &key),
+        Some(StoreResponse::Ended(e)) => verdict(&Response::Ended(e), &key),
+        Some(StoreResponse::Running) => verdict(&Response::Running, &key),
         _ => no,
     }
 }
@@ -212,15 +212,15 @@
     let (tx, mut rx) = mpsc::channel(1);
     // its own task: a caller that goes away must not stop a once-only job half way
     actix_rt::spawn(async move {
-        tool(&f, &f.edge, j, Ear::new(tx)).await;
+        tool(&f, &f.edge, j, ResponseChannel::new(tx)).await;
         drop(under);
     });
     match rx.recv().await {
-        Some(Heard::Told(t)) => {
+        Some(ResponseEvent::Response(t)) => {
             tally.count(&t);
             verdict(&t, &key)
         }
-        _ => verdict(&Told::Unavailable("fault"), &key),
+        _ => verdict(&Response::Unavailable("fault"), &key),
     }
 }
 
@@ -250,12 +250,12 @@
     let (tx, mut rx) = mpsc::channel(PIECES);
     let under = UnderWay::new(&tally);
     actix_rt::spawn(async move {
-        turn(&f, &f.edge, j, said, Ear::new(tx)).await;
+        turn(&f, &f.edge, j, said, ResponseChannel::new(tx)).await;
         drop(under);
     });
     // an early verdict is a plain answer with its own status; a stream begins with its first piece
     match rx.recv().await {
-        Some(Heard::Told(t)) => {
+        Some(ResponseEvent::Response(t)) => {
             tally.count(&t);
             verdict(&t, &key)
         }
@@ -264,7 +264,7 @@
             actix_rt::spawn(async move {
                 let mut next = Some(p);
                 while let Some(h) = next {
-                    if let Heard::Told(t) = &h {
+                    if let ResponseEvent::Response(t) = &h {
                         tally.count(t);
                     }
                     if out.send(event(&h, &key)).await.is_err() {
@@ -276,14 +276,16 @@
             });
             Said { status: 200, headers: vec![], body: Out::Events(events) }
         }
-        None => verdict(&Told::Unavailable("fault"), &key),
+        None => verdict(&Response::Unavailable("fault"), &key),
     }
 }
 
-fn event(h: &Heard, key: &str) -> Bytes {
+fn event(h: &ResponseEvent, key: &str) -> Bytes {
     let (name, v) = match h {
-        Heard::Piece { run, seq, text } => ("piece", jzon::object! { run: *run, seq: *seq, text: text.as_str() }),
-        Heard::Told(t) => ("verdict", verdict_json(t, key)),
+        ResponseEvent::Piece { run, seq, text } => {
+            ("piece", jzon::object! { run: *run, seq: *seq, text: text.as_str() })
+        }
+        ResponseEvent::Response(t) => ("verdict", verdict_json(t, key)),
     };
     Bytes::from(format!("event: {name}\ndata: {}\n\n", v.dump()))
 }
@@ -297,9 +299,9 @@
     }
 }
 
-fn verdict_json(t: &Told, key: &str) -> jzon::JsonValue {
+fn verdict_json(t: &Response, key: &str) -> jzon::JsonValue {
     match t {
-        Told::Ended(e) => {
+        Response::Ended(e) => {
             let mut o = jzon::object! { key: key, verdict: word(e.verdict), code: e.code.as_str(), tokens: e.tokens };
             if !e.body.is_empty() {
                 o["body"] = jzon::parse(&e.body).unwrap_or_else(|_| e.body.as_str().into());
@@ -310,17 +312,17 @@
             }
             o
         }
-        Told::Running => {
+        Response::Running => {
             jzon::object! { key: key, verdict: "running", retry_after_ms: COME_BACK_MS, retry_with: "same_key" }
         }
-        Told::Unavailable(c) => {
+        Response::Unavailable(c) => {
             jzon::object! { key: key, verdict: "unavailable", code: *c, retry_after_ms: COME_BACK_MS, retry_with: "same_key" }
         }
-        Told::NoProgram => jzon::object! { error: "no_program", why: "no such program is kept" },
-        Told::MadeAnew => {
+        Response::NoProgram => jzon::object! { error: "no_program", why: "no such program is kept" },
+        Response::MadeAnew => {
             jzon::object! { error: "unknown", why: "the program was made anew since: what became of this key is not known, and it is not run" }
         }
-        Told::OtherBody => jzon::object! { error: "key_reused", why: "this key was used with another body" },
+        Response::OtherBody => jzon::object! { error: "key_reused", why: "this key was used with another body" },
     }
 }
 
@@ -328,9 +330,9 @@
     e.verdict == Verdict::Refused && !["allowance_spent", "program_ended"].contains(&e.code.as_str())
 }
 
-fn verdict(t: &Told, key: &str) -> Said {
+fn verdict(t: &Response, key: &str) -> Said {
     let status = match t {
-        Told::Ended(e) => match (e.verdict, e.code.as_str()) {
+        Response::Ended(e) => match (e.verdict, e.code.as_str()) {
             (Verdict::Done, _) => 200,
             (Verdict::Failed, _) => 502,
             (Verdict::Refused, "allowance_spent") => 403,
@@ -339,16 +341,16 @@
             (Verdict::Refused, _) => 503,
             (Verdict::InDoubt, _) => 504,
         },
-        Told::Running => 409,
-        Told::Unavailable(_) => 503,
-        Told::NoProgram => 404,
-        Told::MadeAnew => 410,
-        Told::OtherBody => 422,
+        Response::Running => 409,
+        Response::Unavailable(_) => 503,
+        Response::NoProgram => 404,
+        Response::MadeAnew => 410,
+        Response::OtherBody => 422,
     };
     let s = Said::json(status, verdict_json(t, key));
     let back = match t {
-        Told::Ended(e) => clears_up(e),
-        Told::Running | Told::Unavailable(_) => true,
+        Response::Ended(e) => clears_up(e),
+        Response::Running | Response::Unavailable(_) => true,
         _ => false,
     };
     if back {
--- a/hutbook/src/transport/field.rs
+++ b/hutbook/src/transport/field.rs
@@ -4,7 +4,7 @@
 use super::http::{call, client, gated_call, gauge, was_sent, Gated};
 use super::hut::Clock;
 use super::reach::{Stores, Wired};
-use super::serve::{Bit, Ground, ModelCall, Stream, ToolCall};
+use super::serve::{Ground, ModelCall, Stream, StreamEvent, ToolCall};
 use crate::constants::*;
 use crate::coordination::edge::Edge;
 use crate::coordination::line::Look;
@@ -137,32 +137,32 @@
 }
 
 impl Stream for Sse {
-    async fn next(&mut self) -> Bit {
+    async fn next(&mut self) -> StreamEvent {
         loop {
             while let Some(l) = self.line() {
                 let Some(d) = l.strip_prefix("data:") else { continue };
                 let d = d.trim();
                 if d == "[DONE]" {
-                    return Bit::End(self.usage);
+                    return StreamEvent::End(self.usage);
                 }
                 // one piece that can't be read would be a piece skipped
-                let Ok(v) = jzon::parse(d) else { return Bit::Broken };
+                let Ok(v) = jzon::parse(d) else { return StreamEvent::Broken };
                 if let Some(n) = v["usage"]["completion_tokens"].as_u64() {
                     self.usage = Some(n);
                 }
                 if let Some(t) = v["choices"][0]["delta"]["content"].as_str().filter(|t| !t.is_empty()) {
                     // the count in this very piece, where the server gives one as it goes
-                    return Bit::Text(t.to_string(), v["usage"]["completion_tokens"].as_u64());
+                    return StreamEvent::Text(t.to_string(), v["usage"]["completion_tokens"].as_u64());
                 }
             }
             if self.held.len() > BODY_BYTES {
-                return Bit::Broken;
+                return StreamEvent::Broken;
             }
             let left = self.end.saturating_sub(self.clock.now());
             match actix_rt::time::timeout(Duration::from_millis(left), self.body.next()).await {
                 Ok(Some(Ok(b))) => self.held.extend_from_slice(&b),
                 // the end without its mark is a stream that broke
-                _ => return Bit::Broken,
+                _ => return StreamEvent::Broken,
             }
         }
     }
--- a/scramble/src/fleet/callers.rs
+++ b/scramble/src/fleet/callers.rs
@@ -8,7 +8,7 @@
 use hutbook::protocol::config;
 use hutbook::transport::callers::word;
 use hutbook::transport::reach::{Speak, Stores};
-use hutbook::transport::serve::{tool, turn, Ear, Ground, Heard, Job, Told};
+use hutbook::transport::serve::{tool, turn, Ground, Request, Response, ResponseChannel, ResponseEvent};
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -316,12 +316,12 @@
             // a config has removed it: what is known of the key still stands
             let ask = StoreRequest::Look { program: id.into(), key: j.key.clone(), digest: 0 };
             return match m.store(id, ask).await {
-                Some(StoreResponse::Ended(e)) => self.note(j, &Told::Ended(e)),
+                Some(StoreResponse::Ended(e)) => self.note(j, &Response::Ended(e)),
                 _ => false,
             };
         };
         j.work = r.work.clone();
-        let job = Job {
+        let job = Request {
             program: id.into(),
             key: j.key.clone(),
             digest: hash(&j.key) | 1,
@@ -340,9 +340,9 @@
         self.spawn(edge, async move {
             let (_here, _held) = (here, held);
             if turns {
-                turn(&m, &m.edge.clone(), job, said, Ear::new(tx)).await;
+                turn(&m, &m.edge.clone(), job, said, ResponseChannel::new(tx)).await;
             } else {
-                tool(&m, &m.edge.clone(), job, Ear::new(tx)).await;
+                tool(&m, &m.edge.clone(), job, ResponseChannel::new(tx)).await;
             }
         });
         let way = self.way("outside");
@@ -357,13 +357,13 @@
                 }
             };
             match h {
-                Some(Heard::Piece { run, seq, text }) => {
+                Some(ResponseEvent::Piece { run, seq, text }) => {
                     j.first.get_or_insert(self.now());
                     j.pieces.push((run, seq));
                     j.tokens += tokens(&text);
                     j.text.push_str(&text);
                 }
-                Some(Heard::Told(t)) => return self.note(j, &t),
+                Some(ResponseEvent::Response(t)) => return self.note(j, &t),
                 None => {
                     j.cut += 1;
                     return false;
@@ -372,16 +372,16 @@
         }
     }
 
-    fn note(&self, j: &mut JobSeen, t: &Told) -> bool {
+    fn note(&self, j: &mut JobSeen, t: &Response) -> bool {
         let (w, code, last) = match t {
-            Told::Ended(e) => (word(e.verdict), e.code.clone(), true),
-            Told::Running => ("running", String::new(), false),
-            Told::Unavailable(c) => ("unavailable", c.to_string(), false),
-            Told::NoProgram => ("no_program", String::new(), true),
-            Told::MadeAnew => ("made_anew", String::new(), true),
-            Told::OtherBody => ("key_reused", String::new(), true),
+            Response::Ended(e) => (word(e.verdict), e.code.clone(), true),
+            Response::Running => ("running", String::new(), false),
+            Response::Unavailable(c) => ("unavailable", c.to_string(), false),
+            Response::NoProgram => ("no_program", String::new(), true),
+            Response::MadeAnew => ("made_anew", String::new(), true),
+            Response::OtherBody => ("key_reused", String::new(), true),
         };
-        if let Told::Ended(Ended { verdict: Verdict::Done, body, .. }) = t {
+        if let Response::Ended(Ended { verdict: Verdict::Done, body, .. }) = t {
             j.first.get_or_insert(self.now());
             j.answer = j.turn.then(|| body.clone());
         }
@@ -410,36 +410,44 @@
     }
 
     /// One tool call at an edge, as a caller that keeps its own book; None while no verdict has come.
-    pub fn call(&self, edge: &str, id: &str, route: &str, key: &str, since: u64) -> Rc<RefCell<Option<Told>>> {
+    pub fn call(&self, edge: &str, id: &str, route: &str, key: &str, since: u64) -> Rc<RefCell<Option<Response>>> {
         self.begin(edge, id, route, key, since, 0)
     }
 
     /// One turn, in the same way.
-    pub fn say(&self, edge: &str, id: &str, route: &str, key: &str) -> Rc<RefCell<Option<Told>>> {
+    pub fn say(&self, edge: &str, id: &str, route: &str, key: &str) -> Rc<RefCell<Option<Response>>> {
         self.begin(edge, id, route, key, 0, CAP)
     }
 
-    fn begin(&self, edge: &str, id: &str, route: &str, key: &str, since: u64, cap: u64) -> Rc<RefCell<Option<Told>>> {
+    fn begin(
+        &self,
+        edge: &str,
+        id: &str,
+        route: &str,
+        key: &str,
+        since: u64,
+        cap: u64,
+    ) -> Rc<RefCell<Option<Response>>> {
         let m = self.meadow(edge);
         let r = m.edge.view().config.as_ref().expect("a config").routes[route].clone();
         let digest = hash(key) | 1;
         let (body, prefix) = (String::new(), String::new());
         let said = format!("{key}?");
         let (program, key, name) = (id.to_string(), key.to_string(), route.to_string());
-        let job = Job { program, key, digest, name, route: r, body, prefix, cap, since };
+        let job = Request { program, key, digest, name, route: r, body, prefix, cap, since };
         let (tx, mut rx) = mpsc::channel(PIECES);
         self.spawn(edge, async move {
             if cap > 0 {
-                turn(&m, &m.edge.clone(), job, said, Ear::new(tx)).await;
+                turn(&m, &m.edge.clone(), job, said, ResponseChannel::new(tx)).await;
             } else {
-                tool(&m, &m.edge.clone(), job, Ear::new(tx)).await;
+                tool(&m, &m.edge.clone(), job, ResponseChannel::new(tx)).await;
             }
         });
-        let out: Rc<RefCell<Option<Told>>> = Rc::default();
+        let out: Rc<RefCell<Option<Response>>> = Rc::default();
         let o = out.clone();
         self.spawn("outside", async move {
             while let Some(h) = rx.recv().await {
-                if let Heard::Told(t) = h {
+                if let ResponseEvent::Response(t) = h {
                     *o.borrow_mut() = Some(t);
                 }
             }
@@ -453,7 +461,7 @@
         self.until(40_000, |_| out.borrow().is_some());
         let t = out.borrow_mut().take();
         match t {
-            Some(Told::Ended(e)) => word(e.verdict).into(),
+            Some(Response::Ended(e)) => word(e.verdict).into(),
             t => format!("{t:?}"),
         }
     }
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -7,7 +7,7 @@
 use hutbook::coordination::view::View;
 use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::reach::{open_jobs, pump, renew, Reach, Speak, Stores};
-use hutbook::transport::serve::{look_around, Bit, Ground, ModelCall, Stream, ToolCall};
+use hutbook::transport::serve::{look_around, Ground, ModelCall, Stream, StreamEvent, ToolCall};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -783,9 +783,9 @@
 }
 
 impl Stream for Brook {
-    async fn next(&mut self) -> Bit {
+    async fn next(&mut self) -> StreamEvent {
         if self.left == 0 {
-            return Bit::End((!self.silent).then_some(self.given));
+            return StreamEvent::End((!self.silent).then_some(self.given));
         }
         self.way.nap(self.piece_ms).await;
         let alive = {
@@ -793,7 +793,7 @@
             w.nodes.get(&self.hold.server).is_some_and(|n| n.up && n.life == self.hold.life)
         };
         if !alive || self.lost_at.is_some_and(|at| self.given >= at) {
-            return Bit::Broken;
+            return StreamEvent::Broken;
         }
         let n = self.per_piece.clamp(1, self.left);
         let text = (self.given..self.given + n).map(|i| format!("{i} ")).collect();
@@ -802,7 +802,7 @@
         if self.left == 0 {
             self.hold.let_go(true);
         }
-        Bit::Text(text, (!self.silent).then_some(self.given))
+        StreamEvent::Text(text, (!self.silent).then_some(self.given))
     }
 }
 
