--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -333,3 +333,62 @@
 /// ms. Bytes that a partner's machine hasn't taken for this long end their session: many round trips,
 /// and less than an election should wait for.
 pub const UNACKED_MS: u64 = 800;
+/// bytes. Texts of earlier configurations kept readable in the core, beside the one in force. The same on
+/// every member, since they are part of the agreed state: a tenth of what the smallest core has for it.
+pub const CONFIG_TEXTS_BYTES: usize = 2 * 1024 * 1024;
+/// bytes. Events kept for edges that are a little behind, where the machine's memory isn't told.
+pub const FEED_BYTES: usize = 8 * 1024 * 1024;
+/// share. Of the state's part of a core's memory for these events.
+pub const FEED_SHARE: f64 = 0.125;
+/// times. What an event takes in memory, against its encoding: tables of short names cost most.
+pub const EVENT_MEMORY_FACTOR: usize = 5;
+/// groups. Names of groups that no configuration has any more are forgotten beyond this many in all.
+pub const GROUPS_KEPT: usize = 1_024;
+/// nodes. Ids of removed machines, so that none of them is let in again; the oldest go first.
+pub const RETIRED_KEPT: usize = 16_384;
+/// ms. A store machine that belongs to no group and has been silent this long is forgotten by the core's
+/// leader: far longer than any repair waits.
+pub const NODE_FORGOTTEN_MS: u64 = 600_000;
+/// machines. Whose zones a core's leader keeps as they told it; beyond it only those of members.
+pub const CORE_ZONES_KEPT: usize = 1_024;
+/// servers. Listed at once; what is more is refused. A fleet of the size to come has 10,000.
+pub const SERVERS_KEPT: usize = 16_384;
+/// counts. Of groups in the scaler's samples, over all of them: some 8 MB; the oldest samples go first.
+pub const SAMPLE_COUNTS_KEPT: usize = 65_536;
+/// bytes. In a megabyte, as machines' memory is told.
+pub const MEGABYTE_BYTES: u64 = 1_000_000;
+/// MB. The smallest machine that an edge may be told it has: below it the process alone leaves too little.
+pub const EDGE_MEMORY_LEAST_MB: u64 = 40;
+/// share. Of an edge machine's memory for its copy of the agreed state, and the next one while it is made.
+pub const EDGE_FEED_SHARE: f64 = 0.10;
+/// share. Of an edge machine's memory for requests under way.
+pub const REQUESTS_SHARE: f64 = 0.25;
+/// bytes. Requests under way, where the machine's memory isn't told.
+pub const REQUESTS_BYTES: usize = 1024 * 1024 * 1024;
+/// bytes. Least for these: one of the largest, and some small ones beside it.
+pub const REQUESTS_LEAST_BYTES: usize = 10_000_000;
+/// bytes. What a request under way takes beside its body: its task, its headers, two connections with
+/// their buffers, and what is read ahead of a slow client.
+pub const REQUEST_BYTES: usize = 32 * 1024;
+/// times. A body is held: as it came in, and as it goes out or waits in the end of its turn.
+pub const BODY_COPIES: usize = 2;
+/// share. Of an edge machine's memory for the prompt parts it believes to be cached at servers.
+pub const PROMPT_PARTS_SHARE: f64 = 0.08;
+/// bytes. These, where the machine's memory isn't told.
+pub const PROMPT_PARTS_BYTES: usize = 64 * 1024 * 1024;
+/// bytes. One such part in its table, with the table's free room.
+pub const PROMPT_PART_BYTES: usize = 40;
+/// parts. Remembered for a server at the least, however many servers there are.
+pub const PROMPT_PARTS_LEAST: usize = 64;
+/// share. Of an edge machine's memory for frames that wait to be written to other processes.
+pub const RPC_QUEUE_SHARE: f64 = 0.07;
+/// bytes. These, where the machine's memory isn't told.
+pub const RPC_QUEUE_BYTES: usize = 64 * 1024 * 1024;
+/// bytes. A frame up to this size is bounded by the number of frames alone, so that heartbeats and
+/// renewals pass a queue that is full of texts.
+pub const SMALL_FRAME_BYTES: usize = 1024;
+/// kinds. Of work whose set points a queue remembers; beyond it those that are neither configured nor
+/// waited for are let go.
+pub const WORK_KINDS_KEPT: usize = 256;
+/// bytes. Text of one token, generously.
+pub const TOKEN_BYTES: usize = 8;
--- a/hutbook/src/protocol/mod.rs
+++ b/hutbook/src/protocol/mod.rs
@@ -2,5 +2,6 @@
 pub mod compare;
 pub mod config;
 pub mod findings;
+pub mod memory_check;
 pub mod settings;
 pub mod wire;
--- a/hutbook/src/protocol/settings.rs
+++ b/hutbook/src/protocol/settings.rs
@@ -1,7 +1,8 @@
 //! Where a process stands: from a settings file, from flags, or both; flags win.
 
 use super::findings::{is_name, Finding, Reader};
-use crate::constants::{DAY_MS, MEMORY_LEAST_MB, MEMORY_MOST_MB};
+use super::memory_check;
+use crate::constants::{DAY_MS, MEMORY_MOST_MB};
 use crate::coordination::control::Shape;
 use getopts::Options;
 use std::net::SocketAddr;
@@ -97,8 +98,8 @@
         o.optopt("", "front", "where work passed through comes in", "IP:PORT");
         o.optopt("", "stop-s", "a planned stop waits this long for work under way (as long as any may last)", "S");
     }
+    o.optopt("", "memory-mb", "memory of the machine; each part of the process takes its share of it", "MB");
     if who != Who::Trailhead {
-        o.optopt("", "memory-mb", "memory of the machine; state, log and caches each take their share of it", "MB");
         o.optopt("d", "data", "data folder; made when it is missing", "DIR");
     }
     if who == Who::Refuge {
@@ -135,7 +136,7 @@
     let file = file.as_ref().unwrap_or(&none);
     let mut known = vec!["wire", "advertise", "http", "cell", "seeds", "log", "name", "ready"];
     known.extend((who == Who::Trailhead).then_some("front"));
-    known.extend((who != Who::Trailhead).then_some("memory_mb"));
+    known.push("memory_mb");
     known.push(if who == Who::Trailhead { "stop_s" } else { "data" });
     if !file.is_null() {
         r.keys("", file, &known);
@@ -185,16 +186,20 @@
         None if file["stop_s"].is_null() => None,
         None => Some(r.whole("", file, "stop_s", None, 0, DAY_MS / 1_000) * 1_000),
     };
-    let flag = if who == Who::Trailhead { None } else { m.opt_str("memory-mb") };
-    let memory_mb = match flag.map(|s| s.parse::<u64>()) {
-        Some(Ok(mb)) if (MEMORY_LEAST_MB..=MEMORY_MOST_MB).contains(&mb) => Some(mb),
+    let memory_mb = match m.opt_str("memory-mb").map(|s| s.parse::<u64>()) {
+        Some(Ok(mb)) if mb <= MEMORY_MOST_MB => Some(("memory-mb", mb)),
         Some(_) => {
-            r.find("memory-mb", format!("must be a number of megabytes from {MEMORY_LEAST_MB} to {MEMORY_MOST_MB}"));
+            let least = memory_check::least_mb(who);
+            r.find("memory-mb", format!("must be a number of megabytes from {least} to {MEMORY_MOST_MB}"));
             None
         }
         None if file["memory_mb"].is_null() => None,
-        None => Some(r.whole("", file, "memory_mb", None, MEMORY_LEAST_MB, MEMORY_MOST_MB)),
+        None => Some(("memory_mb", r.whole("", file, "memory_mb", None, 0, MEMORY_MOST_MB))),
     };
+    if let Some((place, why)) = memory_mb.and_then(|(place, mb)| Some((place, memory_check::shortfall(who, mb)?))) {
+        r.find(place, why);
+    }
+    let memory_mb = memory_mb.map(|(_, mb)| mb);
     let mut seeds = m.opt_strs("seed");
     if seeds.is_empty() && !file["seeds"].is_null() {
         if !file["seeds"].is_array() {
@@ -219,7 +224,8 @@
         return Err(r.found);
     }
     if m.opt_present("check") {
-        return Ok(Start::Say("the settings are in order\n".into()));
+        let memory = memory_mb.map_or(String::new(), |mb| format!("memory: {}\n", memory_check::sum(who, mb)));
+        return Ok(Start::Say(format!("the settings are in order\n{memory}")));
     }
     let s = Settings {
         wire,
--- /dev/null
+++ b/hutbook/src/state/byte_budget/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+#[test]
+fn what_goes_over_the_limit_is_refused_until_room_is_given_back() {
+    // given a budget of ten bytes, of which two holders have seven
+    let budget = ByteBudget::new(10);
+    let mut first = budget.hold(6).expect("there is room");
+    let second = budget.hold(1).expect("there is room");
+    // when more is asked for than is left, then it is refused and nothing changes
+    assert!(budget.hold(4).is_none());
+    assert!(!first.grow(4));
+    assert_eq!((budget.held(), budget.refused()), (7, 2));
+    // and what fits is held, until its holder is dropped
+    assert!(first.grow(3));
+    assert_eq!(budget.held(), 10);
+    drop(first);
+    assert_eq!(budget.held(), 1);
+    drop(second);
+    assert_eq!(budget.held(), 0);
+}
+
+#[test]
+fn a_single_holder_is_never_refused() {
+    // given an empty budget, when one asks for more than all of it, then it is held, and nobody else's
+    let budget = ByteBudget::new(10);
+    let mut large = budget.hold(100).expect("it is alone");
+    assert!(large.grow(100));
+    assert!(budget.hold(1).is_none());
+    drop(large);
+    assert!(budget.hold(1).is_some());
+}
+
+#[test]
+fn many_threads_together_stay_within_the_limit() {
+    // given a budget that many threads take from and give back to at once
+    let budget = ByteBudget::new(64);
+    let most = std::thread::scope(|scope| {
+        let run = || {
+            let mut most = 0;
+            for _ in 0..2_000 {
+                let held = budget.hold(8);
+                most = most.max(budget.held());
+                drop(held);
+            }
+            most
+        };
+        let all: Vec<_> = (0..16).map(|_| scope.spawn(run)).collect();
+        all.into_iter().map(|thread| thread.join().expect("it ends")).max()
+    });
+    // then no one ever saw more held than the limit, and in the end nothing is
+    assert!(most <= Some(64), "{most:?}");
+    assert_eq!(budget.held(), 0);
+}
--- a/hutbook/src/state/mod.rs
+++ b/hutbook/src/state/mod.rs
@@ -1,6 +1,8 @@
 //! State: what is kept and how. Knows nothing of who agrees on it.
+pub mod byte_budget;
 pub mod config;
 pub mod disk;
+pub mod edge_budget;
 pub mod entry;
 pub mod hist;
 pub mod journal;
--- a/huts/tests/starting.rs
+++ b/huts/tests/starting.rs
@@ -85,3 +85,33 @@
     assert_eq!(run("waymark", "--core 127.0.0.1:1 status").status.code(), Some(3));
     assert_eq!(run("cairn", "127.0.0.1:1 127.0.0.1:1").status.code(), Some(3));
 }
+
+#[rstest]
+#[case(
+    "refuge",
+    "--data /nowhere/at/all",
+    40,
+    "process 14.0 + state 18.0 + log 9.6 + disk cache 1.6 = 43.2 MB of 40 MB"
+)]
+#[case("bothy", "--data /nowhere/at/all", 55, " MB of 55 MB; the least is 56 MB")]
+#[case("trailhead", "", 20, "the least is 40 MB")]
+fn a_machine_too_small_for_the_fixed_parts_is_told_the_sum_before_anything_is_opened(
+    #[case] program: &str,
+    #[case] words: &str,
+    #[case] memory_mb: u64,
+    #[case] sum: &str,
+) {
+    // given settings that are in order but for the memory of the machine, when it starts
+    let place = "--wire 127.0.0.1:7301 --http 127.0.0.1:7302 --cell a --seed 127.0.0.1:7001";
+    let o = run(program, &format!("{place} {words} --memory-mb {memory_mb}"));
+    let err = String::from_utf8_lossy(&o.stderr);
+    // then it ends with 2 and tells the parts, their sum and the least
+    assert_eq!(o.status.code(), Some(2), "{err}");
+    assert!(err.contains(": memory-mb: is too little for the fixed parts: process 14.0 + "), "{err}");
+    assert!(err.contains(sum), "{sum} not in {err}");
+    assert!(!std::path::Path::new("/nowhere").exists());
+    // and a check of settings that hold them prints what the sum is made of
+    let o = run(program, &format!("{place} {words} --memory-mb 58 --check"));
+    let out = String::from_utf8_lossy(&o.stdout);
+    assert!(o.status.success() && out.contains("memory: process 14.0 + ") && out.contains(" MB of 58 MB"), "{out}");
+}
