--- a/hutbook/src/coordination/control/configuration.rs
+++ b/hutbook/src/coordination/control/configuration.rs
@@ -197,9 +197,7 @@
         let number = change.number;
         self.accept(rev, &change);
         self.state.configs.push_back((rev, text.clone(), change.change));
-        if self.state.configs.len() > CONFIGS_KEPT {
-            self.state.configs.pop_front();
-        }
+        self.drop_old_texts();
         // a group whose bounds moved keeps its count inside them
         for (n, g) in &config.groups {
             // work passed through starts with all there are, until the scaler says otherwise
@@ -213,6 +211,17 @@
         self.done(rev)
     }
 
+    /// Keeps the newest configurations readable, as many as their number and bytes allow; the one in
+    /// force always.
+    fn drop_old_texts(&mut self) {
+        let configs = &mut self.state.configs;
+        let mut bytes: usize = configs.iter().map(|(_, text, _)| text.len()).sum();
+        while configs.len() > 1 && (configs.len() > CONFIGS_KEPT || bytes > CONFIG_TEXTS_BYTES) {
+            let dropped = configs.pop_front();
+            bytes -= dropped.map_or(0, |(_, text, _)| text.len());
+        }
+    }
+
     fn accept(&mut self, revision: u64, change: &ChangeIdentity) {
         let outcomes = &mut self.state.change_outcomes;
         let version = if change.number > 0 { change.number } else { revision };
--- a/hutbook/src/coordination/control/directory.rs
+++ b/hutbook/src/coordination/control/directory.rs
@@ -4,6 +4,7 @@
 use super::super::view::{Event, Server};
 use super::messages::{ControlCommand, ControlResponse, Listing, Relisted};
 use super::Core;
+use crate::constants::SERVERS_KEPT;
 use crate::state::entry::to_bytes;
 use std::collections::BTreeMap;
 
@@ -54,6 +55,9 @@
             let why = "that list was polled under another term".to_string();
             return Plan::Reply(ControlResponse::Refused { code: "stale_term".into(), why });
         }
+        if servers.len() > SERVERS_KEPT {
+            return Plan::Reply(too_many_servers());
+        }
         let v = &self.state.view;
         let listed: std::collections::BTreeSet<&str> = servers.iter().map(|l| l.name.as_str()).collect();
         let mut put = vec![];
@@ -123,6 +127,12 @@
     }
 }
 
+/// More servers than a core has memory for.
+pub(super) fn too_many_servers() -> ControlResponse {
+    let why = format!("no more than {SERVERS_KEPT} servers are listed at once");
+    ControlResponse::Refused { code: "too_many_servers".into(), why }
+}
+
 /// A server as it stands once the directory has said this of it.
 pub(super) fn relisted(old: Option<&Server>, l: Listing, since: u64, rev: u64) -> Server {
     // a name is one life of one server
--- a/hutbook/src/coordination/control/evacuation.rs
+++ b/hutbook/src/coordination/control/evacuation.rs
@@ -15,6 +15,11 @@
         zone: String,
         out: bool,
     ) -> Result<ControlCommand, Plan<ControlResponse>> {
+        let evacuated = &self.state.view.out;
+        if out && evacuated.len() >= ZONES_KEPT && !evacuated.contains_key(&zone) {
+            let why = format!("{ZONES_KEPT} zones are evacuated already");
+            return Err(Plan::Reply(ControlResponse::Refused { code: "too_many_zones".into(), why }));
+        }
         if self.knows_zone(&zone) {
             return Ok(ControlCommand::Evacuate { cell: zone, out });
         }
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -5,6 +5,9 @@
 mod core_membership;
 mod directory;
 mod evacuation;
+mod forgetting;
+#[cfg(test)]
+mod growth_tests;
 mod leases;
 mod messages;
 mod orders;
@@ -31,7 +34,7 @@
 use crate::state::journal::Journal;
 use crate::state::snapshot_data::SnapshotData;
 use configuration::{document_digest, ChangeOutcomes};
-use directory::Sight;
+use directory::{too_many_servers, Sight};
 use leases::Merged;
 use messages::ControlCommand;
 use orders::LastOrders;
@@ -83,6 +86,8 @@
     shape: Shape,
     /// ms. How old a directory's list may be.
     list_lag_ms: u64,
+    /// bytes. Of events kept for edges that are a little behind.
+    feed_bytes: usize,
     state: ClusterState,
     journal: Journal<Event>,
     /// Leader's memory; gone with the leadership.
@@ -119,7 +124,8 @@
             shape,
             list_lag_ms: LIST_LAG_MS,
             state: ClusterState::default(),
-            journal: Journal::new(FEED_EVENTS, 0),
+            feed_bytes: FEED_BYTES,
+            journal: Journal::new(FEED_EVENTS, FEED_BYTES, 0),
             ledger: Ledger::default(),
             store_nodes: BTreeMap::new(),
             merged: BTreeMap::new(),
@@ -142,6 +148,11 @@
         Core { list_lag_ms: ms, ..self }
     }
 
+    /// The same core, which keeps so many bytes of events for edges that are a little behind.
+    pub fn feed_limit(self, bytes: usize) -> Core {
+        Core { feed_bytes: bytes, journal: Journal::new(FEED_EVENTS, bytes, self.state.view.rev), ..self }
+    }
+
     /// The first entry of a new cluster's log.
     pub fn founding(cluster: u64) -> Vec<u8> {
         to_bytes(&ControlCommand::Found(cluster))
@@ -165,7 +176,8 @@
             self.note_zone(&server.cell);
         }
         self.state.view.fold(rev, &e);
-        self.journal.append(rev, e);
+        let bytes = to_bytes(&e).len() * EVENT_MEMORY_FACTOR;
+        self.journal.append(rev, e, bytes);
     }
 
     fn settle(&mut self, rev: u64) {
@@ -282,7 +294,7 @@
         self.state = minicbor::decode(&data.to_vec()).expect("a snapshot that passed its digest can be decoded");
         self.take_over_old_changes();
         // what came before the capture can only be fed whole
-        self.journal = Journal::new(FEED_EVENTS, self.state.view.rev);
+        self.journal = Journal::new(FEED_EVENTS, self.feed_bytes, self.state.view.rev);
     }
 
     fn became_leader(&mut self, st: LeaderContext) {
@@ -315,6 +327,7 @@
         }
         if st.now >= self.last_own + CHECK_IN_MS {
             self.last_own = st.now;
+            self.forget_the_gone(st.now);
             self.own(st, &mut out);
         }
         // a repair goes on as soon as the step before is agreed, and no step is taken twice
@@ -390,6 +403,9 @@
                 if !self.state.retired_names.contains(&name) {
                     self.state.retired_names.push(name);
                 }
+                if self.state.retired_names.len() > NAMES_KEPT {
+                    self.state.retired_names.remove(0);
+                }
                 ControlResponse::Agreed(index)
             }
             ControlCommand::Dismiss(n) => {
@@ -397,7 +413,7 @@
                 if !known && !self.state.retired.contains(&n) {
                     return ControlResponse::Unknown("no such core member".into());
                 }
-                self.state.retired.push(n);
+                self.remember_retired(n);
                 ControlResponse::Agreed(index)
             }
             // decided by a leader whose term is over: void
@@ -455,7 +471,7 @@
                 None => return Err(Plan::Read),
             },
             ControlRequest::Join(m, cell) => {
-                self.cells.insert(m.id, cell);
+                self.note_core_zone(m.id, cell);
                 if self.state.retired.contains(&m.id) {
                     let why = "it was removed by an operator; start it with an empty folder".to_string();
                     return Err(Plan::Reply(ControlResponse::Refused { code: "removed".into(), why }));
@@ -493,7 +509,13 @@
                 }
                 ControlCommand::DecideConfig { base_version, change: identity.change, number, content_digest }
             }
-            ControlRequest::List { name, group, addr, cell } => ControlCommand::List { name, group, addr, cell },
+            ControlRequest::List { name, group, addr, cell } => {
+                let servers = &self.state.view.servers;
+                if servers.len() >= SERVERS_KEPT && !servers.contains_key(&name) {
+                    return Err(Plan::Reply(too_many_servers()));
+                }
+                ControlCommand::List { name, group, addr, cell }
+            }
             ControlRequest::Leave(n) => ControlCommand::Leave(n),
             ControlRequest::Remove { name, anyway } => {
                 let busy = self.ledger.busy(&name);
--- a/hutbook/src/coordination/control/scaling.rs
+++ b/hutbook/src/coordination/control/scaling.rs
@@ -13,9 +13,7 @@
     pub(super) fn decided(&mut self, rev: u64, term: u64, d: Decision, sample: Sample) {
         let most = self.state.view.config.as_ref().map_or(480, |c| c.scaler.history) as usize;
         self.state.samples.push_back(sample);
-        while self.state.samples.len() > most {
-            self.state.samples.pop_front();
-        }
+        self.drop_old_samples(most);
         // counted as in the scene that it was decided on: what is wanted, and for work passed through is there
         let stale = d.moves.iter().find(|m| self.state.view.room(&m.group).1 != m.from);
         let outcome = match stale {
@@ -37,6 +35,17 @@
         }
     }
 
+    /// Keeps the newest samples, as many as the configuration says and their counts allow.
+    fn drop_old_samples(&mut self, most: usize) {
+        let samples = &mut self.state.samples;
+        let counts = |sample: &Sample| sample.counts.len().max(sample.load.len());
+        let mut kept: usize = samples.iter().map(counts).sum();
+        while samples.len() > most || kept > SAMPLE_COUNTS_KEPT {
+            let Some(dropped) = samples.pop_front() else { return };
+            kept -= counts(&dropped);
+        }
+    }
+
     /// Everything one decision looks at.
     pub(super) fn scene(&self, now: u64, term: u64) -> Option<Scene> {
         let c = self.state.view.config.as_ref()?;
--- a/hutbook/src/coordination/control/store_membership.rs
+++ b/hutbook/src/coordination/control/store_membership.rs
@@ -41,7 +41,7 @@
         }
         let mut is = s;
         is.wanted.retain(|m| m.id != node);
-        self.state.retired.push(node);
+        self.remember_retired(node);
         self.emit(rev, Event::Stores { group: g, is });
         self.done(rev)
     }
--- a/hutbook/src/coordination/shares.rs
+++ b/hutbook/src/coordination/shares.rs
@@ -231,6 +231,11 @@
         self.edges.values().filter(|e| e.until >= now).count()
     }
 
+    /// Servers of which anything is remembered beside what edges say: bounded by those listed and in use.
+    pub fn servers_remembered(&self) -> usize {
+        self.sums.len().max(self.ramp.len())
+    }
+
     pub fn busy(&self, server: &str) -> u32 {
         self.edges.values().map(|e| e.busy(server)).sum()
     }
@@ -465,6 +470,9 @@
             // work passed through holds no slots here
             let open = v.servers.values().filter(|s| !v.passes(&s.group) && v.usable(&s.name));
             self.open = open.map(|s| (s.name.clone(), s.group.clone())).collect();
+            // a server that is listed anew begins its warm-up anew, whatever was known of it
+            self.ramp.retain(|s, _| v.servers.contains_key(s));
+            self.sums.retain(|s, taken| *taken > 0 || v.servers.contains_key(s));
             if let Some(c) = &v.config {
                 let model = |s: &&super::view::Server| v.group(&s.group).is_some_and(|g| g.kind == Kind::Model);
                 self.streams = v.servers.values().filter(model).map(|s| s.name.clone()).collect();
--- a/hutbook/src/coordination/view.rs
+++ b/hutbook/src/coordination/view.rs
@@ -1,6 +1,7 @@
 //! What the core has agreed on, folded from its events. The core folds them as
 //! it applies its log; every edge folds the same events from the feed.
 
+use crate::constants::GROUPS_KEPT;
 use crate::state::config::{Config, Group};
 use crate::state::entry::Member;
 use std::collections::{BTreeMap, BTreeSet};
@@ -89,6 +90,7 @@
                 self.config_rev = rev;
                 self.config_text = text;
                 self.config = Some(config);
+                self.forget_removed_groups();
             }
             Event::Server(s) => {
                 self.servers.insert(s.name.clone(), s);
@@ -117,6 +119,19 @@
         }
     }
 
+    /// Beyond their bound, names of groups that are neither configured nor waited for are let go.
+    fn forget_removed_groups(&mut self) {
+        if self.wanted.len().max(self.places.len()) <= GROUPS_KEPT {
+            return;
+        }
+        let View { config, fading, places, wanted, .. } = self;
+        let in_use = |group: &String| {
+            config.as_ref().is_some_and(|c| c.groups.contains_key(group)) || fading.contains_key(group)
+        };
+        places.retain(|group, spots| !spots.is_empty() || in_use(group));
+        wanted.retain(|group, _| places.contains_key(group) || in_use(group));
+    }
+
     /// May this server be given new work, as far as the core's word goes?
     pub fn usable(&self, name: &str) -> bool {
         let Some(s) = self.servers.get(name) else { return false };
--- a/hutbook/src/transport/directory.rs
+++ b/hutbook/src/transport/directory.rs
@@ -44,6 +44,9 @@
         }
         let (page, next) = d.page(&body)?;
         all.extend(page);
+        if all.len() > SERVERS_KEPT {
+            return Err(format!("{url}: more than {SERVERS_KEPT} servers"));
+        }
         token = next;
         // half a list would take the other half for gone
         if token.is_none() {
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -88,8 +88,10 @@
     post.cluster.store(disk.cluster, Ordering::Relaxed);
     let think = Arc::new(|k| Some(ponder(&k)));
     let boot = daemon::with_room(|| disk.boot()).await?;
-    let hut = Hut::start(CORE, disk, boot, Core::with(s.shape), budget, draw(), clock, post.clone(), think)
-        .map_err(|e| e.to_string())?;
+    let feed_bytes = (budget.state as f64 * FEED_SHARE) as usize;
+    let core = Core::with(s.shape).feed_limit(feed_bytes);
+    let hut =
+        Hut::start(CORE, disk, boot, core, budget, draw(), clock, post.clone(), think).map_err(|e| e.to_string())?;
     let _ = slot.set(hut.clone());
     log::info!("refuge {} stands at {}", id_text(me.id), me.addr);
 
