--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -122,6 +122,11 @@
         grip(&self.pass)
     }
 
+    /// What this edge may remember of prompts cached at servers, in bytes.
+    pub fn limit_prompt_parts(&self, bytes: usize) {
+        self.pass().limit_parts(bytes / PROMPT_PART_BYTES);
+    }
+
     /// The last look before work passed through goes out.
     pub fn may_pass(&self, now: u64, group: &str, server: &str) -> bool {
         self.licensed(now) && self.pass().stands(group, server)
@@ -242,6 +247,12 @@
             }
         }
         ls.values().for_each(|l| grip(l).follow(v, shares));
+        if let Some(c) = &v.config {
+            // whoever holds a lane may be about to queue in it: it stays for the next time
+            let idle = |l: &Lane| Arc::strong_count(l) == 1 && grip(l).demand() == 0;
+            let in_use = |n: &String| c.groups.contains_key(n) || v.fading.contains_key(n);
+            ls.retain(|n, l| in_use(n) || !idle(l));
+        }
     }
 
     /// Without a licence shares are worth nothing either.
--- a/hutbook/src/coordination/edge/tests.rs
+++ b/hutbook/src/coordination/edge/tests.rs
@@ -39,3 +39,135 @@
     e.granted(LICENCE_MS + 40, LICENCE_MS + 20, grant(2, 2));
     assert_eq!(claims(&e, LICENCE_MS + 50), 3);
 }
+
+/// A view whose configuration has this one group and this one kind of work.
+fn view_with(revision: u64, group: &str, work: &str) -> View {
+    use crate::state::config::{Config, Limits, Tuning, Work};
+    let set = Group {
+        kind: Kind::Model,
+        slo_ms: 500,
+        least: 1,
+        most: 4,
+        in_flight: 8,
+        warm_jobs: 1,
+        pressure_most: 4.0,
+        cache_most: 0.9,
+        pass: None,
+    };
+    let config = Config {
+        groups: BTreeMap::from([(group.to_string(), set)]),
+        routes: BTreeMap::new(),
+        work: BTreeMap::from([(work.to_string(), Work { wait_ms: 100, rank: 0 })]),
+        scaler: Tuning::default(),
+        limits: Limits::default(),
+        ways: BTreeMap::new(),
+    };
+    View { rev: revision, config: Some(config), ..View::default() }
+}
+
+fn follow(e: &Edge, revision: u64, group: &str, work: &str) {
+    let update = Update::Whole(Box::new(view_with(revision, group, work)));
+    e.granted(10, 0, Grant { rev: revision, update, ..grant(revision, 1) });
+}
+
+#[test]
+fn queues_of_groups_that_are_no_longer_configured_go_once_they_are_empty() {
+    // given an edge with a job that waits in the first of many groups
+    let e = Edge::new(1, "a", "e1");
+    follow(&e, 1, "group-0", "chat");
+    let wait = Wait { work: "chat".into(), since: 10, ends: 100_000, affinity: 0, avoid: None, tell: () };
+    let mut waits = e.join(10, "group-0", wait);
+    // when configurations follow that each replace the group of the one before
+    (1..100).for_each(|i| follow(&e, i + 1, &format!("group-{i}"), "chat"));
+    // then the queue with the job and the newest one are left, and the job still waits
+    let left = || e.lanes.read().unwrap().keys().cloned().collect::<Vec<_>>();
+    assert_eq!(left(), ["group-0", "group-99"]);
+    assert!(waits.try_recv().is_err());
+    // and once its caller has gone, that queue goes as well
+    drop(waits);
+    e.pump_all(20);
+    follow(&e, 200, "group-99", "chat");
+    assert_eq!(left(), ["group-99"]);
+}
+
+#[test]
+fn kinds_of_work_that_are_no_longer_configured_are_bounded() {
+    // given an edge that follows many configurations, each with another kind of work
+    let e = Edge::new(1, "a", "e1");
+    let changes = 3 * WORK_KINDS_KEPT as u64;
+    (0..changes).for_each(|i| follow(&e, i + 1, "lang", &format!("work-{i}")));
+    // then its queue remembers a bounded number of them
+    let lane = e.lane("lang").unwrap();
+    assert!(grip(&lane).work_kinds() <= WORK_KINDS_KEPT + 1, "{}", grip(&lane).work_kinds());
+}
+
+#[test]
+fn prompt_parts_are_bounded_over_all_servers() {
+    use super::super::pass::Want;
+    use super::super::view::{Server, Spot};
+    use crate::state::config::PassGroup;
+    // given an edge of 48 MB before 500 servers that keep prompts
+    let bytes = crate::state::edge_budget::EdgeBudget::of(Some(48)).prompt_parts;
+    let e = Edge::new(1, "a", "e1");
+    e.limit_prompt_parts(bytes);
+    let mut v = view_with(1, "lm", "chat");
+    let pass = PassGroup {
+        sessions_most: 100,
+        cold_per_s: 0.0,
+        cache_tokens: 0,
+        piece_tokens: 4,
+        batch: 32,
+        health_path: "/".into(),
+    };
+    v.config.as_mut().unwrap().groups.get_mut("lm").unwrap().pass = Some(pass);
+    let server = |name: &str| Server {
+        name: name.into(),
+        group: "lm".into(),
+        addr: name.into(),
+        cell: "a".into(),
+        leaving: false,
+        since: 1,
+        born: 0,
+        slots: 8,
+        cold: false,
+        listed_by_directory: true,
+    };
+    let names: Vec<String> = (0..500).map(|i| format!("s{i}")).collect();
+    names.iter().for_each(|n| drop(v.servers.insert(n.clone(), server(n))));
+    let spots = names.iter().map(|n| (n.clone(), Spot { since: 1, draining: false })).collect();
+    v.places.insert("lm".into(), spots);
+    let update = Update::Whole(Box::new(v));
+    e.granted(10, 0, Grant { update, rev: 1, ..grant(1, 1) });
+    // when prompts of ever new parts are placed, at every server in turn
+    for job in 0..60_000u64 {
+        let parts = (0..16).map(|part| (job * 16 + part, 64)).collect();
+        let at = e.pass().place(10 + job, "lm", &Want { parts, ..Want::default() }).expect("there is room");
+        e.pass().left(10 + job, &at, 1, super::super::pass::Went::Well);
+    }
+    // then what is remembered stays within the bytes
+    let remembered = e.pass().parts();
+    assert!(remembered * PROMPT_PART_BYTES <= bytes, "{remembered}");
+    assert!(remembered * PROMPT_PART_BYTES > bytes / 3, "{remembered}");
+}
+
+#[test]
+fn jobs_that_wait_for_one_group_are_bounded_by_their_number() {
+    // given an edge without slots, and as many jobs as its queue takes
+    let e = Edge::new(1, "a", "e1");
+    follow(&e, 1, "lang", "chat");
+    let wait = || Wait { work: "chat".into(), since: 10, ends: 100_000, affinity: 0, avoid: None, tell: () };
+    let waiting: Vec<_> = (0..QUEUE_JOBS).map(|_| e.join(10, "lang", wait())).collect();
+    // when one more comes, then it is told so at once
+    let told = e.join(10, "lang", wait()).try_recv();
+    assert!(matches!(told, Ok(Err(Refusal::QueueFull))));
+    assert_eq!(waiting.len(), QUEUE_JOBS);
+}
+
+#[test]
+fn measuring_windows_of_an_edge_are_bounded() {
+    // given an edge that measures for an hour without a leader
+    let e = Edge::new(1, "a", "e1");
+    (0..720).for_each(|i| e.timed(1 + i * WINDOW_MS, "callers", "lang", 100));
+    // then it would tell the newest windows alone
+    assert_eq!(e.renewal(720 * WINDOW_MS).windows.len(), WINDOWS_KEPT);
+}
--- a/hutbook/src/coordination/line.rs
+++ b/hutbook/src/coordination/line.rs
@@ -225,6 +225,10 @@
             }
             // a kind of work that is gone keeps its set point for jobs that came under it
             self.works.extend(c.work.clone());
+            if self.works.len() > WORK_KINDS_KEPT {
+                let waits = &self.waits;
+                self.works.retain(|kind, _| c.work.contains_key(kind) || waits.contains_key(kind));
+            }
         }
         let none = BTreeMap::new();
         let spots: &BTreeMap<String, Spot> = v.places.get(&self.group).unwrap_or(&none);
@@ -268,6 +272,11 @@
         self.queued > 0 && !self.servers.values().any(|s| s.open(now))
     }
 
+    /// Kinds of work whose set points are remembered.
+    pub fn work_kinds(&self) -> usize {
+        self.works.len()
+    }
+
     pub fn limit(&self) -> f64 {
         self.limit
     }
--- a/hutbook/src/coordination/pass.rs
+++ b/hutbook/src/coordination/pass.rs
@@ -91,17 +91,25 @@
         parts[n..].iter().map(|(_, t)| t).sum()
     }
 
-    fn keep(&mut self, now: u64, parts: &[(u64, u32)]) {
+    /// Remembers these as kept there, `most` in all.
+    fn keep(&mut self, now: u64, parts: &[(u64, u32)], most: usize) {
         for (p, _) in parts {
             self.kept.insert(*p, now);
         }
-        if self.kept.len() > PASS_PARTS {
-            // a quarter at a time, so that it is seldom done
-            let mut t: Vec<u64> = self.kept.values().copied().collect();
-            t.sort_unstable();
-            let old = t[t.len() / 4];
-            self.kept.retain(|_, at| *at > old);
+        self.forget_oldest(most);
+    }
+
+    /// Down to three quarters of `most` where there are more, so that it is seldom done.
+    fn forget_oldest(&mut self, most: usize) {
+        if self.kept.len() <= most {
+            return;
         }
+        let mut used_at: Vec<u64> = self.kept.values().copied().collect();
+        used_at.sort_unstable();
+        let surplus = used_at.len() - most * 3 / 4;
+        let oldest_kept = used_at[surplus - 1];
+        self.kept.retain(|_, at| *at > oldest_kept);
+        self.kept.shrink_to(most);
     }
 }
 
@@ -119,6 +127,9 @@
     cell: String,
     pools: BTreeMap<String, Pool>,
     edges: u32,
+    /// Prompt parts remembered at the most: over all servers, and for each of them.
+    max_parts: usize,
+    max_parts_each: usize,
     /// By host: (prefix, name of the way), longest prefix first.
     ways: HashMap<String, Vec<(String, String)>>,
     rev: u64,
@@ -126,7 +137,28 @@
 
 impl Pass {
     pub fn new(cell: &str) -> Pass {
-        Pass { cell: cell.into(), ..Pass::default() }
+        let max_parts = PROMPT_PARTS_BYTES / PROMPT_PART_BYTES;
+        Pass { cell: cell.into(), max_parts, max_parts_each: PASS_PARTS, ..Pass::default() }
+    }
+
+    /// From now on so many prompt parts are remembered at the most, over all servers.
+    pub fn limit_parts(&mut self, max_parts: usize) {
+        self.max_parts = max_parts;
+        self.divide_parts();
+    }
+
+    /// Prompt parts that are remembered now, over all servers.
+    pub fn parts(&self) -> usize {
+        self.pools.values().flat_map(|p| p.servers.values()).map(|s| s.kept.len()).sum()
+    }
+
+    /// Divides what may be remembered among the servers there are.
+    fn divide_parts(&mut self) {
+        let servers: usize = self.pools.values().map(|p| p.servers.len()).sum();
+        let each = (self.max_parts / servers.max(1)).clamp(PROMPT_PARTS_LEAST, PASS_PARTS);
+        self.max_parts_each = each;
+        let all = self.pools.values_mut().flat_map(|p| p.servers.values_mut());
+        all.for_each(|s| s.forget_oldest(each));
     }
 
     /// Takes the core's newest word.
@@ -174,6 +206,7 @@
                 (s.addr, s.cell, s.slots) = (l.addr.clone(), l.cell.clone(), l.slots.max(1));
             }
         }
+        self.divide_parts();
     }
 
     /// The way of a request: the longest prefix of its host's that begins its path.
@@ -247,7 +280,7 @@
                 s.sent.pop_front();
             }
         }
-        s.keep(now, &want.parts);
+        s.keep(now, &want.parts, self.max_parts_each);
         let sessions = if most == 0 { POOLED as u32 } else { (most / edges.max(1)).max(2) };
         Some(Spotted { server: n, addr: s.addr.clone(), group: group.into(), sessions, unread })
     }
