--- a/hutbook/src/transport/post.rs
+++ b/hutbook/src/transport/post.rs
@@ -6,9 +6,10 @@
 use super::open_calls::{ConnectionId, Matched, OpenCalls};
 use crate::constants::*;
 use crate::protocol::wire::{frame_len, pack, unpack, Body, Letter};
+use crate::state::byte_budget::{ByteBudget, HeldBytes};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -21,7 +22,24 @@
     id: u64,
     cluster: Arc<AtomicU64>,
     me: u64,
-    tx: mpsc::Sender<Vec<u8>>,
+    queue: Arc<ByteBudget>,
+    tx: mpsc::Sender<Frame>,
+}
+
+/// A packed message that waits to be written, and the bytes it holds of the queue's budget.
+struct Frame {
+    bytes: Vec<u8>,
+    _held: Option<HeldBytes>,
+}
+
+impl Frame {
+    /// None where the queue has no room for it: dropped, as a network would. Small frames always fit;
+    /// they are bounded by their number.
+    fn queued(bytes: Vec<u8>, queue: &Arc<ByteBudget>) -> Option<Frame> {
+        let small = bytes.len() <= SMALL_FRAME_BYTES;
+        let held = if small { None } else { Some(queue.hold(bytes.len())?) };
+        Some(Frame { bytes, _held: held })
+    }
 }
 
 impl Reply {
@@ -31,7 +49,9 @@
         }
         let l = Letter { cluster: self.cluster.load(Ordering::Relaxed), from: self.me, id: self.id, body };
         // a session whose outbox is full has stopped reading; its caller will time out
-        let _ = self.tx.try_send(pack(&l));
+        if let Some(frame) = Frame::queued(pack(&l), &self.queue) {
+            let _ = self.tx.try_send(frame);
+        }
     }
 }
 
@@ -74,7 +94,7 @@
     to: String,
     /// The call that it opens; 0 where no answer is waited for.
     call: u64,
-    frame: Vec<u8>,
+    frame: Frame,
 }
 
 pub struct Post {
@@ -85,6 +105,10 @@
     /// Frames refused: malformed, oversized, foreign or of another version.
     pub refused: Arc<AtomicU64>,
     pub traffic: Arc<Traffic>,
+    /// Bytes of frames that wait to be written, over all connections.
+    pub queue: Arc<ByteBudget>,
+    /// Connections that this process opened and knows of.
+    opened: AtomicUsize,
     calls: Arc<OpenCalls>,
     out: mpsc::Sender<Outgoing>,
 }
@@ -98,6 +122,8 @@
             cluster: Arc::new(AtomicU64::new(cluster)),
             refused: Arc::default(),
             traffic: Arc::default(),
+            queue: ByteBudget::new(RPC_QUEUE_BYTES),
+            opened: AtomicUsize::new(0),
             calls: Arc::default(),
             out,
         });
@@ -142,19 +168,26 @@
         Ok(post)
     }
 
+    /// Connections that this process opened and still knows of.
+    pub fn connections(&self) -> usize {
+        self.opened.load(Ordering::Relaxed)
+    }
+
     fn letter(&self, id: u64, body: Body) -> Vec<u8> {
         pack(&Letter { cluster: self.cluster.load(Ordering::Relaxed), from: self.me, id, body })
     }
 
     pub fn send(&self, to: &str, body: Body) {
         // full means the network thread is behind: dropped, as a network would
-        let _ = self.out.try_send(Outgoing { to: to.to_string(), call: 0, frame: self.letter(0, body) });
+        if let Some(frame) = Frame::queued(self.letter(0, body), &self.queue) {
+            let _ = self.out.try_send(Outgoing { to: to.to_string(), call: 0, frame });
+        }
     }
 
     /// Asks and waits; None when the connection ended or no answer came in time, and then it may have run.
     pub async fn call(&self, to: &str, body: Body, ms: u64) -> Option<Body> {
         let mut call = self.calls.open()?;
-        let frame = self.letter(call.id, body);
+        let frame = Frame::queued(self.letter(call.id, body), &self.queue)?;
         self.out.try_send(Outgoing { to: to.to_string(), call: call.id, frame }).ok()?;
         actix_rt::time::timeout(Duration::from_millis(ms), call.answer()).await.ok().flatten()
     }
@@ -163,7 +196,7 @@
 /// The way to the connection to one address.
 struct Connection {
     id: ConnectionId,
-    frames: mpsc::Sender<Vec<u8>>,
+    frames: mpsc::Sender<Frame>,
 }
 
 /// Sends each frame over the connection to its address, opening connections as needed.
@@ -173,9 +206,12 @@
     while let Some(Outgoing { to, call, frame }) = rx.recv().await {
         if connections.get(&to).is_none_or(|c| c.frames.is_closed()) {
             opened += 1;
+            // addresses of machines that have gone are not spoken to again
+            connections.retain(|_, c| !c.frames.is_closed());
             let (tx, frames) = mpsc::channel(OUTBOX);
             actix_rt::spawn(connection(p.clone(), to.clone(), opened, frames));
             connections.insert(to.clone(), Connection { id: opened, frames: tx });
+            p.opened.store(connections.len(), Ordering::Relaxed);
         }
         let c = &connections[&to];
         p.calls.bind(call, c.id);
@@ -187,7 +223,7 @@
 }
 
 /// One connection that this process opened, until it ends.
-async fn connection(p: Arc<Post>, addr: String, id: ConnectionId, mut frames: mpsc::Receiver<Vec<u8>>) {
+async fn connection(p: Arc<Post>, addr: String, id: ConnectionId, mut frames: mpsc::Receiver<Frame>) {
     let connect = actix_rt::time::timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(&addr));
     if let Ok(Ok(s)) = connect.await {
         tune(&s);
@@ -220,10 +256,10 @@
     let _ = socket2::SockRef::from(s).set_tcp_user_timeout(Some(Duration::from_millis(UNACKED_MS)));
 }
 
-async fn write(mut w: OwnedWriteHalf, frames: &mut mpsc::Receiver<Vec<u8>>, t: &Traffic) {
+async fn write(mut w: OwnedWriteHalf, frames: &mut mpsc::Receiver<Frame>, t: &Traffic) {
     while let Some(f) = frames.recv().await {
-        t.out(f.len());
-        let done = actix_rt::time::timeout(Duration::from_millis(WRITE_MS), w.write_all(&f)).await;
+        t.out(f.bytes.len());
+        let done = actix_rt::time::timeout(Duration::from_millis(WRITE_MS), w.write_all(&f.bytes)).await;
         if !matches!(done, Ok(Ok(()))) {
             return;
         }
@@ -270,7 +306,8 @@
     let who = from.to_string();
     let read = async {
         while let Some(l) = next(&mut r, &p, &who).await {
-            let reply = Reply { id: l.id, cluster: p.cluster.clone(), me: p.me, tx: tx.clone() };
+            let (cluster, queue) = (p.cluster.clone(), p.queue.clone());
+            let reply = Reply { id: l.id, cluster, me: p.me, queue, tx: tx.clone() };
             handler(l, reply);
         }
     };
--- a/hutbook/tests/post.rs
+++ b/hutbook/tests/post.rs
@@ -186,3 +186,50 @@
     assert!(is_closed(&mut s));
     assert_eq!(held.lock().expect("nobody panicked").len(), 1);
 }
+
+/// Messages that a peer which doesn't read leaves in the queue, and what it answers to a small one.
+#[test]
+fn texts_for_a_peer_that_does_not_read_are_bounded_by_their_bytes_and_small_frames_still_pass() {
+    // given a process whose queue may hold 4 MB, and a peer that takes connections and reads nothing
+    const LIMIT_BYTES: usize = 4_000_000;
+    const TEXT_BYTES: usize = 1_000_000;
+    let (peer, peer_at) = listen();
+    let post = caller();
+    post.queue.set_limit(LIMIT_BYTES);
+    let taken = std::thread::spawn(move || accept(&peer));
+    // when a hundred texts are sent to it
+    let mut most = 0;
+    for _ in 0..100 {
+        post.send(&peer_at.to_string(), Body::Away("t".repeat(TEXT_BYTES)));
+        most = most.max(post.queue.held());
+    }
+    // then no more than the limit ever waited, and what found no room was dropped
+    assert!(most <= LIMIT_BYTES, "{most}");
+    assert!(post.queue.refused() > 0);
+    let mut s = taken.join().expect("it accepts");
+    // and a small message still gets there, once the peer reads
+    post.send(&peer_at.to_string(), question());
+    let mut letters = 0;
+    while read_letter(&mut s).body != question() {
+        letters += 1;
+    }
+    assert!(letters <= 100);
+    // and with nothing left to write, nothing is held
+    let end = std::time::Instant::now() + Duration::from_millis(SOON_MS);
+    while post.queue.held() > 0 && std::time::Instant::now() < end {
+        std::thread::yield_now();
+    }
+    assert_eq!(post.queue.held(), 0);
+}
+
+#[test]
+fn connections_to_machines_that_have_gone_are_forgotten() {
+    // given a process that calls many addresses, one after the other, where nobody listens
+    let post = caller();
+    let gone: Vec<String> = (0..64).map(|_| listen().1.to_string()).collect();
+    gone.iter().for_each(|at| drop(run(post.call(at, question(), SOON_MS))));
+    // when it calls one more, then only that one and those not ended yet are known
+    let (_, last) = listen();
+    run(post.call(&last.to_string(), question(), SOON_MS));
+    assert!(post.connections() <= 2, "{}", post.connections());
+}
