--- a/hutbook/src/transport/callers.rs
+++ b/hutbook/src/transport/callers.rs
@@ -199,6 +199,16 @@
     }
 }
 
+/// bytes. What a job may hold until its end is agreed on: its body, and an answer of up to so many tokens.
+fn request_bytes(a: &Asked, tokens: u64) -> usize {
+    REQUEST_BYTES + BODY_COPIES * a.body.len() + tokens as usize * TOKEN_BYTES
+}
+
+/// The memory for jobs is used up, by those under way and by ends that wait for their store.
+fn no_memory() -> Said {
+    later(503, "edge_memory", "no memory is left for more jobs here; nothing was begun", "same_key")
+}
+
 async fn run_tool(f: Arc<Field>, tally: Arc<Tally>, id: &str, route: &str, a: &Asked) -> Said {
     let (j, _) = match prepare(&f, Kind::Tool, id, route, a) {
         Ok(x) => x,
@@ -208,12 +218,13 @@
         return Said::no(400, "bad_json", "the body is not JSON");
     }
     let key = j.key.clone();
+    let Some(held) = f.requests.hold(request_bytes(a, 0)) else { return no_memory() };
     let under = UnderWay::new(&tally);
     let (tx, mut rx) = mpsc::channel(1);
     // its own task: a caller that goes away must not stop a once-only job half way
     actix_rt::spawn(async move {
         tool(&f, &f.edge, j, Ear::new(tx)).await;
-        drop(under);
+        drop((under, held));
     });
     match rx.recv().await {
         Some(Heard::Told(t)) => {
@@ -247,11 +258,12 @@
     }
     (j.cap, j.prefix) = (cap, prefix);
     let key = j.key.clone();
+    let Some(held) = f.requests.hold(request_bytes(a, cap)) else { return no_memory() };
     let (tx, mut rx) = mpsc::channel(PIECES);
     let under = UnderWay::new(&tally);
     actix_rt::spawn(async move {
         turn(&f, &f.edge, j, said, Ear::new(tx)).await;
-        drop(under);
+        drop((under, held));
     });
     // an early verdict is a plain answer with its own status; a stream begins with its first piece
     match rx.recv().await {
--- a/hutbook/src/transport/field.rs
+++ b/hutbook/src/transport/field.rs
@@ -9,6 +9,7 @@
 use crate::coordination::edge::Edge;
 use crate::coordination::line::Look;
 use crate::coordination::store::{StoreRequest, StoreResponse};
+use crate::state::byte_budget::ByteBudget;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use std::pin::Pin;
@@ -21,12 +22,14 @@
 pub struct Field {
     pub edge: Arc<Edge>,
     pub clock: Clock,
+    /// Bytes that requests under way hold, ends of turns that wait for their store among them.
+    pub requests: Arc<ByteBudget>,
     stores: Stores<Wired>,
 }
 
 impl Field {
-    pub fn new(edge: Arc<Edge>, way: Wired) -> Field {
-        Field { edge, clock: way.clock, stores: Stores::new(way) }
+    pub fn new(edge: Arc<Edge>, way: Wired, requests: Arc<ByteBudget>) -> Field {
+        Field { edge, clock: way.clock, requests, stores: Stores::new(way) }
     }
 }
 
--- a/hutbook/src/transport/front.rs
+++ b/hutbook/src/transport/front.rs
@@ -7,8 +7,9 @@
 use super::sessions::{Answer, Bite, Sending, Sessions};
 use crate::constants::*;
 use crate::coordination::pass::Spotted;
+use crate::state::byte_budget::HeldBytes;
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
-use actix_http::header::{HeaderMap, HeaderValue, CONNECTION};
+use actix_http::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -55,12 +56,18 @@
 
 /// One request: read to its end, passed through in a task of its own, its answer given.
 pub async fn answer(f: Arc<Field>, lex: &'static Lexicon, req: Request, closing: bool) -> Response<BoxBody> {
-    let a = match read(req).await {
+    let Some(mut held) = f.requests.hold(REQUEST_BYTES) else { return no_memory() };
+    let a = match read(req, &mut held).await {
         Ok(a) => a,
+        Err(StatusCode::SERVICE_UNAVAILABLE) => return no_memory(),
         Err(status) => return plain(status),
     };
     let (tx, rx) = oneshot::channel();
-    actix_rt::spawn(async move { pass(&f, &f.edge, lex, a, tx).await });
+    actix_rt::spawn(async move {
+        pass(&f, &f.edge, lex, a, tx).await;
+        // given back only now: the end of a turn may have waited for its store
+        drop(held);
+    });
     match rx.await {
         Ok(o) => reply(o, closing),
         // its task has ended without a word: nothing may be promised
@@ -74,7 +81,20 @@
     r
 }
 
-async fn read(mut req: Request) -> Result<Incoming, StatusCode> {
+/// The memory for requests is used up: nothing was begun, and it may come again.
+fn no_memory() -> Response<BoxBody> {
+    let mut r = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, r#"{"error":"edge_memory"}"#.to_string());
+    r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let seconds = format!("{:.2}", PASS_BACK_MS as f64 / 1_000.0);
+    let seconds = HeaderValue::from_str(&seconds).unwrap_or(HeaderValue::from_static("1"));
+    r.headers_mut().insert(RETRY_AFTER, seconds);
+    // its body may not have been read to the end
+    r.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    r.map_into_boxed_body()
+}
+
+/// The request, read to its end; its body's bytes are held for it as they come.
+async fn read(mut req: Request, held: &mut HeldBytes) -> Result<Incoming, StatusCode> {
     let mut body = BytesMut::new();
     let mut p = req.take_payload();
     let whole = async {
@@ -83,6 +103,9 @@
             if body.len() + b.len() > PASS_BODY_BYTES {
                 return Err(StatusCode::PAYLOAD_TOO_LARGE);
             }
+            if !held.grow(BODY_COPIES * b.len()) {
+                return Err(StatusCode::SERVICE_UNAVAILABLE);
+            }
             body.extend_from_slice(&b);
         }
         Ok(())
--- a/huts/src/trailhead.rs
+++ b/huts/src/trailhead.rs
@@ -5,6 +5,8 @@
 use hutbook::coordination::edge::Edge;
 use hutbook::protocol::settings::Settings;
 use hutbook::protocol::wire::Body;
+use hutbook::state::byte_budget::ByteBudget;
+use hutbook::state::edge_budget::EdgeBudget;
 use hutbook::transport::callers::{self, Tally};
 use hutbook::transport::daemon::{self, common, metric, Closing};
 use hutbook::transport::field::{draw, Field};
@@ -22,10 +24,14 @@
 pub fn run(s: Settings, lex: &'static Lexicon) -> Result<(), String> {
     let clock = Clock::start();
     // no disk: every start is a new node, and nothing an older one promised binds it
+    let budget = EdgeBudget::of(s.memory_mb);
     let edge = Arc::new(Edge::new(draw(), &s.cell, &s.http.to_string()));
+    edge.limit_prompt_parts(budget.prompt_parts);
     let handler: Handler = Arc::new(|_, reply| reply.send(Body::Away("a trailhead answers callers only".into())));
     let post = Post::start(edge.id, 0, Some(s.wire), s.at(), handler).map_err(|e| format!("{}: {e}", s.wire))?;
-    actix_rt::System::new().block_on(live(s, lex, clock, edge, post))
+    post.queue.set_limit(budget.rpc_queue);
+    let requests = ByteBudget::new(budget.requests);
+    actix_rt::System::new().block_on(live(s, lex, clock, edge, post, requests))
 }
 
 async fn live(
@@ -34,12 +40,13 @@
     clock: Clock,
     edge: Arc<Edge>,
     post: Arc<Post>,
+    requests: Arc<ByteBudget>,
 ) -> Result<(), String> {
     daemon::outlive_hangups().map_err(|e| e.to_string())?;
     let closing = Closing::default();
     let tally = Arc::new(Tally::default());
     let way = Wired { post: post.clone(), clock };
-    let field = Arc::new(Field::new(edge.clone(), way.clone()));
+    let field = Arc::new(Field::new(edge.clone(), way.clone(), requests));
     let (f, t, c, p) = (field.clone(), tally.clone(), closing.clone(), post.clone());
     let workers = s.workers.unwrap_or_else(daemon::workers);
     let (server, active) = http::serve(s.http, workers, BODY_BYTES, closing.clone(), move |a| {
@@ -162,6 +169,12 @@
     metric(&mut o, "revision", &[], f.edge.view().rev);
     metric(&mut o, "config_revision", &[], f.edge.view().config_rev);
     metric(&mut o, "frames_refused_total", &[], post.refused.load(Ordering::Relaxed));
+    metric(&mut o, "requests_held_bytes", &[], f.requests.held());
+    metric(&mut o, "requests_limit_bytes", &[], f.requests.limit());
+    metric(&mut o, "requests_refused_for_memory_total", &[], f.requests.refused());
+    metric(&mut o, "prompt_parts", &[], f.edge.pass().parts());
+    metric(&mut o, "rpc_queue_bytes", &[], post.queue.held());
+    metric(&mut o, "rpc_queue_refused_total", &[], post.queue.refused());
     post.traffic.told().iter().for_each(|(n, v)| metric(&mut o, n, &[], v));
     for (g, queued, busy, limit, worst) in f.edge.lanes_now(now) {
         let l = [("group", g.as_str())];
