--- a/hutbook/src/transport/front.rs
+++ b/hutbook/src/transport/front.rs
@@ -83,14 +83,12 @@
 
 /// The memory for requests is used up: nothing was begun, and it may come again.
 fn no_memory() -> Response<BoxBody> {
-    let mut r = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, r#"{"error":"edge_memory"}"#.to_string());
-    r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let seconds = format!("{:.2}", PASS_BACK_MS as f64 / 1_000.0);
-    let seconds = HeaderValue::from_str(&seconds).unwrap_or(HeaderValue::from_static("1"));
-    r.headers_mut().insert(RETRY_AFTER, seconds);
-    // its body may not have been read to the end
-    r.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    r.map_into_boxed_body()
+    let mut answer = Response::build(StatusCode::SERVICE_UNAVAILABLE);
+    answer.insert_header((CONTENT_TYPE, "application/json")).insert_header((RETRY_AFTER, seconds));
+    // its body may not have been read to the end, and its connection takes memory too
+    answer.force_close();
+    answer.body(r#"{"error":"edge_memory"}"#).map_into_boxed_body()
 }
 
 /// The request, read to its end; its body's bytes are held for it as they come.
