--- a/hutbook/src/state/memory.rs
+++ b/hutbook/src/state/memory.rs
@@ -2,7 +2,7 @@
 
 use crate::constants::{
     DISK_CACHE_BYTES, DISK_CACHE_LEAST_BYTES, DISK_CACHE_SHARE, LOG_SHARE, SNAPSHOT_BYTES, SNAPSHOT_LEAST_BYTES,
-    STATE_BYTES, STATE_SHARE, TEXT_CACHE_BYTES, TEXT_CACHE_SHARE, TEXT_DISK_BYTES, TEXT_DISK_SHARE,
+    SNAPSHOT_OF_STATE, STATE_BYTES, STATE_SHARE, TEXT_CACHE_BYTES, TEXT_CACHE_SHARE, TEXT_DISK_BYTES, TEXT_DISK_SHARE,
 };
 
 /// bytes. In a megabyte, as machines' memory is told.
@@ -13,6 +13,8 @@
 pub struct MemoryBudget {
     /// State that a group agrees on. What would go over it is refused before it is agreed.
     pub state: usize,
+    /// The newest snapshot of that state, which stands in memory for members that need it.
+    pub snapshot: usize,
     /// Entries applied since the last snapshot: then the next one is taken.
     pub log: usize,
     /// What the database keeps of its file.
@@ -32,6 +34,7 @@
         let part = |share: f64, least: usize, most: usize| ((all * share) as usize).clamp(least, most);
         MemoryBudget {
             state: part(STATE_SHARE, 0, STATE_BYTES),
+            snapshot: part(STATE_SHARE * SNAPSHOT_OF_STATE, 0, (STATE_BYTES as f64 * SNAPSHOT_OF_STATE) as usize),
             log: part(LOG_SHARE, SNAPSHOT_LEAST_BYTES, SNAPSHOT_BYTES),
             disk_cache: part(DISK_CACHE_SHARE, DISK_CACHE_LEAST_BYTES, DISK_CACHE_BYTES),
             text_cache: part(TEXT_CACHE_SHARE, 0, TEXT_CACHE_BYTES),
--- a/hutbook/src/transport/field.rs
+++ b/hutbook/src/transport/field.rs
@@ -11,6 +11,7 @@
 use crate::coordination::edge::Edge;
 use crate::coordination::line::Look;
 use crate::coordination::store::{StoreRequest, StoreResponse};
+use crate::state::byte_budget::ByteBudget;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use std::pin::Pin;
@@ -23,6 +24,8 @@
 pub struct Field {
     pub edge: Arc<Edge>,
     pub clock: Clock,
+    /// Bytes that requests under way hold, ends of turns that wait for their store among them.
+    pub requests: Arc<ByteBudget>,
     stores: Stores<Wired>,
     /// Answers of this edge's own that refuse a request, by the code that they carry.
     pub refusals: RefusalCounts,
@@ -30,9 +33,10 @@
 }
 
 impl Field {
-    pub fn new(edge: Arc<Edge>, way: Wired) -> Field {
+    pub fn new(edge: Arc<Edge>, way: Wired, requests: Arc<ByteBudget>) -> Field {
         let stores = Stores::new(way.clone());
-        Field { edge, clock: way.clock, stores, refusals: RefusalCounts::default(), phases: RecoveryPhases::default() }
+        let (refusals, phases) = (RefusalCounts::default(), RecoveryPhases::default());
+        Field { edge, clock: way.clock, requests, stores, refusals, phases }
     }
 
     /// Tries at stores that had to be repeated, by reason.
--- a/hutbook/src/transport/front.rs
+++ b/hutbook/src/transport/front.rs
@@ -8,8 +8,9 @@
 use super::sessions::{Answer, Bite, Sending, Sessions};
 use crate::constants::*;
 use crate::coordination::pass::Spotted;
+use crate::state::byte_budget::HeldBytes;
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
-use actix_http::header::{HeaderMap, HeaderValue, CONNECTION};
+use actix_http::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -56,8 +57,10 @@
 
 /// One request: read to its end, passed through in a task of its own, its answer given.
 pub async fn answer(f: Arc<Field>, lex: &'static Lexicon, req: Request, closing: bool) -> Response<BoxBody> {
-    let a = match read(req).await {
+    let Some(mut held) = f.requests.hold(REQUEST_BYTES) else { return no_memory() };
+    let a = match read(req, &mut held).await {
         Ok(a) => a,
+        Err(StatusCode::SERVICE_UNAVAILABLE) => return no_memory(),
         Err(status) => return plain(status),
     };
     let now = f.clock.now();
@@ -65,7 +68,11 @@
     f.phases.begin(Phase::TurnServed, now);
     let (tx, rx) = oneshot::channel();
     let passing = f.clone();
-    actix_rt::spawn(async move { pass(&passing, &passing.edge, lex, a, tx).await });
+    actix_rt::spawn(async move {
+        pass(&passing, &passing.edge, lex, a, tx).await;
+        // given back only now: the end of a turn may have waited for its store
+        drop(held);
+    });
     match rx.await {
         Ok(o) => {
             match o.own_code {
@@ -85,7 +92,18 @@
     r
 }
 
-async fn read(mut req: Request) -> Result<Incoming, StatusCode> {
+/// The memory for requests is used up: nothing was begun, and it may come again.
+fn no_memory() -> Response<BoxBody> {
+    let seconds = format!("{:.2}", PASS_BACK_MS as f64 / 1_000.0);
+    let mut answer = Response::build(StatusCode::SERVICE_UNAVAILABLE);
+    answer.insert_header((CONTENT_TYPE, "application/json")).insert_header((RETRY_AFTER, seconds));
+    // its body may not have been read to the end, and its connection takes memory too
+    answer.force_close();
+    answer.body(r#"{"error":"edge_memory"}"#).map_into_boxed_body()
+}
+
+/// The request, read to its end; its body's bytes are held for it as they come.
+async fn read(mut req: Request, held: &mut HeldBytes) -> Result<Incoming, StatusCode> {
     let mut body = BytesMut::new();
     let mut p = req.take_payload();
     let whole = async {
@@ -94,6 +112,9 @@
             if body.len() + b.len() > PASS_BODY_BYTES {
                 return Err(StatusCode::PAYLOAD_TOO_LARGE);
             }
+            if !held.grow(BODY_COPIES * b.len()) {
+                return Err(StatusCode::SERVICE_UNAVAILABLE);
+            }
             body.extend_from_slice(&b);
         }
         Ok(())
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -95,9 +95,11 @@
     let boot = daemon::with_room(|| disk.boot()).await?;
     let summary = BootSummary::of(&boot);
     phases.reach(Phase::SnapshotRead, clock.now(), &summary.fields());
-    let hut =
-        Hut::start(CORE, disk, boot, Core::with(s.shape), Arc::default(), budget, draw(), clock, post.clone(), think)
-            .map_err(|e| e.to_string())?;
+    let feed_bytes = (budget.state as f64 * FEED_SHARE) as usize;
+    let core = Core::with(s.shape).feed_limit(feed_bytes);
+    let texts = Arc::default();
+    let hut = Hut::start(CORE, disk, boot, core, texts, budget, draw(), clock, post.clone(), think)
+        .map_err(|e| e.to_string())?;
     let _ = slot.set(hut.clone());
     actix_rt::spawn(follow_replica(hut.clone(), summary, phases.clone(), clock));
     actix_rt::spawn(warn_of_overdue(phases.clone(), clock));
