--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -70,6 +70,43 @@
 /// times. The state's bound for turns that keep no text: they go on while those that do are refused.
 pub const STATE_UNKEPT: f64 = 1.1;
 
+/// shares. Of a class's bound on the state: between them first turns are let in ever more slowly. What stands
+/// above the upper one is for programs that are under way.
+pub const FIRST_TURN_SLOPE: (f64, f64) = (0.85, 0.97);
+/// share. Of the slope at which as many programs are let in as leave: its middle.
+pub const ADMISSION_MIDDLE: f64 = 0.5;
+/// share. Of the slope: nearer to its top nothing is let in, since one turn would cost too much saved-up room.
+pub const ADMISSION_SLOPE_LEAST: f64 = 0.05;
+/// ms. Over which the room that expiry frees is averaged: many ticks of a store's clock, and less than the
+/// shortest retention.
+pub const ADMISSION_MEMORY_MS: u64 = 5_000;
+/// ms. A shorter time gives no rate: several ticks of a store's clock.
+pub const ADMISSION_MEASURED_LEAST_MS: u64 = 2_000;
+/// ms. In which a store's programs are taken to leave it while no expiry has been seen yet.
+pub const TURNOVER_UNMEASURED_MS: u64 = 120_000;
+/// ms. And at the slowest, whatever was measured: as long as an account may stand.
+pub const TURNOVER_MOST_MS: u64 = 600_000;
+/// ms. Of unused room that may be let in at once: between two ticks of the store's clock.
+pub const ADMISSION_BURST_MS: u64 = 250;
+/// ms. Of refusals whose clients are taken to come back together.
+pub const ADMISSION_BACKLOG_MS: u64 = 1_000;
+/// times. A refusal is planned: as it comes, and again once the leader is confirmed.
+pub const PLANS_OF_A_REFUSAL: f64 = 2.0;
+/// ms. For which an edge refuses by itself after a store's refusal, at the least: a few round trips.
+pub const ADMISSION_HOLD_LEAST_MS: u64 = 20;
+/// ms. And at the most: then the store is asked again, whatever it said.
+pub const ADMISSION_HOLD_MOST_MS: u64 = 500;
+/// ms. Bounds on the time that a refused client is told to stay away.
+pub const RETRY_AFTER_LEAST_MS: u64 = PASS_BACK_MS;
+/// ms. A client that is still there after this long is worth another look.
+pub const RETRY_AFTER_MOST_MS: u64 = 2_000;
+/// parts. Of that time, one is added at random at the most.
+pub const RETRY_AFTER_SPREAD_PART: u64 = 2;
+/// programs. That an edge remembers to have had a turn: several minutes' worth.
+pub const SERVED_PROGRAMS_KEPT: usize = 4_096;
+/// ms. A store group that has answered an edge within this time is taken to be led.
+pub const STORE_HEARD_MS: u64 = 200;
+
 /// ms. How often a trailhead renews its licence.
 pub const RENEW_MS: u64 = 300;
 /// ms. One try at a renewal: three fit into a term.
@@ -313,8 +350,18 @@
 pub const PASS_BACK_MS: u64 = 200;
 /// ms. How long work passed through waits for a licence that is just being renewed.
 pub const PASS_UNLICENSED_MS: u64 = 400;
-/// ms. How long a turn asks for its leave: an election of its store fits in.
-pub const PASS_LEAVE_MS: u64 = 1_500;
+/// part of a route's aim. And no longer than this.
+pub const LEASE_PART: u64 = 4;
+/// part of a route's aim. How long a turn waits for a store group that doesn't answer anybody: longer would
+/// only hold what could be told to come back.
+pub const RESERVE_SILENT_PART: u64 = 4;
+/// part of a route's aim. How long it waits for one that answers others: its turn may still be in time.
+pub const RESERVE_HEARD_PART: u64 = 2;
+/// ms. Bounds on both: a round trip and a sync, and an election.
+pub const RESERVE_LEAST_MS: u64 = 50;
+pub const RESERVE_MOST_MS: u64 = 1_500;
+/// ms. When a turn may come back whose store group could not be reached: an election later.
+pub const RESERVE_BACK_MS: u64 = ELECTION_MS + ELECTION_SPREAD_MS;
 /// ms. How long the end of a kept turn is offered while its user agent waits for the last byte.
 pub const PASS_KEPT_MS: u64 = 2_500;
 /// ms. How long the end of any other turn is offered; then its reservation ends it.
--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -2,6 +2,7 @@
 //! waiting lines and its measurements. Each under its own lock.
 
 use super::control::{Grant, Renewal, Update, Window};
+use super::edge_admission::EdgeAdmission;
 use super::line::{Left, Line, Look, Placed, Refusal, Srv, Wait};
 use super::pass::Pass;
 use super::shares::Held;
@@ -81,6 +82,7 @@
     lanes: RwLock<BTreeMap<String, Lane>>,
     book: Mutex<Book>,
     pass: Mutex<Pass>,
+    admission: Mutex<EdgeAdmission>,
     /// Retries saved up.
     retries: Mutex<f64>,
 }
@@ -96,6 +98,7 @@
             lanes: RwLock::default(),
             book: Mutex::default(),
             pass: Mutex::new(Pass::new(cell)),
+            admission: Mutex::default(),
             retries: Mutex::new(RETRY_MOST),
         }
     }
@@ -122,6 +125,11 @@
         grip(&self.pass)
     }
 
+    /// What the store groups have refused.
+    pub fn admission(&self) -> MutexGuard<'_, EdgeAdmission> {
+        grip(&self.admission)
+    }
+
     /// The last look before work passed through goes out.
     pub fn may_pass(&self, now: u64, group: &str, server: &str) -> bool {
         self.licensed(now) && self.pass().stands(group, server)
--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -1,6 +1,7 @@
 //! Coordination: how many nodes act as one. Synchronous; given the time.
 pub mod control;
 pub mod edge;
+pub mod edge_admission;
 pub mod line;
 pub mod pass;
 pub mod raft;
@@ -8,5 +9,6 @@
 pub mod scaler;
 pub mod shares;
 pub mod store;
+pub mod store_admission;
 mod turns;
 pub mod view;
--- a/hutbook/src/transport/passing.rs
+++ b/hutbook/src/transport/passing.rs
@@ -25,7 +25,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{select, Either};
 use request::{read, sending, text, whole_talk, Said, HOP};
-use reservation::{end, leave, settle};
+use reservation::{end, reserve, settle, Reservation};
 use std::pin::pin;
 use std::sync::Arc;
 use stream::{stream, Streamed};
@@ -82,9 +82,13 @@
     Outgoing { status, headers, body: OutBody::Whole(Bytes::from(j.dump())) }
 }
 
-/// It did not run and never will; the user agent is told at once when to come back.
+/// It did not run and never will; its client is told at once when to come back.
 fn refusal(code: &str) -> Outgoing {
-    own(503, code, Some(PASS_BACK_MS))
+    refusal_until(code, PASS_BACK_MS)
+}
+
+fn refusal_until(code: &str, retry_after_ms: u64) -> Outgoing {
+    own(503, code, Some(retry_after_ms))
 }
 
 /// What became of one sending.
@@ -108,13 +112,20 @@
     }
 }
 
+/// ms. The aim of a request's route, as far as this edge knows its routes.
+fn aim_of(e: &Edge, v: &View, a: &Incoming) -> Option<u64> {
+    let name = e.pass().way(&a.host, a.target.path()).map(str::to_string)?;
+    Some(v.config.as_ref()?.ways.get(&name)?.aim_ms)
+}
+
 /// Passes one request through: way, leave, place, send, answer, end.
 pub async fn pass<G: PassGround + Clone + 'static>(g: &G, e: &Arc<Edge>, lex: &Lexicon, a: Incoming, mut to: Reply) {
     let came = g.now();
     let v = e.view();
-    // without a licence nothing new goes out; one that is just being renewed is waited for shortly
+    // without a lease nothing new goes out; one that is just being renewed is waited for shortly
+    let lease_ms = aim_of(e, &v, &a).map_or(PASS_UNLICENSED_MS, |aim| PASS_UNLICENSED_MS.min(aim / LEASE_PART));
     while !e.licensed(g.now()) {
-        if g.now() > came + PASS_UNLICENSED_MS || to.is_closed() {
+        if g.now() >= came + lease_ms || to.is_closed() {
             return drop(to.send(refusal("no_licence")));
         }
         g.nap(PASS_LOOK_MS).await;
@@ -132,16 +143,20 @@
     };
     let mut body = a.body.clone();
     if let Some(t) = &s.turn {
-        match leave(g, t, &to, came + w.timeout_ms.min(PASS_LEAVE_MS)).await {
-            Some(StoreResponse::TurnMay { chain, server }) => {
+        match reserve(g, e, t, w.aim_ms, came).await {
+            Reservation::Made { chain, server } => {
                 body = whole_talk(&chain, &a.body);
                 s.want.last = server;
             }
-            Some(StoreResponse::TurnSpent) => return drop(to.send(own(402, "allowance_spent", None))),
-            Some(StoreResponse::TurnUnknown) => return drop(to.send(own(404, "no_such_turn", None))),
-            _ => {
-                drop(to.send(refusal("store_unreachable")));
-                // leave may have been given: it is given back when the store can be reached
+            Reservation::BudgetSpent => return drop(to.send(own(402, "allowance_spent", None))),
+            Reservation::TurnUnknown => return drop(to.send(own(404, "no_such_turn", None))),
+            // nothing stands at the store: there is nothing to settle
+            Reservation::Refused { retry_after_ms } => {
+                return drop(to.send(refusal_until("store_full", retry_after_ms)))
+            }
+            Reservation::Unclear { retry_after_ms } => {
+                drop(to.send(refusal_until("store_unreachable", retry_after_ms)));
+                // it may stand: it is given back when the store can be reached
                 return end(g, e, &s, 0, String::new(), None).await;
             }
         }
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -15,6 +15,7 @@
 use crate::protocol::wire::Body;
 use crate::state::entry::Member;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -56,12 +57,34 @@
 pub struct Reach<S> {
     pub way: S,
     hint: Mutex<Option<String>>,
+    /// Of the addresses: where the next ask without a hint begins.
+    first: AtomicUsize,
 }
 
 enum Word {
     Answer,
+    /// It was not taken, nor will this copy be.
+    Refused,
     Go(String),
+    /// Not taken there.
     Again,
+    /// It may have been taken.
+    Unclear,
+}
+
+/// One call under way; the leader's hint is forgotten if it is given up on before its answer.
+struct OpenTry<'a, S> {
+    reach: &'a Reach<S>,
+    to: &'a str,
+    is_answered: bool,
+}
+
+impl<S> Drop for OpenTry<'_, S> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.reach.give_up(self.to);
+        }
+    }
 }
 
 /// What an answer means for the next try.
@@ -70,32 +93,48 @@
     match b {
         Body::CoreSaid(t) => match &**t {
             ControlResponse::NotLeader(m) => to(m),
-            ControlResponse::Lost | ControlResponse::Busy => Word::Again,
+            ControlResponse::Lost => Word::Unclear,
+            ControlResponse::Busy => Word::Again,
             _ => Word::Answer,
         },
         Body::StoreSaid(t) => match &**t {
             StoreResponse::NotLeader(m) => to(m),
-            StoreResponse::Lost | StoreResponse::Busy => Word::Again,
+            StoreResponse::Lost => Word::Unclear,
+            StoreResponse::Busy(None) => Word::Again,
+            StoreResponse::Busy(Some(_)) => Word::Refused,
             _ => Word::Answer,
         },
-        _ => Word::Again,
+        _ => Word::Unclear,
     }
 }
 
-impl<S: Speak> Reach<S> {
-    pub fn new(way: S) -> Reach<S> {
-        Reach { way, hint: Mutex::default() }
-    }
-
+impl<S> Reach<S> {
     fn set_hint(&self, h: Option<String>) {
         *self.hint.lock().unwrap_or_else(|e| e.into_inner()) = h;
     }
 
+    /// Nothing came from this address in time: the next ask begins at another.
+    fn give_up(&self, to: &str) {
+        let mut hint = self.hint.lock().unwrap_or_else(|e| e.into_inner());
+        if hint.as_deref().is_none_or(|h| h == to) {
+            *hint = None;
+            self.first.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl<S: Speak> Reach<S> {
+    pub fn new(way: S) -> Reach<S> {
+        Reach { way, hint: Mutex::default(), first: AtomicUsize::new(0) }
+    }
+
     /// Asks until somebody answers or the time is over; `each` bounds one try. None: it may have run.
-    /// For what may be said twice; an operator's order goes by `operate`.
+    /// For what may be said twice; an operator's order goes by `operate`. A refusal is an answer only while no
+    /// other copy may have been taken. It may be given up on at any time.
     pub async fn ask(&self, addrs: &[String], body: Body, ms: u64, each: u64) -> Option<Body> {
         let end = self.way.now() + ms;
-        let mut turn = 0;
+        let mut turn = self.first.load(Ordering::Relaxed);
+        let mut is_unclear = false;
         let mut next = self.hint.lock().unwrap_or_else(|e| e.into_inner()).clone();
         loop {
             let now = self.way.now();
@@ -109,13 +148,22 @@
                     addrs.get((turn - 1) % addrs.len().max(1))?.clone()
                 }
             };
+            let mut open = OpenTry { reach: self, to: &to, is_answered: false };
             let b = self.way.call(&to, body.clone(), each.min(end - now)).await;
-            match b.as_ref().map(word) {
-                Some(Word::Answer) => {
+            open.is_answered = b.is_some();
+            drop(open);
+            let said = b.as_ref().map_or(Word::Unclear, word);
+            is_unclear |= matches!(said, Word::Unclear);
+            match said {
+                Word::Answer => {
+                    self.set_hint(Some(to));
+                    return b;
+                }
+                Word::Refused if !is_unclear => {
                     self.set_hint(Some(to));
                     return b;
                 }
-                Some(Word::Go(a)) if a != to => next = Some(a),
+                Word::Go(a) if a != to => next = Some(a),
                 _ => {
                     self.set_hint(None);
                     self.pause(end).await;
--- a/huts/src/bothy.rs
+++ b/huts/src/bothy.rs
@@ -40,7 +40,7 @@
         (Body::Raft { group, msg, at }, Some((g, h))) if group == *g => h.msg(l.from, at, msg),
         (Body::Raft { .. }, _) => {}
         (Body::Store { group, ask }, Some((g, h))) if group == *g => {
-            h.ask(*ask, StoreResponse::Busy, move |t| reply.send(Body::StoreSaid(Box::new(t))))
+            h.ask(*ask, StoreResponse::Busy(None), move |t| reply.send(Body::StoreSaid(Box::new(t))))
         }
         (Body::Store { .. }, _) => reply.send(Body::StoreSaid(Box::new(StoreResponse::NotLeader(None)))),
         _ => reply.send(Body::Away("a bothy answers for its store group alone".into())),
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -67,11 +67,12 @@
 
     /// The day is over: what still waits holds this world, and would keep it in memory for ever.
     pub fn close(&self) {
-        let (exec, events, calls) = {
+        let (exec, events, calls, proxies) = {
             let mut w = self.0.borrow_mut();
-            (std::mem::take(&mut w.exec), std::mem::take(&mut w.events), std::mem::take(&mut w.calls))
+            let (exec, events) = (std::mem::take(&mut w.exec), std::mem::take(&mut w.events));
+            (exec, events, std::mem::take(&mut w.calls), std::mem::take(&mut w.proxies))
         };
-        drop((exec, events, calls));
+        drop((exec, events, calls, proxies));
     }
 
     /// Runs until `t`, or until `over` says so.
@@ -182,6 +183,11 @@
         self.0.borrow_mut().shape = s;
     }
 
+    /// What every store process may keep in memory from its next start on.
+    pub fn store_budget(&self, budget: MemoryBudget) {
+        self.0.borrow_mut().store_budget = budget;
+    }
+
     /// A core machine in a cell of its own choosing, with an empty folder.
     pub fn refuge_in(&self, i: usize, cell: &str) {
         let name = format!("refuge{i}");
@@ -216,7 +222,7 @@
     fn boot(&self, name: &str) {
         let now = self.now();
         let mut w = self.0.borrow_mut();
-        let (seed, shape) = (w.rng.next_u64(), w.shape);
+        let (seed, shape, budget) = (w.rng.next_u64(), w.shape, w.store_budget);
         let n = w.nodes.get_mut(name).expect("known node");
         match &mut n.part {
             Part::Core(r) => {
@@ -231,7 +237,7 @@
             Part::Store { group, replica, .. } => {
                 // a folder with a group in it serves at once
                 if let Some(g) = *group {
-                    let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), Store::default(), seed, now);
+                    let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), Store::with(budget), seed, now);
                     *replica = Some(Box::new(rep));
                     *group = Some(g);
                     w.store_fruit(name, f);
@@ -694,7 +700,7 @@
 
     /// Connects, looks through the gate, and sends: from there on it is the network's.
     /// `work` begins at the back end, whatever becomes of the edge.
-    async fn depart<T: 'static, F>(
+    pub(super) async fn depart<T: 'static, F>(
         &self,
         (gate, rev): (&Gate, u64),
         server: &str,
@@ -742,7 +748,7 @@
 }
 
 /// One run's place on a back end, given up when the stream ends or its reader goes.
-struct Hold {
+pub(super) struct Hold {
     world: World,
     server: String,
     life: u64,
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -7,11 +7,13 @@
 mod ground;
 mod majority;
 mod operators;
+mod passing;
 mod requests;
 
 pub use callers::{Kind, CAP};
 pub use ground::{Way, World};
 pub use operators::{put_request, Pending};
+pub use passing::{PendingTurn, TurnAnswer, TurnRequest};
 
 use crate::saw::Saw;
 use disk::Disk;
@@ -25,6 +27,7 @@
 use hutbook::protocol::wire::{Body, CORE};
 use hutbook::state::disk::{Boot, DiskOp};
 use hutbook::state::entry::Member;
+use hutbook::state::memory::MemoryBudget;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -177,6 +180,10 @@
     pub saw: Saw,
     cluster: u64,
     shape: Shape,
+    /// What every store process may keep in memory.
+    store_budget: MemoryBudget,
+    /// The ground of each edge's proxied requests.
+    proxies: BTreeMap<String, ground::Meadow>,
     /// Requests under way at each edge: one count for each, and the entry's own.
     jobs: BTreeMap<String, std::rc::Rc<()>>,
     /// Letters sent between our processes, by kind.
@@ -200,6 +207,8 @@
             saw: Saw::default(),
             cluster: 0,
             shape: Shape::default(),
+            store_budget: MemoryBudget::default(),
+            proxies: BTreeMap::new(),
             jobs: BTreeMap::new(),
             letters: BTreeMap::new(),
             watch: majority::Watch::default(),
@@ -432,7 +441,7 @@
     /// `led`: the term in which it led its group when it asked.
     fn obey(&mut self, name: &str, d: &Duty, led: Option<u64>) {
         let now = self.now;
-        let seed = self.rng.next_u64();
+        let (seed, budget) = (self.rng.next_u64(), self.store_budget);
         let n = self.nodes.get_mut(name).expect("known node");
         let Part::Store { group, replica, cores, .. } = &mut n.part else { return };
         if !d.cores.is_empty() {
@@ -444,7 +453,7 @@
                     n.disk.synced = Boot::founding(n.id, name, None);
                 }
                 *group = Some(g);
-                let (r, f) = Replica::new(n.id, n.disk.synced.clone(), Store::default(), seed, now);
+                let (r, f) = Replica::new(n.id, n.disk.synced.clone(), Store::with(budget), seed, now);
                 n.part = Part::Store { group: Some(g), replica: Some(Box::new(r)), cores: d.cores.clone() };
                 self.store_fruit(name, f);
             }
--- /dev/null
+++ b/scramble/src/fleet/passing.rs
@@ -0,0 +1,170 @@
+//! Clients of proxied work: requests that one edge takes, with the answer and the time of each.
+
+use super::ground::{Hold, Meadow, World};
+use super::*;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use actix_http::{Method, StatusCode, Uri};
+use bytes::Bytes;
+use hutbook::coordination::pass::Spotted;
+use hutbook::transport::dispatch::{Gate, NoAnswer};
+use hutbook::transport::lexicon::LEXICON;
+use hutbook::transport::passing::{pass, Incoming, OutBody, PassAnswer, PassGround};
+use hutbook::transport::reach::Speak;
+use hutbook::transport::sessions::{Bite, Sending};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// The one event of a stand-in server's stream.
+const EVENT: &[u8] = b"id: 1\ndata: x\n\n";
+
+/// One turn as a client sends it.
+#[derive(Clone, Debug, Default)]
+pub struct TurnRequest {
+    pub host: String,
+    pub path: String,
+    pub turn: String,
+    pub program: String,
+    /// The turn that it goes on from; empty at the start.
+    pub before: String,
+    /// ms. How long the client waits for the end of the answer.
+    pub patience_ms: u64,
+}
+
+/// What its client saw.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TurnAnswer {
+    pub status: u16,
+    /// ms. From the request to the head of the answer.
+    pub took_ms: u64,
+    /// ms. When to come back, where the answer says so.
+    pub retry_after_ms: Option<u64>,
+    /// Its stream came to its end.
+    pub whole: bool,
+}
+
+/// A request under way: `None` until its client has an answer or has given up.
+pub type PendingTurn = Rc<RefCell<Option<TurnAnswer>>>;
+
+/// A stand-in server's answer: one event after its work, then the end.
+pub struct OneEvent {
+    ground: Meadow,
+    headers: HeaderMap,
+    work_ms: u64,
+    sent: bool,
+    /// Its slot at the server.
+    _hold: Hold,
+}
+
+impl PassAnswer for OneEvent {
+    fn status(&self) -> StatusCode {
+        StatusCode::OK
+    }
+
+    fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    async fn next(&mut self) -> Bite {
+        if std::mem::replace(&mut self.sent, true) {
+            return Bite::End;
+        }
+        self.ground.way.nap(self.work_ms).await;
+        Bite::Bytes(Bytes::from_static(EVENT))
+    }
+}
+
+impl PassGround for Meadow {
+    type Answer = OneEvent;
+
+    async fn send(&self, to: &Spotted, request: Sending, gate: Gate) -> Result<OneEvent, NoAnswer> {
+        let key = request.job.to_str().unwrap_or_default().to_string();
+        let mut headers = HeaderMap::new();
+        headers.insert(HeaderName::from_static(LEXICON.seal), HeaderValue::from_static("seal"));
+        let ground = self.clone();
+        let work =
+            move |_, back: Back, hold| OneEvent { ground, headers, work_ms: back.work_ms, sent: false, _hold: hold };
+        self.depart((&gate, 0), &to.addr, &key, work).await
+    }
+}
+
+impl World {
+    /// Lists a server of proxied streams, each of which takes so long.
+    pub fn list_stream_server(&self, name: &str, group: &str, slots: u32, work_ms: u64) {
+        let server = Back { model: true, slots, work_ms, says_born: true, ..Back::default() };
+        self.list(name, group, "glen", server, 0);
+    }
+
+    /// The ground of an edge's proxied requests: one for the life of its process.
+    fn proxy_ground(&self, edge: &str) -> Meadow {
+        let state = self.edge(edge);
+        if let Some(ground) = self.0.borrow().proxies.get(edge).filter(|ground| Arc::ptr_eq(&ground.edge, &state)) {
+            return ground.clone();
+        }
+        let ground = self.meadow(edge);
+        self.0.borrow_mut().proxies.insert(edge.into(), ground.clone());
+        ground
+    }
+
+    /// A client sends a turn to this edge and waits for its end.
+    pub fn send_turn(&self, edge: &str, request: TurnRequest) -> PendingTurn {
+        let pending = PendingTurn::default();
+        let (reply, answer) = oneshot::channel();
+        let (ground, edge_state, incoming) = (self.proxy_ground(edge), self.edge(edge), incoming(&request));
+        self.spawn(edge, async move { pass(&ground, &edge_state, &LEXICON, incoming, reply).await });
+        let (way, seen, sent_at) = (self.way("outside"), pending.clone(), self.now());
+        self.spawn("outside", async move {
+            let read = async {
+                let outgoing = answer.await.ok()?;
+                let retry_after_ms =
+                    outgoing.headers.iter().find(|(name, _)| *name == RETRY_AFTER).and_then(|(_, v)| {
+                        let seconds: f64 = v.to_str().ok()?.parse().ok()?;
+                        Some((seconds * 1_000.0) as u64)
+                    });
+                let took_ms = way.now() - sent_at;
+                let whole = read_to_end(outgoing.body).await;
+                Some(TurnAnswer { status: outgoing.status.as_u16(), took_ms, retry_after_ms, whole })
+            };
+            let answer = tokio::select! {
+                biased;
+                answer = read => answer,
+                _ = way.nap(request.patience_ms) => None,
+            };
+            *seen.borrow_mut() = answer;
+        });
+        pending
+    }
+}
+
+fn incoming(request: &TurnRequest) -> Incoming {
+    let mut headers = HeaderMap::new();
+    let mut set = |name: &'static str, value: &str| {
+        let value = HeaderValue::from_str(value).expect("a good header");
+        headers.insert(HeaderName::from_static(name), value);
+    };
+    set(LEXICON.job, &request.turn);
+    set(LEXICON.program, &request.program);
+    set(LEXICON.line, &request.program);
+    set(LEXICON.allowance, "1000");
+    set(LEXICON.tokens, "10,10");
+    if !request.before.is_empty() {
+        set(LEXICON.before, &request.before);
+    }
+    Incoming {
+        method: Method::POST,
+        target: request.path.parse::<Uri>().expect("a good path"),
+        host: request.host.clone(),
+        headers,
+        body: Bytes::from_static(b"input"),
+    }
+}
+
+/// Whether the body came to its end.
+async fn read_to_end(body: OutBody) -> bool {
+    let OutBody::Events(mut events) = body else { return true };
+    while let Some(event) = events.recv().await {
+        if event.is_err() {
+            return false;
+        }
+    }
+    true
+}
