--- /dev/null
+++ b/hutbook/tests/store_refusals.rs
@@ -0,0 +1,111 @@
+//! What the client of a store group makes of refusals and of members that say nothing.
+
+use futures_util::FutureExt;
+use hutbook::constants::*;
+use hutbook::coordination::store::{StoreRequest, StoreResponse};
+use hutbook::coordination::store_admission::{Refusal, WorkClass};
+use hutbook::protocol::wire::Body;
+use hutbook::transport::reach::{Reach, Speak};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+const REFUSAL: Refusal = Refusal { class: WorkClass::FirstKept, retry_after_ms: 700, hold_ms: 40 };
+
+/// Members whose answers are written down beforehand, on a clock that only waiting moves.
+#[derive(Clone, Default)]
+struct Script(Rc<RefCell<Inner>>);
+
+#[derive(Default)]
+struct Inner {
+    now: u64,
+    answers: VecDeque<Option<StoreResponse>>,
+    asked: Vec<String>,
+    /// This address never answers, nor does its call end.
+    silent: Option<String>,
+}
+
+impl Speak for Script {
+    fn now(&self) -> u64 {
+        self.0.borrow().now
+    }
+
+    fn draw(&self) -> u64 {
+        1
+    }
+
+    async fn nap(&self, ms: u64) {
+        self.0.borrow_mut().now += ms;
+    }
+
+    async fn call(&self, to: &str, _: Body, ms: u64) -> Option<Body> {
+        self.0.borrow_mut().asked.push(to.into());
+        if self.0.borrow().silent.as_deref() == Some(to) {
+            std::future::pending::<()>().await;
+        }
+        let answer = self.0.borrow_mut().answers.pop_front().flatten();
+        self.nap(if answer.is_some() { 1 } else { ms }).await;
+        answer.map(|a| Body::StoreSaid(Box::new(a)))
+    }
+}
+
+fn members() -> [String; 3] {
+    ["a", "b", "c"].map(String::from)
+}
+
+/// What is answered, after how long; nothing where the call doesn't end.
+fn ask(reach: &Reach<Script>) -> Option<(Option<StoreResponse>, u64)> {
+    let start = reach.way.now();
+    let body = Body::Store { group: 1, ask: Box::new(StoreRequest::Status) };
+    let answer = reach.ask(&members(), body, STORE_MS, CALL_MS).now_or_never()?;
+    let answer = match answer {
+        Some(Body::StoreSaid(r)) => Some(*r),
+        _ => None,
+    };
+    Some((answer, reach.way.now() - start))
+}
+
+fn client(answers: &[Option<StoreResponse>]) -> Reach<Script> {
+    let script = Script::default();
+    script.0.borrow_mut().answers = answers.iter().cloned().collect();
+    Reach::new(script)
+}
+
+#[test]
+fn a_refusal_is_final_and_comes_at_once() {
+    let reach = client(&[Some(StoreResponse::NotLeader(None)), Some(StoreResponse::Busy(Some(REFUSAL)))]);
+    let (answer, took) = ask(&reach).expect("it ends");
+    assert_eq!(answer, Some(StoreResponse::Busy(Some(REFUSAL))));
+    assert!(took <= HUNT_MS + 2, "{took} ms");
+}
+
+#[test]
+fn a_refusal_is_not_told_where_an_earlier_copy_may_have_been_taken() {
+    // given a copy without an answer, or one whose outcome its leader doesn't know, and then a refusal
+    for unclear in [None, Some(StoreResponse::Lost)] {
+        let refusals = std::iter::repeat_n(Some(StoreResponse::Busy(Some(REFUSAL))), 1_000);
+        let answers: Vec<Option<StoreResponse>> = std::iter::once(unclear).chain(refusals).collect();
+        // then no answer is clear
+        assert_eq!(ask(&client(&answers)).expect("it ends").0, None);
+    }
+}
+
+#[test]
+fn busy_without_a_refusal_is_asked_again() {
+    let reach = client(&[Some(StoreResponse::Busy(None)), Some(StoreResponse::Settled)]);
+    assert_eq!(ask(&reach).expect("it ends").0, Some(StoreResponse::Settled));
+}
+
+#[test]
+fn a_silent_leader_that_was_given_up_on_is_not_asked_first_again() {
+    // given a client that knows its leader, which then falls silent
+    let reach = client(&[Some(StoreResponse::Settled)]);
+    ask(&reach).expect("it ends");
+    reach.way.0.borrow_mut().silent = Some("a".into());
+    // when a request is given up on before its call ends
+    assert!(ask(&reach).is_none());
+    // then the next one begins at another member
+    reach.way.0.borrow_mut().answers.push_back(Some(StoreResponse::Settled));
+    assert_eq!(ask(&reach).expect("it ends").0, Some(StoreResponse::Settled));
+    assert_eq!(reach.way.0.borrow().asked, ["a", "a", "b"]);
+}
--- a/scramble/tests/refusal.rs
+++ b/scramble/tests/refusal.rs
@@ -353,3 +353,23 @@
     // nothing expires while there is no power: some two seconds' room of the twenty is missing
     assert!(lost_begun as f64 >= 0.9 * begun as f64, "begun {lost_begun} of {begun}; {lost_share:.3} of {share:.3}");
 }
+
+#[test]
+fn nobody_is_held_by_an_edge_without_a_lease() {
+    // given an edge whose lease has lapsed, since its core is down
+    let w = fleet(1, STATE_BYTES);
+    w.kill("refuge1");
+    w.run(LICENCE_MS + 2 * DRIFT_MS);
+    // when a turn comes, then its client is told at once
+    told_at_once(&send(&w, turn(KEPT, "p", "p-a", "")));
+}
+
+#[test]
+fn nobody_is_held_where_no_server_is_listed() {
+    // given a service without servers
+    let w = fleet(1, STATE_BYTES);
+    w.leave("model01");
+    w.run(1_000);
+    // when a turn comes, then its client is told at once
+    told_at_once(&send(&w, turn(KEPT, "p", "p-a", "")));
+}
