--- a/hutbook/src/coordination/store/messages.rs
+++ b/hutbook/src/coordination/store/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between an edge and the store, the records that they carry, and the command in the log.
 
 use crate::coordination::shares::OpenAt;
+use crate::coordination::store_admission::Refusal;
 use crate::state::entry::Member;
 use crate::state::texts::TextPlace;
 
@@ -162,7 +163,8 @@
         #[n(10)] NotLeader(#[n(0)] Option<Member>),
         /// Taken, but whether it came to pass is not known here.
         #[n(11)] Lost,
-        #[n(12)] Busy,
+        /// Not taken, and nothing will come of it; with the refusal where admission control spoke.
+        #[n(12)] Busy(#[n(0)] Option<Refusal>),
         #[n(13)] WrongGroup,
         #[n(14)] Open(#[n(0)] Vec<OpenAt>),
         /// It may run. The chain before it, oldest first (texts only of what the edge doesn't hold),
--- a/hutbook/src/coordination/store/mod.rs
+++ b/hutbook/src/coordination/store/mod.rs
@@ -21,6 +21,7 @@
 use super::raft::{Denial, Raft};
 use super::replica::{LeaderContext, LeaderTask, Plan, StateMachine};
 use super::shares::OpenAt;
+use super::store_admission::{Load, Refusal, StoreAdmission, WorkClass};
 use crate::constants::*;
 use crate::state::entry::{from_bytes, to_bytes, Member, Members};
 use crate::state::memory::MemoryBudget;
@@ -103,6 +104,7 @@
 pub struct Store {
     kept: State,
     budget: MemoryBudget,
+    admission: StoreAdmission,
     /// Ids of the jobs whose intents stand: folded from what is kept.
     open: MeasuredMap<String, ()>,
     /// The leader's clock: the committed one, run on from when it rose.
@@ -132,15 +134,32 @@
         usage
     }
 
-    /// Is this new work that there is no memory for? What ends work under way is always taken.
-    fn over_budget(&self, ask: &StoreRequest) -> bool {
-        let bound = match ask {
-            StoreRequest::TurnLeave(l) if l.retention_ms == 0 => (self.budget.state as f64 * STATE_UNKEPT) as usize,
-            StoreRequest::Put { .. } | StoreRequest::Begin(_) | StoreRequest::TurnLeave(_) => self.budget.state,
-            _ => return false,
-        };
+    /// What the request brings; None for what ends work under way, and for reads.
+    fn class_of(&self, ask: &StoreRequest) -> Option<WorkClass> {
+        match ask {
+            StoreRequest::TurnLeave(l) => {
+                let is_first = l.before.is_empty() && !self.kept.turns.has_account(&l.program);
+                Some(WorkClass::of(is_first, l.retention_ms > 0))
+            }
+            StoreRequest::Put { id, .. } => Some(WorkClass::of(!self.kept.programs.contains_key(id), true)),
+            StoreRequest::Begin(_) => Some(WorkClass::NextKept),
+            _ => None,
+        }
+    }
+
+    fn load(&self) -> Load {
+        let (accounts, _, _) = self.kept.turns.counts();
         let (texts, texts_most) = self.text_disk_bytes();
-        self.usage().total() >= bound || texts >= texts_most
+        let bytes = self.usage().total();
+        let uses = [(bytes, self.budget.state), (texts as usize, texts_most as usize), (accounts, ACCOUNTS_KEPT)];
+        Load::new(&uses, accounts + self.kept.programs.len(), bytes)
+    }
+
+    /// The refusal of new work that there is no room for.
+    fn refusal(&mut self, now: u64, ask: &StoreRequest) -> Option<Refusal> {
+        let class = self.class_of(ask)?;
+        let (clock, load) = (self.clock(now), self.load());
+        self.admission.admit(clock, class, &load).err()
     }
 
     fn clock(&mut self, now: u64) -> u64 {
@@ -181,8 +200,8 @@
 
     fn plan(&mut self, st: LeaderContext, ask: &StoreRequest) -> Plan<StoreResponse> {
         // said before anything is agreed: the members' machines may differ, their states may not
-        if self.over_budget(ask) {
-            return Plan::Reply(StoreResponse::Busy);
+        if let Some(refusal) = self.refusal(st.now, ask) {
+            return Plan::Reply(StoreResponse::Busy(Some(refusal)));
         }
         match ask {
             StoreRequest::Program { .. } | StoreRequest::Look { .. } | StoreRequest::Status | StoreRequest::Open => {
@@ -237,9 +256,11 @@
             return StoreResponse::Lost;
         };
         self.kept.clock = self.kept.clock.max(cmd.clock);
+        let before = self.kept.usage().total();
         self.pass_time();
         let c = self.kept.clock;
         self.kept.turns.pass_time(c);
+        self.admission.note_freed(c, before.saturating_sub(self.kept.usage().total()));
         // only a leader's answer is heard by anybody
         let told = self.base.is_some();
         match cmd.ask {
@@ -310,6 +331,7 @@
     fn became_leader(&mut self, st: LeaderContext) {
         self.base = Some((self.kept.clock, st.now));
         self.clock_at = st.now;
+        self.admission.begin(self.kept.clock);
         // an order from before this term may have been overtaken by one that another leader carried out
         self.orders = Orders::default();
     }
@@ -350,14 +372,14 @@
         match chain.into_iter().map(read).collect() {
             Some(chain) => StoreResponse::TurnMay { chain, server },
             // a text that can't be read is not told as another, nor as unknown
-            None => StoreResponse::Busy,
+            None => StoreResponse::Busy(None),
         }
     }
 
     fn denied(&self, why: Denial, leader: Option<Member>) -> StoreResponse {
         match why {
             Denial::NotLeader => StoreResponse::NotLeader(leader),
-            Denial::Busy => StoreResponse::Busy,
+            Denial::Busy => StoreResponse::Busy(None),
             Denial::Lost | Denial::Unsafe(_) => StoreResponse::Lost,
         }
     }
--- a/hutbook/src/coordination/store/turns.rs
+++ b/hutbook/src/coordination/store/turns.rs
@@ -60,6 +60,10 @@
         (self.accounts.len(), self.kept.len(), self.kept.text_bytes())
     }
 
+    pub(super) fn has_account(&self, program: &str) -> bool {
+        self.accounts.get(ProgramId::of(program)).is_some()
+    }
+
     /// bytes that the index of kept turns takes in memory, with the names of servers.
     pub(super) fn index_bytes(&self) -> usize {
         self.kept.index_bytes() + self.servers.bytes(STATE_SERVER_BYTES)
@@ -74,13 +78,13 @@
         self.accounts.touch(now, program, retention_ms);
         // it came late: its end has been told already
         if self.accounts.is_settled(turn) || self.kept.contains(turn) {
-            return StoreResponse::Busy;
+            return StoreResponse::Busy(None);
         }
         let known = self.accounts.get(program);
         match known.and_then(|account| account.reservation(turn)).map(|r| r.edge) {
             // its answer was lost: the same again
             Some(edge) if edge == l.edge => return self.may(l, told),
-            Some(_) => return StoreResponse::Busy,
+            Some(_) => return StoreResponse::Busy(None),
             None => {}
         }
         if l.budget < u64::MAX && known.map_or(0, Account::owed) >= l.budget {
@@ -92,7 +96,7 @@
         // said before anything is promised: a store out of memory keeps nobody's promise
         let too_many = known.is_none() && self.accounts.len() >= ACCOUNTS_KEPT;
         if too_many || !self.fits(l) {
-            return StoreResponse::Busy;
+            return StoreResponse::Busy(None);
         }
         let until = now + DISPATCH_MS + l.run_ms.min(DAY_MS);
         let reservation = Reservation { turn, edge: l.edge, cap: l.cap, until };
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -16,7 +16,7 @@
 use crate::protocol::wire::Body;
 use crate::state::entry::Member;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -62,6 +62,8 @@
     pub retries: Arc<RefusalCounts>,
     /// Somebody looks for the leader; None where everybody does so by himself.
     search: Option<AtomicBool>,
+    /// Of the addresses: where the next ask without a hint begins.
+    first: AtomicUsize,
 }
 
 /// The right to look for the leader on behalf of all who ask by the same `Reach`. Given back when it is dropped.
@@ -81,10 +83,30 @@
 
 enum Word {
     Answer,
+    /// It was not taken, nor will this copy be.
+    Refused,
     Go(String),
-    /// Too much is under way there.
+    /// Too much is under way there; not taken.
     Busy,
+    /// Not taken there.
     Again,
+    /// It may have been taken.
+    Unclear,
+}
+
+/// One call under way; the leader's hint is forgotten if it is given up on before its answer.
+struct OpenTry<'a, S> {
+    reach: &'a Reach<S>,
+    to: &'a str,
+    is_answered: bool,
+}
+
+impl<S> Drop for OpenTry<'_, S> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.reach.give_up(self.to);
+        }
+    }
 }
 
 /// What an answer means for the next try.
@@ -93,17 +115,33 @@
     match b {
         Body::CoreSaid(t) => match &**t {
             ControlResponse::NotLeader(m) => to(m),
-            ControlResponse::Lost => Word::Again,
+            ControlResponse::Lost => Word::Unclear,
             ControlResponse::Busy => Word::Busy,
             _ => Word::Answer,
         },
         Body::StoreSaid(t) => match &**t {
             StoreResponse::NotLeader(m) => to(m),
-            StoreResponse::Lost => Word::Again,
-            StoreResponse::Busy => Word::Busy,
+            StoreResponse::Lost => Word::Unclear,
+            StoreResponse::Busy(None) => Word::Busy,
+            StoreResponse::Busy(Some(_)) => Word::Refused,
             _ => Word::Answer,
         },
-        _ => Word::Again,
+        _ => Word::Unclear,
+    }
+}
+
+impl<S> Reach<S> {
+    fn set_hint(&self, h: Option<String>) {
+        *self.hint.lock().unwrap_or_else(|e| e.into_inner()) = h;
+    }
+
+    /// Nothing came from this address in time: the next ask begins at another.
+    fn give_up(&self, to: &str) {
+        let mut hint = self.hint.lock().unwrap_or_else(|e| e.into_inner());
+        if hint.as_deref().is_none_or(|h| h == to) {
+            *hint = None;
+            self.first.fetch_add(1, Ordering::Relaxed);
+        }
     }
 }
 
@@ -129,18 +167,14 @@
 
 impl<S: Speak> Reach<S> {
     pub fn new(way: S) -> Reach<S> {
-        Reach { way, hint: Mutex::default(), retries: Arc::default(), search: None }
+        Reach { way, hint: Mutex::default(), retries: Arc::default(), search: None, first: AtomicUsize::new(0) }
     }
 
     /// One for many who ask at once: while the leader isn't known one of them looks for it and the others wait
     /// for what it finds, or a group without a leader would be asked by each of them again and again. Repeated
     /// tries are counted in `retries`.
     pub fn shared(way: S, retries: Arc<RefusalCounts>) -> Reach<S> {
-        Reach { way, hint: Mutex::default(), retries, search: Some(AtomicBool::new(false)) }
-    }
-
-    fn set_hint(&self, h: Option<String>) {
-        *self.hint.lock().unwrap_or_else(|e| e.into_inner()) = h;
+        Reach { way, hint: Mutex::default(), retries, search: Some(AtomicBool::new(false)), first: AtomicUsize::new(0) }
     }
 
     fn hint(&self) -> Option<String> {
@@ -156,10 +190,12 @@
     }
 
     /// Asks until somebody answers or the time is over; `each` bounds one try. None: it may have run.
-    /// For what may be said twice; an operator's order goes by `operate`.
+    /// For what may be said twice; an operator's order goes by `operate`. A refusal is an answer only while no
+    /// other copy may have been taken. It may be given up on at any time.
     pub async fn ask(&self, addrs: &[String], body: Body, ms: u64, each: u64) -> Option<Body> {
         let end = self.way.now() + ms;
-        let mut turn = 0;
+        let mut turn = self.first.load(Ordering::Relaxed);
+        let mut is_unclear = false;
         let mut next = self.hint();
         let mut search = None;
         let mut pauses = 0;
@@ -185,18 +221,26 @@
                     addrs.get((turn - 1) % addrs.len().max(1))?.clone()
                 }
             };
+            let mut open = OpenTry { reach: self, to: &to, is_answered: false };
             let b = self.way.call(&to, body.clone(), each.min(end - now)).await;
-            let meaning = b.as_ref().map(word);
-            if !matches!(meaning, Some(Word::Answer)) {
+            open.is_answered = b.is_some();
+            drop(open);
+            let meaning = b.as_ref().map_or(Word::Unclear, word);
+            if !matches!(meaning, Word::Answer | Word::Refused) {
                 self.retries.count(retry_reason(b.as_ref()));
             }
+            is_unclear |= matches!(meaning, Word::Unclear);
             match meaning {
-                Some(Word::Answer) => {
+                Word::Answer => {
+                    self.set_hint(Some(to));
+                    return b;
+                }
+                Word::Refused if !is_unclear => {
                     self.set_hint(Some(to));
                     return b;
                 }
-                Some(Word::Go(a)) if a != to => next = Some(a),
-                Some(Word::Busy) => {
+                Word::Go(a) if a != to => next = Some(a),
+                Word::Busy | Word::Refused => {
                     // whoever is busy is there: looking elsewhere would only bring the others work
                     search = None;
                     self.set_hint(Some(to.clone()));
--- a/huts/src/bothy.rs
+++ b/huts/src/bothy.rs
@@ -46,7 +46,7 @@
         (Body::Raft { .. }, _) => {}
         (Body::Store { group, ask }, Some((g, h))) if group == *g => {
             let (m, hut) = (m.clone(), h.clone());
-            h.ask(*ask, StoreResponse::Busy, move |t| {
+            h.ask(*ask, StoreResponse::Busy(None), move |t| {
                 m.observe(&t, &hut);
                 reply.send(Body::StoreSaid(Box::new(t)))
             })
--- a/huts/src/store_metrics.rs
+++ b/huts/src/store_metrics.rs
@@ -19,8 +19,8 @@
 /// Why a store did not do what it was asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreRefusal {
-    /// The state stands at its part of the memory, or over it.
-    OverMemory,
+    /// The state or the texts are near to their part of the memory or the disk, or over it.
+    NoRoom,
     /// Too much is under way, or the same turn is; the state has room.
     Busy,
     /// The group has no leader that this member knows.
@@ -43,7 +43,7 @@
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            StoreRefusal::OverMemory => "over_memory",
+            StoreRefusal::NoRoom => "no_room",
             StoreRefusal::Busy => "busy",
             StoreRefusal::NoLeader => "no_leader",
             StoreRefusal::NotLeader => "not_leader",
@@ -121,16 +121,12 @@
     Some(kibibytes * KIBIBYTE)
 }
 
-/// Why the answer is a refusal; None where it isn't one. `is_over_memory` and `is_disk_failing` are asked only
-/// of those that may come from either.
-pub fn classify(
-    response: &StoreResponse,
-    is_over_memory: impl FnOnce() -> bool,
-    is_disk_failing: impl FnOnce() -> bool,
-) -> Option<StoreRefusal> {
+/// Why the answer is a refusal; None where it isn't one. `is_disk_failing` is asked only of those that may come
+/// from it.
+pub fn classify(response: &StoreResponse, is_disk_failing: impl FnOnce() -> bool) -> Option<StoreRefusal> {
     Some(match response {
-        StoreResponse::Busy if is_over_memory() => StoreRefusal::OverMemory,
-        StoreResponse::Busy => StoreRefusal::Busy,
+        StoreResponse::Busy(Some(_)) => StoreRefusal::NoRoom,
+        StoreResponse::Busy(None) => StoreRefusal::Busy,
         StoreResponse::NotLeader(Some(_)) => StoreRefusal::NotLeader,
         StoreResponse::NotLeader(None) if is_disk_failing() => StoreRefusal::DiskFailing,
         StoreResponse::NotLeader(None) => StoreRefusal::NoLeader,
@@ -152,12 +148,8 @@
 impl StoreMetrics {
     /// Looks at an answer on its way out, and counts it if it is a refusal.
     pub fn observe(&self, response: &StoreResponse, hut: &Hut<Store>) {
-        let is_over_memory = || {
-            let (state, most) = hut.look(|replica| replica.machine.state_bytes());
-            state >= most
-        };
         let is_disk_failing = || hut.disk_failing.load(Ordering::Relaxed);
-        if let Some(refusal) = classify(response, is_over_memory, is_disk_failing) {
+        if let Some(refusal) = classify(response, is_disk_failing) {
             self.refusals.count(refusal.name());
         }
     }
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -8,11 +8,13 @@
 mod leadership;
 mod majority;
 mod operators;
+mod passing;
 mod requests;
 
 pub use callers::{Kind, CAP};
 pub use ground::{Way, World};
 pub use operators::{put_request, Pending};
+pub use passing::{PendingTurn, TurnAnswer, TurnRequest};
 
 use crate::saw::Saw;
 use disk::Disk;
@@ -181,6 +183,10 @@
     pub saw: Saw,
     cluster: u64,
     shape: Shape,
+    /// What every store process may keep in memory.
+    store_budget: MemoryBudget,
+    /// The ground of each edge's proxied requests.
+    proxies: BTreeMap<String, ground::Meadow>,
     /// Requests under way at each edge: one count for each, and the entry's own.
     jobs: BTreeMap<String, std::rc::Rc<()>>,
     /// Letters sent between our processes, by kind.
@@ -206,6 +212,8 @@
             saw: Saw::default(),
             cluster: 0,
             shape: Shape::default(),
+            store_budget: MemoryBudget::default(),
+            proxies: BTreeMap::new(),
             jobs: BTreeMap::new(),
             letters: BTreeMap::new(),
             arrivals: None,
@@ -444,7 +452,7 @@
     /// `led`: the term in which it led its group when it asked.
     fn obey(&mut self, name: &str, d: &Duty, led: Option<u64>) {
         let now = self.now;
-        let seed = self.rng.next_u64();
+        let (seed, budget) = (self.rng.next_u64(), self.store_budget);
         let n = self.nodes.get_mut(name).expect("known node");
         let Part::Store { group, replica, cores, .. } = &mut n.part else { return };
         if !d.cores.is_empty() {
@@ -456,7 +464,7 @@
                     n.disk.synced = Boot::founding(n.id, name, None);
                 }
                 *group = Some(g);
-                let store = Store::with(MemoryBudget::default(), n.disk.texts.clone());
+                let store = Store::with(budget, n.disk.texts.clone());
                 let (r, f) = Replica::new(n.id, n.disk.synced.clone(), store, seed, now);
                 n.part = Part::Store { group: Some(g), replica: Some(Box::new(r)), cores: d.cores.clone() };
                 self.store_fruit(name, f);
