--- a/scramble/src/bin/nemesis.rs
+++ b/scramble/src/bin/nemesis.rs
@@ -5,7 +5,8 @@
 use scramble::crossing::{column, Failure, FAILURES};
 use scramble::flags::{fail, number, parse};
 use scramble::linearize::{check_day, history_of, Checked};
-use scramble::nemesis::{day, KINDS};
+use scramble::long_day::{judge, live, report, Closing, Plan};
+use scramble::nemesis::{day, full_state_day, full_state_plan, FULL_STATE_KINDS, KINDS};
 use scramble::scale::measure;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -168,6 +169,65 @@
     bad > 0
 }
 
+/// The grown load for ten retentions with each closing fault, and at twice the load; true when a line was broken.
+fn long_days(from: u64, seeds: u64, threads: u64, scale: u64) -> bool {
+    let grown = Plan::grown(scale);
+    let plans = [
+        ("all without power", grown.clone()),
+        ("a disk lost as well", Plan { closing: Closing::PowerAndDisk, ..grown.clone() }),
+        ("twice the load", Plan { load_percent: 200, ..grown }),
+    ];
+    let bad = AtomicU64::new(0);
+    let all = seeds * plans.len() as u64;
+    spread(from * plans.len() as u64, all, threads, |number| {
+        let (seed, (name, plan)) = (number / plans.len() as u64, &plans[number as usize % plans.len()]);
+        let seen = live(seed, plan);
+        let breaches = judge(plan, &seen);
+        bad.fetch_add(u64::from(!breaches.is_empty()), Ordering::Relaxed);
+        let lines = report(&seen, &breaches).join("\n  ");
+        println!("long day, {name}, seed {seed}, scale {scale}:\n  {lines}");
+    });
+    let bad = bad.into_inner();
+    println!("long days {all}, with a breach {bad}");
+    bad > 0
+}
+
+/// Days whose stores are near their bound; true when a line was broken.
+fn full_state_days(from: u64, seeds: u64, threads: u64, deeds: bool) -> bool {
+    let bad = AtomicU64::new(0);
+    let kinds = Mutex::new(BTreeMap::<&str, (u64, u64)>::new());
+    spread(from, seeds, threads, |seed| {
+        let Ok(lived) = std::panic::catch_unwind(|| full_state_day(seed)) else {
+            bad.fetch_add(1, Ordering::Relaxed);
+            return println!("seed {seed}: the day itself failed: {:?}", full_state_plan(seed));
+        };
+        for (kind, times) in &lived.kinds {
+            let mut all = kinds.lock().unwrap();
+            let of = all.entry(kind).or_default();
+            *of = (of.0 + times, of.1 + 1);
+        }
+        if lived.breaches.is_empty() {
+            return;
+        }
+        bad.fetch_add(1, Ordering::Relaxed);
+        println!("seed {seed}: {} breaches", lived.breaches.len());
+        lived.breaches.iter().for_each(|breach| println!("  {}: {}", breach.line, breach.what));
+        if deeds {
+            println!("    {:?}", lived.plan);
+            report(&lived.seen, &[]).iter().for_each(|line| println!("    {line}"));
+        }
+    });
+    let bad = bad.into_inner();
+    println!("full-state days {seeds} (seeds from {from}), days with a breach {bad}");
+    println!("{:<40} {:>6} {:>6}", "brought about", "times", "days");
+    let kinds = kinds.into_inner().unwrap();
+    for kind in FULL_STATE_KINDS {
+        let (times, days) = kinds.get(kind).copied().unwrap_or_default();
+        println!("{kind:<40} {times:>6} {days:>6}");
+    }
+    bad > 0
+}
+
 /// Runs a job for each seed, several at once.
 fn spread(from: u64, seeds: u64, threads: u64, f: impl Fn(u64) + Sync) {
     let next = AtomicU64::new(from);
@@ -195,6 +255,9 @@
     o.optflag("", "table", "every never-point against every failure: how often exposed, and breaches");
     o.optmulti("", "under", "with --table: only under this failure (several)", "NAME");
     o.optopt("", "within", "minutes the run may take (360)", "N");
+    o.optflag("", "long-days", "ten retentions of the grown load, then a total loss, for each seed");
+    o.optopt("", "part", "with --long-days: stores and load are a machine's divided by this (10)", "N");
+    o.optflag("", "full-state", "days whose stores are near their bound, with losses on top, for each seed");
     o.optflag("", "scale", "how letters and work grow with edges and servers");
     let m = parse(NAME, &mut o);
     let n = |k: &str, d| number(NAME, &m, k, d);
@@ -208,14 +271,26 @@
         }
         return;
     }
-    let many = match (m.opt_present("table"), m.opt_present("catalogue")) {
-        (true, _) => FAILURES.len(),
-        (_, true) => DRILLS.len(),
+    let many = match (m.opt_present("table"), m.opt_present("catalogue"), m.opt_present("long-days")) {
+        (true, _, _) => FAILURES.len(),
+        (_, true, _) => DRILLS.len(),
+        // three days, each as long as ten
+        (_, _, true) => 30,
         _ => 1,
     };
     if let Err(why) = fits(from, seeds, many as u64, n("threads", 4), n("within", 360)) {
         fail(NAME, &why);
     }
+    if m.opt_present("long-days") {
+        let part = n("part", 10);
+        if part == 0 {
+            fail(NAME, "--part must be at least 1");
+        }
+        std::process::exit(i32::from(long_days(from, seeds, n("threads", 4), part)));
+    }
+    if m.opt_present("full-state") {
+        std::process::exit(i32::from(full_state_days(from, seeds, n("threads", 4), m.opt_present("deeds"))));
+    }
     if m.opt_present("table") {
         let under = m.opt_strs("under");
         if let Some(u) = under.iter().find(|u| FAILURES.iter().all(|f| f.name != u.as_str())) {
--- a/scramble/src/fleet/callers.rs
+++ b/scramble/src/fleet/callers.rs
@@ -46,7 +46,7 @@
 }
 
 impl World {
-    pub(super) fn meadow(&self, edge: &str) -> Meadow {
+    pub(crate) fn meadow(&self, edge: &str) -> Meadow {
         let way = self.way(edge);
         Meadow { edge: self.edge(edge), stores: Rc::new(Stores::new(way.clone())), way }
     }
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -182,6 +182,11 @@
         self.0.borrow_mut().shape = s;
     }
 
+    /// What every store machine that starts from here on may keep in memory.
+    pub fn store_memory(&self, memory: MemoryBudget) {
+        self.0.borrow_mut().store_memory = memory;
+    }
+
     /// A core machine in a cell of its own choosing, with an empty folder.
     pub fn refuge_in(&self, i: usize, cell: &str) {
         let name = format!("refuge{i}");
@@ -216,7 +221,7 @@
     fn boot(&self, name: &str) {
         let now = self.now();
         let mut w = self.0.borrow_mut();
-        let (seed, shape) = (w.rng.next_u64(), w.shape);
+        let (seed, shape, memory) = (w.rng.next_u64(), w.shape, w.store_memory);
         let n = w.nodes.get_mut(name).expect("known node");
         match &mut n.part {
             Part::Core(r) => {
@@ -231,7 +236,7 @@
             Part::Store { group, replica, .. } => {
                 // a folder with a group in it serves at once
                 if let Some(g) = *group {
-                    let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), Store::default(), seed, now);
+                    let (rep, f) = store_replica(n.id, n.disk.synced.clone(), memory, seed, now);
                     *replica = Some(Box::new(rep));
                     *group = Some(g);
                     w.store_fruit(name, f);
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 mod requests;
 
 pub use callers::{Kind, CAP};
-pub use ground::{Way, World};
+pub use ground::{Meadow, Way, World};
 pub use operators::{put_request, Pending};
 
 use crate::saw::Saw;
@@ -25,6 +25,7 @@
 use hutbook::protocol::wire::{Body, CORE};
 use hutbook::state::disk::{Boot, DiskOp};
 use hutbook::state::entry::Member;
+use hutbook::state::memory::MemoryBudget;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -177,6 +178,8 @@
     pub saw: Saw,
     cluster: u64,
     shape: Shape,
+    /// What every store machine may keep in memory, once it starts.
+    store_memory: MemoryBudget,
     /// Requests under way at each edge: one count for each, and the entry's own.
     jobs: BTreeMap<String, std::rc::Rc<()>>,
     /// Letters sent between our processes, by kind.
@@ -200,6 +203,7 @@
             saw: Saw::default(),
             cluster: 0,
             shape: Shape::default(),
+            store_memory: MemoryBudget::of(Some(MEMORY_LEAST_MB)),
             jobs: BTreeMap::new(),
             letters: BTreeMap::new(),
             watch: majority::Watch::default(),
@@ -432,7 +436,7 @@
     /// `led`: the term in which it led its group when it asked.
     fn obey(&mut self, name: &str, d: &Duty, led: Option<u64>) {
         let now = self.now;
-        let seed = self.rng.next_u64();
+        let (seed, memory) = (self.rng.next_u64(), self.store_memory);
         let n = self.nodes.get_mut(name).expect("known node");
         let Part::Store { group, replica, cores, .. } = &mut n.part else { return };
         if !d.cores.is_empty() {
@@ -444,7 +448,7 @@
                     n.disk.synced = Boot::founding(n.id, name, None);
                 }
                 *group = Some(g);
-                let (r, f) = Replica::new(n.id, n.disk.synced.clone(), Store::default(), seed, now);
+                let (r, f) = store_replica(n.id, n.disk.synced.clone(), memory, seed, now);
                 n.part = Part::Store { group: Some(g), replica: Some(Box::new(r)), cores: d.cores.clone() };
                 self.store_fruit(name, f);
             }
@@ -490,6 +494,13 @@
     }
 }
 
+/// A store's replica, bounded as a daemon bounds it by its machine's memory.
+fn store_replica(id: u64, boot: Boot, memory: MemoryBudget, seed: u64, now: u64) -> (Replica<Store>, Outputs<Store>) {
+    let (mut replica, outputs) = Replica::new(id, boot, Store::with(memory), seed, now);
+    replica.log_limit = memory.log;
+    (replica, outputs)
+}
+
 fn check_in(n: &Node, name: &str) -> Option<CheckIn> {
     let Part::Store { group, replica, .. } = &n.part else { return None };
     let leads = match (group, replica) {
--- a/scramble/src/lib.rs
+++ b/scramble/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod hollow;
 pub mod linearize;
+pub mod long_day;
 pub mod model;
 pub mod nemesis;
 pub mod plot;
--- a/scramble/src/nemesis/mod.rs
+++ b/scramble/src/nemesis/mod.rs
@@ -2,8 +2,11 @@
 //! doings, and closes the day with one last fault. The seed decides everything.
 
 mod faults;
+mod full_state;
 mod orders;
 
+pub use full_state::{full_state_day, full_state_plan, FullStateDay, KINDS as FULL_STATE_KINDS};
+
 use crate::check::{check, Breach};
 use crate::fleet::{Kind, World, SYNC_MS};
 use crate::saw::Saw;
