--- /dev/null
+++ b/hutbook/examples/store_turns.rs
@@ -0,0 +1,284 @@
+//! What a store's turns cost, by its public functions alone: a group of one with its folder on disk.
+//! Usage: cargo run --release -p hutbook --example store_turns [turns] [MB of texts at the restart] [folder]
+//!
+//! Prints one figure a line (`name value unit`), so that `proof/compare-store` can set two builds side by side.
+//! Bytes written are those this process handed to the system (`wchar`); bytes in memory are counted at the allocator.
+
+use hutbook::coordination::replica::{Input, Output, Outputs, Replica};
+use hutbook::coordination::store::{Link, Store, StoreRequest, StoreResponse, TurnEnd, TurnLeave};
+use hutbook::state::disk::{Boot, Disk, DiskOp};
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+/// bytes. A turn's input and its answer.
+const SAID_BYTES: usize = 3_000;
+const ANSWER_BYTES: usize = 400;
+/// turns. In one chain.
+const CHAIN: usize = 10;
+/// requests. Taken in before the disk is synced.
+const BATCH: usize = 16;
+/// ms. Turns are kept for so long, which is longer than any of this.
+const RETENTION_MS: u64 = 80_000_000;
+/// ms. On the replica's clock, between two ticks.
+const TICK_MS: u64 = 50;
+/// chains. Read cold, and then warm.
+const CHAINS_READ: usize = 50;
+/// The folder's kind, and the member's id.
+const KIND: u64 = 2;
+const MEMBER: u64 = 77;
+/// bytes. What the database keeps of its file: as on a machine of 58 MB.
+const DISK_CACHE_BYTES: usize = 2_000_000;
+const MEGABYTE: usize = 1_000_000;
+
+/// Counts the bytes that are allocated.
+struct Counting;
+
+static ALLOCATED: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call is handed on to the system's allocator as it came.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        ALLOCATED.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+fn allocated() -> usize {
+    ALLOCATED.load(Ordering::Relaxed)
+}
+
+/// bytes. Handed to the system by this process so far.
+fn written() -> u64 {
+    let io = std::fs::read_to_string("/proc/self/io").unwrap_or_default();
+    let line = io.lines().find_map(|line| line.strip_prefix("wchar: "));
+    line.and_then(|bytes| bytes.trim().parse().ok()).unwrap_or(0)
+}
+
+fn figure(name: &str, value: f64, unit: &str) {
+    println!("{name} {value:.3} {unit}");
+}
+
+/// A group of one: its replica, its folder, and its clock.
+struct Group {
+    replica: Replica<Store>,
+    disk: Disk,
+    now: u64,
+    ticket: u64,
+    pending: Vec<(u64, Vec<DiskOp>)>,
+    replies: Vec<StoreResponse>,
+}
+
+impl Group {
+    /// Opens the folder, and founds the group where it is new. It leads when this returns.
+    fn open(folder: &Path) -> Group {
+        let mut disk = Disk::open_within(folder, KIND, DISK_CACHE_BYTES, || MEMBER).expect("a folder");
+        let mut boot = disk.boot().expect("a readable folder");
+        let new = boot == Boot::default();
+        if new {
+            boot = Boot::founding(MEMBER, "store", None);
+            disk.write(&[DiskOp::Append { entries: boot.entries.clone() }]).expect("written");
+        }
+        let (replica, outputs) = Replica::new(MEMBER, boot, Store::default(), 1, 1);
+        let mut group = Group { replica, disk, now: 1, ticket: 0, pending: vec![], replies: vec![] };
+        group.take(outputs);
+        while !group.replica.leads() {
+            group.now += TICK_MS;
+            group.step(Input::Tick);
+            group.sync();
+        }
+        group
+    }
+
+    fn step(&mut self, input: Input<StoreRequest>) {
+        let outputs = self.replica.step(self.now, input);
+        self.take(outputs);
+    }
+
+    fn take(&mut self, outputs: Outputs<Store>) {
+        for output in outputs {
+            match output {
+                Output::Persist { sync_ticket, ops } => self.pending.push((sync_ticket, ops)),
+                Output::Reply { response, .. } => self.replies.push(response),
+                _ => {}
+            }
+        }
+    }
+
+    /// Writes all that waits, in one batch, until nothing waits any more.
+    fn sync(&mut self) {
+        while let Some(last) = self.pending.last().map(|(ticket, _)| *ticket) {
+            let ops: Vec<DiskOp> = std::mem::take(&mut self.pending).into_iter().flat_map(|(_, ops)| ops).collect();
+            self.disk.write(&ops).expect("written");
+            self.step(Input::Synced(last));
+        }
+    }
+
+    fn request(&mut self, request: StoreRequest) {
+        self.ticket += 1;
+        self.step(Input::Request { ticket: self.ticket, request });
+    }
+
+    /// Requests, synced `BATCH` at a time.
+    fn request_all(&mut self, requests: impl Iterator<Item = StoreRequest>) {
+        for (number, request) in requests.enumerate() {
+            self.request(request);
+            if number % BATCH == BATCH - 1 {
+                self.now += 1;
+                self.sync();
+            }
+        }
+        self.sync();
+    }
+
+    /// Admits a turn that goes on from another one, and says how many links it was told.
+    fn read_chain(&mut self, reader: &str, turn: usize) -> usize {
+        self.replies.clear();
+        self.request(StoreRequest::TurnLeave(leave(format!("{reader}-{turn}"), turn / CHAIN, name(turn))));
+        while self.replies.is_empty() {
+            self.sync();
+            self.now += 1;
+            self.step(Input::Tick);
+        }
+        match self.replies.pop() {
+            Some(StoreResponse::TurnMay { chain, .. }) => chain.len(),
+            other => panic!("turn {turn} was not admitted: {other:?}"),
+        }
+    }
+}
+
+fn name(turn: usize) -> String {
+    format!("{:016x}", (turn as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+fn before(turn: usize) -> String {
+    if turn.is_multiple_of(CHAIN) {
+        String::new()
+    } else {
+        name(turn - 1)
+    }
+}
+
+/// Words drawn from a seed: such a text can be compressed as prose can.
+fn text(seed: u64, length: usize) -> Vec<u8> {
+    let words = ["ledger ", "of ", "harbour ", "the ", "tile ", "and ", "request ", "to "];
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut bytes = Vec::with_capacity(length + 16);
+    while bytes.len() < length {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        bytes.extend_from_slice(words[(state >> 61) as usize].as_bytes());
+        bytes.extend_from_slice(format!("{:x} ", state >> 48).as_bytes());
+    }
+    bytes.truncate(length);
+    bytes
+}
+
+fn leave(turn: String, program: usize, before: String) -> TurnLeave {
+    TurnLeave {
+        turn,
+        program: format!("{program:08x}"),
+        session: format!("{program:08x}"),
+        before,
+        budget: u64::MAX,
+        cap: 136,
+        edge: 7,
+        run_ms: 4_000,
+        retention_ms: RETENTION_MS,
+        have: vec![],
+    }
+}
+
+fn end(turn: usize) -> StoreRequest {
+    let admitted = leave(name(turn), turn / CHAIN, before(turn));
+    let (said, answer) = (text(turn as u64, SAID_BYTES), text(!(turn as u64), ANSWER_BYTES));
+    StoreRequest::TurnEnd(TurnEnd {
+        kept: Some(Link { turn: admitted.turn.clone(), said, answer }),
+        turn: admitted.turn,
+        program: admitted.program,
+        session: admitted.session,
+        before: admitted.before,
+        edge: admitted.edge,
+        tokens: 100,
+        server: "10.1.2.3:8000".into(),
+        retention_ms: RETENTION_MS,
+    })
+}
+
+/// Turns admitted and ended: time, bytes written, bytes in memory.
+fn run_turns(folder: &Path, turns: usize) {
+    let mut group = Group::open(folder);
+    let (memory, disk, start) = (allocated(), written(), Instant::now());
+    for first in (0..turns).step_by(CHAIN) {
+        // one chain grows turn by turn, and others beside it in the same batch
+        let chains = first..(first + CHAIN).min(turns);
+        let requests = chains.flat_map(|turn| {
+            let admitted = leave(name(turn), turn / CHAIN, before(turn));
+            [StoreRequest::TurnLeave(admitted), end(turn)]
+        });
+        group.request_all(requests);
+        group.replies.clear();
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let (_, kept, _) = group.replica.machine.turn_counts();
+    assert_eq!(kept, turns, "turns kept");
+    figure("turns_per_s", turns as f64 / seconds, "turns/s");
+    figure("written_per_turn", (written() - disk) as f64 / turns as f64, "bytes");
+    figure("entries_per_turn", group.replica.raft.applied() as f64 / turns as f64, "entries");
+    figure("allocated_per_turn", (allocated() - memory) as f64 / turns as f64, "bytes");
+    figure("state_per_turn", group.replica.machine.state_bytes().0 as f64 / turns as f64, "bytes");
+}
+
+/// A restart with so many bytes of texts, and chains read cold and warm right after it.
+fn restart(folder: &Path, bytes: usize) {
+    let turns = bytes / (SAID_BYTES + ANSWER_BYTES) / CHAIN * CHAIN;
+    let mut group = Group::open(folder);
+    let (disk, start) = (written(), Instant::now());
+    // ends alone: an end is taken however full the store is
+    for first in (0..turns).step_by(BATCH) {
+        group.request_all((first..(first + BATCH).min(turns)).map(end));
+        group.replies.clear();
+    }
+    figure("fill", start.elapsed().as_secs_f64(), "s");
+    figure("fill_written_per_turn", (written() - disk) as f64 / turns as f64, "bytes");
+    drop(group);
+    let (memory, start) = (allocated(), Instant::now());
+    let mut group = Group::open(folder);
+    figure("restart_until_leading", start.elapsed().as_secs_f64(), "s");
+    figure("restart_allocated_per_turn", (allocated() - memory) as f64 / turns as f64, "bytes");
+    for (figure_name, reader) in [("chain_cold", "cold"), ("chain_warm", "warm")] {
+        let start = Instant::now();
+        for number in 0..CHAINS_READ {
+            let chain = number * (turns / CHAIN / CHAINS_READ).max(1);
+            assert_eq!(group.read_chain(reader, chain * CHAIN + CHAIN - 1), CHAIN, "links");
+        }
+        figure(figure_name, start.elapsed().as_secs_f64() * 1e6 / CHAINS_READ as f64, "us");
+    }
+}
+
+fn argument(number: usize, default: usize) -> usize {
+    std::env::args().nth(number).and_then(|argument| argument.parse().ok()).unwrap_or(default)
+}
+
+fn main() {
+    let turns = argument(1, 10_000) / CHAIN * CHAIN;
+    let bytes = argument(2, 300) * MEGABYTE;
+    let folder = std::env::args().nth(3).map_or_else(std::env::temp_dir, PathBuf::from);
+    let folder = folder.join(format!("corkdrum-store-turns-{}", std::process::id()));
+    for (name, part) in [("turns", run_turns as fn(&Path, usize)), ("restart", restart)] {
+        let folder = folder.join(name);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        part(&folder, if name == "turns" { turns } else { bytes });
+    }
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
