--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -250,8 +250,7 @@
             Part::Store { group, replica, .. } => {
                 // a folder with a group in it serves at once
                 if let Some(g) = *group {
-                    let store = Store::with(budget, n.disk.texts.clone());
-                    let (rep, f) = Replica::new(n.id, n.disk.synced.clone(), store, seed, now);
+                    let (rep, f) = store_replica(n.id, &n.disk, budget, seed, now);
                     *replica = Some(Box::new(rep));
                     *group = Some(g);
                     w.store_fruit(name, f);
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 mod requests;
 
 pub use callers::{Kind, CAP};
-pub use ground::{Way, World};
+pub use ground::{Meadow, Way, World};
 pub use operators::{put_request, Pending};
 pub use passing::{PendingTurn, TurnAnswer, TurnRequest};
 
@@ -464,8 +464,7 @@
                     n.disk.synced = Boot::founding(n.id, name, None);
                 }
                 *group = Some(g);
-                let store = Store::with(budget, n.disk.texts.clone());
-                let (r, f) = Replica::new(n.id, n.disk.synced.clone(), store, seed, now);
+                let (r, f) = store_replica(n.id, &n.disk, budget, seed, now);
                 n.part = Part::Store { group: Some(g), replica: Some(Box::new(r)), cores: d.cores.clone() };
                 self.store_fruit(name, f);
             }
@@ -511,6 +510,14 @@
     }
 }
 
+/// A store's replica, bounded as a daemon bounds it by its machine's memory.
+fn store_replica(id: u64, disk: &Disk, budget: MemoryBudget, seed: u64, now: u64) -> (Replica<Store>, Outputs<Store>) {
+    let store = Store::with(budget, disk.texts.clone());
+    let (mut replica, outputs) = Replica::new(id, disk.synced.clone(), store, seed, now);
+    replica.log_limit = budget.log;
+    (replica, outputs)
+}
+
 fn check_in(n: &Node, name: &str) -> Option<CheckIn> {
     let Part::Store { group, replica, .. } = &n.part else { return None };
     let leads = match (group, replica) {
