--- a/scramble/src/long_day/mod.rs
+++ b/scramble/src/long_day/mod.rs
@@ -14,7 +14,7 @@
 pub use seen::{Outcome, Sample, Seen, TurnSeen};
 
 use crate::fleet::{put_request, World};
-use hutbook::constants::OPERATOR_MS;
+use hutbook::constants::{OPERATOR_MS, SEGMENT_BYTES};
 use hutbook::coordination::control::ControlResponse;
 use hutbook::state::memory::MemoryBudget;
 use load::Load;
@@ -23,6 +23,8 @@
 const CONFIG: &str = include_str!("../../../examples/glenmorven.json");
 /// MB. A store machine of the grown deployment.
 const STORE_MEMORY_MB: u64 = 58;
+/// segments. That a disk holds at the least, however small the scale; a whole one holds some 200.
+const SEGMENTS_LEAST: u32 = 16;
 /// MB. The disk of such a machine.
 const STORE_DISK_MB: u64 = 350;
 /// programs. New ones in a second that such a machine must carry, and for how long (ms) they are kept.
@@ -93,7 +95,9 @@
     fn store_memory(&self) -> MemoryBudget {
         let machine = MemoryBudget::of(Some(STORE_MEMORY_MB), Some(STORE_DISK_MB));
         let part = |bytes: usize| bytes * self.memory_percent as usize / 100 / self.scale as usize;
+        // segments are as large as ever: a disk of two or three would be full with one that is half empty
         let texts_on_disk = machine.texts_on_disk * self.memory_percent / 100 / self.scale;
+        let texts_on_disk = texts_on_disk.max(u64::from(SEGMENTS_LEAST * SEGMENT_BYTES));
         MemoryBudget { state: part(machine.state), log: part(machine.log), texts_on_disk, ..machine }
     }
 }
