--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -203,6 +203,12 @@
 pub const TEXT_CACHE_BYTES: usize = 32 * 1024 * 1024;
 /// reads. Of chains, that wait for the disk; beyond them a turn is told to come back.
 pub const OPEN_TEXT_READS: usize = 1_024;
+/// ms. A text that this member's disk has lost is asked for again after this time: longer than an answer takes
+/// between members that keep up with their heartbeats, and shorter than a client waits before it comes back.
+pub const TEXT_REQUEST_RETRY_MS: u64 = HEARTBEAT_MS * 4;
+/// requests. For lost texts, at a time. Each answer is looked up among all kept turns on the agreement's
+/// thread, which these few don't hold up. What is beyond them is asked for when it is read again.
+pub const TEXT_REQUESTS_OPEN: usize = 64;
 /// bytes. Texts of one chain that go out with a leave: below the frame bound.
 pub const CHAIN_BYTES: u64 = 6 * 1024 * 1024;
 /// slots. Programs are spread over store groups by this table; many more than groups ever.
--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -10,4 +10,5 @@
 pub mod shares;
 pub mod store;
 pub mod store_admission;
+mod text_repair;
 pub mod view;
--- a/hutbook/src/coordination/raft/log.rs
+++ b/hutbook/src/coordination/raft/log.rs
@@ -4,7 +4,8 @@
 use crate::constants::DISK_BOUND_MS;
 use crate::state::disk::DiskOp;
 use crate::state::entry::{Entry, What};
-use crate::state::texts::TextOp;
+use crate::state::texts::{TextOp, TextPlace};
+use bytes::Bytes;
 
 /// What may be said only once a write is on disk.
 #[derive(Clone)]
@@ -69,9 +70,13 @@
     }
 
     pub(super) fn persist(&mut self, now: u64, ops: Vec<DiskOp>) {
+        let binds = ops.iter().any(|op| !matches!(op, DiskOp::Snapshot { clear: false, .. } | DiskOp::Texts(_)));
+        self.hand_out(now, ops, binds);
+    }
+
+    fn hand_out(&mut self, now: u64, ops: Vec<DiskOp>, binds: bool) {
         self.sync_ticket += 1;
         let (sync_ticket, last, term) = (self.sync_ticket, self.last(), self.term);
-        let binds = ops.iter().any(|op| !matches!(op, DiskOp::Snapshot { clear: false, .. } | DiskOp::Texts(_)));
         self.held_outputs.push_back(HeldOutputs { sync_ticket, since: now, last, term, binds, outputs: vec![] });
         self.outputs.push(RaftOutput::Persist { sync_ticket, ops });
     }
@@ -84,6 +89,14 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Writes a text again that the disk has lost. Unlike texts of a snapshot under way, which are acknowledged,
+    /// no promise rests on it.
+    pub fn persist_mended_text(&mut self, now: u64, place: &TextPlace, text: Bytes) -> Vec<RaftOutput> {
+        let staged = DiskOp::StageTexts { segment: place.segment, offset: place.offset, bytes: text };
+        self.hand_out(now, vec![staged], false);
+        std::mem::take(&mut self.outputs)
+    }
+
     pub(super) fn persist_meta(&mut self, now: u64) {
         let op = DiskOp::Meta { term: self.term, voted: self.voted_for };
         self.persist(now, vec![op]);
--- a/hutbook/src/coordination/raft/messages.rs
+++ b/hutbook/src/coordination/raft/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::state::disk::DiskOp;
 use crate::state::entry::{Entry, Member, Members, Snapshot};
+use crate::state::texts::TextPlace;
 use std::sync::Arc;
 
 messages! {
@@ -34,6 +35,11 @@
         #[n(8)] SnapshotTexts { #[n(0)] term: u64, #[n(1)] after: u64, #[n(2)] segment: u32, #[n(3)] offset: u32, #[n(4)] length: u32, #[cbor(n(5), with = "minicbor::bytes")] bytes: Vec<u8>, #[n(6)] digest: u32 },
         /// Texts up to this position have been written, without a gap; None where nothing is known of any.
         #[n(9)] SnapshotTextsAck { #[n(0)] term: u64, #[n(1)] upto: Option<u64> },
+        /// Asks for a text that the sender's disk has not whole. It and its answer carry no term, and change nothing
+        /// of the agreement; a member of the version before does not know them, refuses the frame and closes the connection it came over.
+        #[n(10)] TextRequest { #[n(0)] place: TextPlace },
+        /// The text at that place.
+        #[n(11)] TextResponse { #[n(0)] place: TextPlace, #[cbor(n(1), with = "minicbor::bytes")] bytes: Vec<u8> },
     }
     /// A change of one member (single-server changes, Raft thesis 4.1).
     #[derive(Hash)]
--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -218,6 +218,8 @@
                 }
             }
             RaftMessage::TimeoutNow { term } => self.on_timeout_now(now, from, term),
+            // between replicas: nothing of the agreement
+            RaftMessage::TextRequest { .. } | RaftMessage::TextResponse { .. } => {}
         }
     }
 
--- a/hutbook/src/coordination/replica.rs
+++ b/hutbook/src/coordination/replica.rs
@@ -1,6 +1,7 @@
 //! A replica: one node's agreement together with the state it agrees on.
 
 use super::raft::{Change, Denial, Raft, RaftInput, RaftMessage, RaftOutput, Role};
+use super::text_repair::TextRepair;
 use crate::constants::*;
 use crate::state::disk::{Boot, DiskOp};
 use crate::state::entry::{Entry, Member, Members, What};
@@ -70,6 +71,10 @@
     fn with_texts(response: Self::Response, _texts: Vec<Option<Bytes>>) -> Self::Response {
         response
     }
+    /// Does the state name this text?
+    fn names_text(&self, _place: &TextPlace) -> bool {
+        false
+    }
 }
 
 pub enum LeaderTask<K> {
@@ -92,15 +97,38 @@
         request: A,
     },
     TransferLeadership,
+    /// Texts that this member's disk has not whole: the other members are asked for them.
+    TextsMissing(Vec<TextPlace>),
 }
 
 pub enum Output<T, K> {
-    Send { to: u64, addr: String, msg: RaftMessage },
-    Persist { sync_ticket: u64, ops: Vec<DiskOp> },
-    Reply { ticket: u64, response: T },
+    Send {
+        to: u64,
+        addr: String,
+        msg: RaftMessage,
+    },
+    Persist {
+        sync_ticket: u64,
+        ops: Vec<DiskOp>,
+    },
+    Reply {
+        ticket: u64,
+        response: T,
+    },
+    /// A member asks for this text: sent to it in a `TextResponse`, if the disk here has it whole.
+    ReadText {
+        to: u64,
+        addr: String,
+        place: TextPlace,
+    },
     Compute(K),
 }
 
+/// The places whose texts were not found.
+pub fn missing_places(places: &[TextPlace], found: &[Option<Bytes>]) -> Vec<TextPlace> {
+    places.iter().zip(found).filter(|(_, text)| text.is_none()).map(|(place, _)| *place).collect()
+}
+
 /// Everything one step brought forth, in order.
 pub type Outputs<M> = Vec<Output<<M as StateMachine>::Response, <M as StateMachine>::Computation>>;
 
@@ -119,6 +147,7 @@
     snapshot_bytes: usize,
     /// bytes. Of entries applied, after which a snapshot is taken at the latest.
     pub log_limit: usize,
+    text_repair: TextRepair,
 }
 
 impl<M: StateMachine + Clone> Clone for Replica<M>
@@ -136,6 +165,7 @@
             since: self.since,
             snapshot_bytes: self.snapshot_bytes,
             log_limit: self.log_limit,
+            text_repair: self.text_repair.clone(),
         }
     }
 }
@@ -156,13 +186,14 @@
             since: 0,
             snapshot_bytes: 0,
             log_limit: MemoryBudget::default().log,
+            text_repair: TextRepair::default(),
         };
         let f = r.step(now, Input::Tick);
         (r, f)
     }
 
     /// Feeds `hasher` with all that decides how this replica goes on from `now`, for a model checker. When its next
-    /// snapshot is due is left out: a checker takes them when it likes.
+    /// snapshot is due is left out: a checker takes them when it likes. So are requests for lost texts: its state names none.
     pub fn fingerprint(&self, now: u64, hasher: &mut impl Hasher)
     where
         M: Hash,
@@ -188,6 +219,11 @@
         self.snapshot_bytes
     }
 
+    /// Texts that this member's disk had lost and that came from another, since this process started.
+    pub fn texts_mended(&self) -> u64 {
+        self.text_repair.mended_total()
+    }
+
     pub fn leads(&self) -> bool {
         self.raft.role == Role::Leader
     }
@@ -206,8 +242,7 @@
                 if self.addrs.len() < ADDRS_KEPT || self.addrs.contains_key(&from) {
                     self.addrs.insert(from, at);
                 }
-                let o = self.raft.step(now, RaftInput::Message { from, msg });
-                self.take(now, o, &mut fruit);
+                self.on_message(now, from, msg, &mut fruit);
             }
             Input::Synced(m) => {
                 let o = self.raft.step(now, RaftInput::Synced(m));
@@ -218,11 +253,64 @@
                 self.take(now, o, &mut fruit);
             }
             Input::Request { ticket, request: ask } => self.ask(now, ticket, ask, &mut fruit),
+            Input::TextsMissing(places) => self.request_texts(now, places, &mut fruit),
         }
         self.persist_texts(now, &mut fruit);
         fruit
     }
 
+    fn on_message(&mut self, now: u64, from: u64, msg: RaftMessage, fruit: &mut Outputs<M>) {
+        match msg {
+            RaftMessage::TextRequest { place } => self.on_text_request(from, place, fruit),
+            RaftMessage::TextResponse { place, bytes } => self.on_text_response(now, from, place, bytes, fruit),
+            msg => {
+                let outputs = self.raft.step(now, RaftInput::Message { from, msg });
+                self.take(now, outputs, fruit);
+            }
+        }
+    }
+
+    /// Asks every other member for each text that wasn't asked for a moment ago.
+    fn request_texts(&mut self, now: u64, places: Vec<TextPlace>, fruit: &mut Outputs<M>) {
+        let others: Vec<u64> = self.raft.members().all().map(|m| m.id).filter(|id| *id != self.raft.id).collect();
+        for place in places {
+            if !self.text_repair.request(now, &place) {
+                continue;
+            }
+            for to in &others {
+                let addr = self.address_of(*to);
+                fruit.push(Output::Send { to: *to, addr, msg: RaftMessage::TextRequest { place } });
+            }
+        }
+    }
+
+    /// Has the text read, whoever asks: the place tells what it must be.
+    fn on_text_request(&self, from: u64, place: TextPlace, fruit: &mut Outputs<M>) {
+        // no text is larger; it could not be sent
+        if place.length as usize <= FRAME_BYTES {
+            fruit.push(Output::ReadText { to: from, addr: self.address_of(from), place });
+        }
+    }
+
+    /// Writes a text that was asked for, if it is the right one and is still needed.
+    fn on_text_response(&mut self, now: u64, from: u64, place: TextPlace, bytes: Vec<u8>, fruit: &mut Outputs<M>) {
+        let wanted = self.text_repair.is_wanted(&place, &bytes) && self.machine.names_text(&place);
+        if !wanted || self.raft.disk_late(now) {
+            return;
+        }
+        let TextPlace { segment, offset, length, .. } = place;
+        log::info!("segment {segment} at {offset}: a text of {length} bytes came whole from {from}, written again");
+        self.text_repair.mended(&place);
+        let outputs = self.raft.persist_mended_text(now, &place, bytes.into());
+        self.take(now, outputs, fruit);
+    }
+
+    /// Where a member is reached; empty where nothing is known of it.
+    fn address_of(&self, id: u64) -> String {
+        let known = self.raft.members().all().find(|m| m.id == id).map(|m| &m.addr);
+        self.addrs.get(&id).or(known).cloned().unwrap_or_default()
+    }
+
     /// Hands texts of applied entries to the disk.
     fn persist_texts(&mut self, now: u64, fruit: &mut Outputs<M>) {
         let ops = self.machine.take_text_ops();
@@ -320,8 +408,7 @@
         for o in outs {
             match o {
                 RaftOutput::Send { to, msg } => {
-                    let known = self.raft.members().all().find(|m| m.id == to).map(|m| &m.addr);
-                    let addr = self.addrs.get(&to).or(known).cloned().unwrap_or_default();
+                    let addr = self.address_of(to);
                     fruit.push(Output::Send { to, addr, msg });
                 }
                 RaftOutput::Persist { sync_ticket, ops } => fruit.push(Output::Persist { sync_ticket, ops }),
--- a/hutbook/src/coordination/store/mod.rs
+++ b/hutbook/src/coordination/store/mod.rs
@@ -376,6 +376,10 @@
         }
     }
 
+    fn names_text(&self, place: &TextPlace) -> bool {
+        self.kept_texts().any(|named| named == *place)
+    }
+
     fn denied(&self, why: Denial, leader: Option<Member>) -> StoreResponse {
         match why {
             Denial::NotLeader => StoreResponse::NotLeader(leader),
--- a/hutbook/src/transport/hut.rs
+++ b/hutbook/src/transport/hut.rs
@@ -4,7 +4,7 @@
 use super::post::Post;
 use crate::constants::*;
 use crate::coordination::raft::RaftMessage;
-use crate::coordination::replica::{Input, Output, Outputs, Replica, StateMachine};
+use crate::coordination::replica::{missing_places, Input, Output, Outputs, Replica, StateMachine};
 use crate::protocol::wire::Body;
 use crate::state::disk::{Boot, Disk, DiskOp};
 use crate::state::memory::MemoryBudget;
@@ -36,6 +36,7 @@
     Msg(u64, String, RaftMessage),
     Synced(u64),
     Ask(M::Request, Answer<M::Response>),
+    TextsMissing(Vec<TextPlace>),
     StepAside,
 }
 
@@ -58,6 +59,16 @@
     answer: Answer<M::Response>,
 }
 
+/// What texts are read for.
+enum ReadJob<M: StateMachine> {
+    Response(TextRead<M>),
+    /// Another member has lost this text.
+    Member {
+        addr: String,
+        place: TextPlace,
+    },
+}
+
 /// What runs a long computation of the machine and says what came of it.
 pub type Thinker<M> =
     Arc<dyn Fn(<M as StateMachine>::Computation) -> Option<<M as StateMachine>::Request> + Send + Sync>;
@@ -102,8 +113,8 @@
             |name: &str, f: Box<dyn FnOnce() + Send>| std::thread::Builder::new().name(name.into()).spawn(f).map(drop);
         let of_disk = texts.clone();
         spawn("disk", Box::new(move || h.write(disk, disk_rx, &of_disk, back)))?;
-        let of_reader = texts.clone();
-        spawn("texts", Box::new(move || read_texts::<M>(reader_rx, &of_reader)))?;
+        let reader = TextReader { group, texts: texts.clone(), post: post.clone(), back: tx.clone() };
+        spawn("texts", Box::new(move || reader.run(reader_rx)))?;
         let h = hut.clone();
         let run = Runner {
             group,
@@ -187,12 +198,41 @@
     })
 }
 
-/// Reads texts for one response after the other: a slow disk holds up these alone.
-fn read_texts<M: StateMachine>(reads: Receiver<TextRead<M>>, texts: &StoredTexts) {
-    while let Ok(TextRead { places, response, answer }) = reads.recv() {
-        let found = places.iter().map(|place| texts.text(place)).collect();
+/// Reads texts for one job after the other: a slow disk holds up these alone.
+struct TextReader<M: StateMachine> {
+    group: u32,
+    texts: Arc<StoredTexts>,
+    post: Arc<Post>,
+    back: SyncSender<Inbound<M>>,
+}
+
+impl<M: StateMachine> TextReader<M> {
+    fn run(self, jobs: Receiver<ReadJob<M>>) {
+        while let Ok(job) = jobs.recv() {
+            match job {
+                ReadJob::Response(read) => self.complete(read),
+                ReadJob::Member { addr, place } => self.send_text(&addr, place),
+            }
+        }
+    }
+
+    /// Completes a response; what the disk has not whole is fetched, so that a later one can be.
+    fn complete(&self, TextRead { places, response, answer }: TextRead<M>) {
+        let found: Vec<Option<Bytes>> = places.iter().map(|place| self.texts.text(place)).collect();
+        let missing = missing_places(&places, &found);
+        if !missing.is_empty() {
+            // a full inbox drops it: the next read finds them missing again
+            let _ = self.back.try_send(Inbound::TextsMissing(missing));
+        }
         answer(M::with_texts(response, found));
     }
+
+    /// Sends the text to a member that has lost it, if it is here whole.
+    fn send_text(&self, addr: &str, place: TextPlace) {
+        let Some(text) = self.texts.text(&place) else { return };
+        let msg = RaftMessage::TextResponse { place, bytes: text.to_vec() };
+        self.post.send(addr, Body::Raft { group: self.group, msg, at: self.post.at.clone() });
+    }
 }
 
 struct Runner<M: StateMachine> {
@@ -201,7 +241,7 @@
     post: Arc<Post>,
     disk: Sender<(u64, Vec<DiskOp>)>,
     texts: Arc<StoredTexts>,
-    reader: SyncSender<TextRead<M>>,
+    reader: SyncSender<ReadJob<M>>,
     tickets: HashMap<u64, Answer<M::Response>>,
     next: u64,
     thinker: Thinker<M>,
@@ -256,6 +296,7 @@
             Inbound::Msg(from, at, msg) => Input::Message { from, at, msg },
             Inbound::Synced(m) => Input::Synced(m),
             Inbound::StepAside => Input::TransferLeadership,
+            Inbound::TextsMissing(places) => Input::TextsMissing(places),
             Inbound::Ask(ask, f) => {
                 self.next += 1;
                 self.tickets.insert(self.next, f);
@@ -280,6 +321,10 @@
                         self.reply(tell, f);
                     }
                 }
+                Output::ReadText { addr, place, .. } => {
+                    // a full queue drops it: the member asks again
+                    let _ = self.reader.try_send(ReadJob::Member { addr, place });
+                }
                 Output::Compute(k) => {
                     let (t, back) = (self.thinker.clone(), self.back.clone());
                     let _ = std::thread::Builder::new().name("think".into()).spawn(move || {
@@ -299,8 +344,9 @@
         if in_memory.iter().all(Option::is_some) {
             return answer(M::with_texts(response, in_memory));
         }
-        let read = TextRead { places, response, answer };
-        if let Err(TrySendError::Full(read) | TrySendError::Disconnected(read)) = self.reader.try_send(read) {
+        let job = ReadJob::Response(TextRead { places, response, answer });
+        let Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) = self.reader.try_send(job) else { return };
+        if let ReadJob::Response(read) = job {
             let none = vec![None; read.places.len()];
             (read.answer)(M::with_texts(read.response, none));
         }
--- /dev/null
+++ b/hutbook/tests/text_repair.rs
@@ -0,0 +1,453 @@
+//! Texts that a member's disk has lost or damaged come from another member: three stores over virtual time, whose
+//! disks lie in memory.
+
+use bytes::Bytes;
+use hutbook::constants::*;
+use hutbook::coordination::raft::RaftMessage;
+use hutbook::coordination::replica::{missing_places, Input, Output, Outputs, Replica, StateMachine};
+use hutbook::coordination::store::{Link, Store, StoreRequest, StoreResponse, TurnEnd, TurnLeave};
+use hutbook::state::disk::{Boot, DiskOp};
+use hutbook::state::entry::Member;
+use hutbook::state::memory::MemoryBudget;
+use hutbook::state::texts::{MemoryTexts, TextPlace};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// ms. One way between two members, and a sync.
+const LATENCY_MS: u64 = 1;
+const SYNC_MS: u64 = 1;
+/// ms. How long a turn is kept.
+const RETENTION_MS: u64 = 20_000;
+const MEMBERS: [u64; 3] = [1, 2, 3];
+/// Turns in the chain, and the one whose text is damaged.
+const TURNS: usize = 3;
+const DAMAGED: usize = 1;
+
+enum Event {
+    Arrives { from: u64, msg: RaftMessage },
+    Synced { sync_ticket: u64, ops: Vec<DiskOp> },
+}
+
+struct Node {
+    replica: Replica<Store>,
+    texts: Arc<MemoryTexts>,
+    /// Texts that were written again.
+    staged: usize,
+}
+
+struct Group {
+    now: u64,
+    nodes: BTreeMap<u64, Node>,
+    events: BTreeMap<(u64, u64), (u64, Event)>,
+    next_event: u64,
+    next_ticket: u64,
+    replies: BTreeMap<u64, StoreResponse>,
+    /// Requests for texts that were sent.
+    text_requests: usize,
+    /// Answers with texts are lost.
+    drops_text_responses: bool,
+}
+
+impl Group {
+    fn new() -> Group {
+        let members: Vec<Member> = MEMBERS.map(|id| Member { id, addr: id.to_string() }).into();
+        let mut group = Group {
+            now: 1,
+            nodes: BTreeMap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            next_ticket: 0,
+            replies: BTreeMap::new(),
+            text_requests: 0,
+            drops_text_responses: false,
+        };
+        for id in MEMBERS {
+            let texts = Arc::<MemoryTexts>::default();
+            let store = Store::with(MemoryBudget::default(), texts.clone());
+            let (replica, outputs) = Replica::new(id, Boot::founding_with(&members, None), store, 7, group.now);
+            group.nodes.insert(id, Node { replica, texts, staged: 0 });
+            group.spread(id, outputs);
+        }
+        group.run(3_000);
+        group
+    }
+
+    fn at(&mut self, at: u64, to: u64, event: Event) {
+        self.next_event += 1;
+        self.events.insert((at, self.next_event), (to, event));
+    }
+
+    fn spread(&mut self, id: u64, outputs: Outputs<Store>) {
+        for output in outputs {
+            match output {
+                Output::Persist { sync_ticket, ops } => {
+                    self.at(self.now + SYNC_MS, id, Event::Synced { sync_ticket, ops })
+                }
+                Output::Send { to, msg, .. } => self.send(id, to, msg),
+                Output::ReadText { to, place, .. } => {
+                    if let Some(text) = self.nodes[&id].texts.text(&place) {
+                        self.send(id, to, RaftMessage::TextResponse { place, bytes: text.to_vec() });
+                    }
+                }
+                Output::Reply { ticket, response } => self.reply(id, ticket, response),
+                Output::Compute(()) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: u64, to: u64, msg: RaftMessage) {
+        self.text_requests += usize::from(matches!(msg, RaftMessage::TextRequest { .. }));
+        if !(self.drops_text_responses && matches!(msg, RaftMessage::TextResponse { .. })) {
+            self.at(self.now + LATENCY_MS, to, Event::Arrives { from, msg });
+        }
+    }
+
+    /// Reads the texts that the response lacks, as a driver does.
+    fn reply(&mut self, id: u64, ticket: u64, response: StoreResponse) {
+        let places = Store::lacking_texts(&response);
+        let found: Vec<Option<Bytes>> = places.iter().map(|place| self.nodes[&id].texts.text(place)).collect();
+        let missing = missing_places(&places, &found);
+        self.replies.insert(ticket, Store::with_texts(response, found));
+        if !missing.is_empty() {
+            self.step(id, Input::TextsMissing(missing));
+        }
+    }
+
+    fn step(&mut self, id: u64, input: Input<StoreRequest>) {
+        let now = self.now;
+        let outputs = self.nodes.get_mut(&id).expect("a member").replica.step(now, input);
+        self.spread(id, outputs);
+    }
+
+    fn write(&mut self, id: u64, ops: &[DiskOp]) {
+        let node = self.nodes.get_mut(&id).expect("a member");
+        for op in ops {
+            match op {
+                DiskOp::Texts(ops) => ops.iter().for_each(|op| node.texts.apply(op)),
+                DiskOp::StageTexts { segment, offset, bytes } => {
+                    node.staged += 1;
+                    node.texts.write_at(*segment, *offset, bytes);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now += 1;
+            while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= self.now) {
+                let (to, event) = entry.remove();
+                match event {
+                    Event::Arrives { from, msg } => self.step(to, Input::Message { from, at: from.to_string(), msg }),
+                    Event::Synced { sync_ticket, ops } => {
+                        self.write(to, &ops);
+                        self.step(to, Input::Synced(sync_ticket));
+                    }
+                }
+            }
+            if self.now.is_multiple_of(TICK_MS) {
+                MEMBERS.into_iter().for_each(|id| self.step(id, Input::Tick));
+            }
+        }
+    }
+
+    fn leader(&self) -> u64 {
+        *self.nodes.iter().find(|(_, node)| node.replica.leads()).expect("a leader").0
+    }
+
+    /// The leader's answer.
+    fn ask(&mut self, request: StoreRequest) -> StoreResponse {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let leader = self.leader();
+        self.step(leader, Input::Request { ticket, request });
+        self.run(10);
+        self.replies.remove(&ticket).expect("answered within a few ms")
+    }
+
+    /// A chain of turns, each of which goes on from the one before.
+    fn keep_chain(&mut self) {
+        for number in 0..TURNS {
+            let before = number.checked_sub(1).map(turn_name).unwrap_or_default();
+            let turn = turn_name(number);
+            let kept = Link { turn: turn.clone(), said: said(number), answer: vec![1; 50], stored: None };
+            self.ask(StoreRequest::TurnEnd(TurnEnd {
+                turn,
+                program: "p".into(),
+                session: "s".into(),
+                before,
+                edge: 1,
+                tokens: 1,
+                server: "10.0.0.1:80".into(),
+                kept: Some(kept),
+                retention_ms: RETENTION_MS,
+            }));
+        }
+        self.run(200);
+    }
+
+    /// Asks to go on from the chain: always the same turn, as a caller that comes back does.
+    fn go_on(&mut self) -> StoreResponse {
+        self.ask(StoreRequest::TurnLeave(TurnLeave {
+            turn: turn_name(TURNS),
+            program: "p".into(),
+            session: "s".into(),
+            before: turn_name(TURNS - 1),
+            budget: u64::MAX,
+            cap: 1,
+            edge: 1,
+            run_ms: 1_000,
+            retention_ms: RETENTION_MS,
+            have: vec![],
+            account_retention_ms: Some(RETENTION_MS),
+        }))
+    }
+
+    fn places(&self, id: u64) -> Vec<TextPlace> {
+        let mut places: Vec<TextPlace> = self.nodes[&id].replica.machine.kept_texts().collect();
+        places.sort_by_key(TextPlace::start);
+        places
+    }
+
+    fn spoil(&self, id: u64, damage: Damage) {
+        let place = self.places(id)[DAMAGED];
+        let (start, end) = (place.offset as usize, (place.offset + place.length) as usize);
+        self.nodes[&id].texts.spoil(place.segment, |bytes| match damage {
+            Damage::BitFlipped => bytes[start + 100] ^= 4,
+            Damage::CutShort => bytes.truncate(end - 1),
+            Damage::Missing => bytes.clear(),
+            // whole, and a text by itself: that of another turn
+            Damage::AnotherText => bytes.copy_within(..end - start, start),
+        });
+    }
+
+    /// What the leader's disk has of each text of the chain.
+    fn texts(&self, id: u64) -> Vec<Option<Bytes>> {
+        self.places(id).iter().map(|place| self.nodes[&id].texts.text(place)).collect()
+    }
+
+    fn mended(&self, id: u64) -> u64 {
+        self.nodes[&id].replica.texts_mended()
+    }
+}
+
+/// A member that doesn't lead.
+fn another_than(leader: u64) -> u64 {
+    MEMBERS.into_iter().find(|id| *id != leader).expect("three members")
+}
+
+fn turn_name(number: usize) -> String {
+    format!("{:016x}", number + 1)
+}
+
+fn said(number: usize) -> Vec<u8> {
+    (0..600).map(|i| (i as u8).wrapping_mul(31).wrapping_add(number as u8)).collect()
+}
+
+/// The chain with every turn's own text, oldest first.
+fn assert_whole(response: StoreResponse) {
+    let StoreResponse::TurnMay { chain, .. } = response else { panic!("{response:?}") };
+    let told: Vec<(String, Vec<u8>)> = chain.into_iter().map(|link| (link.turn, link.said)).collect();
+    let kept: Vec<(String, Vec<u8>)> = (0..TURNS).map(|number| (turn_name(number), said(number))).collect();
+    assert!(told == kept, "another chain was told: {:?}", told.iter().map(|(turn, _)| turn).collect::<Vec<_>>());
+}
+
+/// What can happen to a text on disk.
+#[derive(Clone, Copy, Debug)]
+enum Damage {
+    BitFlipped,
+    CutShort,
+    Missing,
+    AnotherText,
+}
+
+#[rstest]
+fn a_damaged_text_comes_from_another_member(
+    #[values(Damage::BitFlipped, Damage::CutShort, Damage::Missing, Damage::AnotherText)] damage: Damage,
+) {
+    // given a chain, of which a text is damaged on the leader's disk
+    let mut group = Group::new();
+    group.keep_chain();
+    let leader = group.leader();
+    group.spoil(leader, damage);
+    let lost = group.texts(leader).iter().filter(|text| text.is_none()).count();
+    assert!(lost > 0);
+    // when a turn goes on from it, then it is told to come back
+    assert_eq!(group.go_on(), StoreResponse::Busy(None));
+    group.run(20);
+    // and finds the chain whole, as the disk has it again
+    assert_whole(group.go_on());
+    assert!(group.texts(leader).iter().all(Option::is_some));
+    // each text was written once, though two members sent it, and only where it was lost
+    let staged: Vec<usize> = group.nodes.values().map(|node| node.staged).collect();
+    assert_eq!((group.nodes[&leader].staged, staged.iter().sum::<usize>()), (lost, lost));
+    assert_eq!(group.mended(leader), lost as u64);
+}
+
+#[test]
+fn a_text_that_one_follower_has_whole_is_enough() {
+    // given a text that the leader and one of the others have lost
+    let mut group = Group::new();
+    group.keep_chain();
+    let leader = group.leader();
+    let follower = another_than(leader);
+    group.spoil(leader, Damage::BitFlipped);
+    group.spoil(follower, Damage::Missing);
+    // when turns go on from it, then the third has it
+    assert_eq!(group.go_on(), StoreResponse::Busy(None));
+    group.run(20);
+    assert_whole(group.go_on());
+}
+
+#[rstest]
+fn a_text_that_no_member_has_is_never_told_as_another_nor_as_unknown(
+    #[values(Damage::BitFlipped, Damage::CutShort, Damage::Missing, Damage::AnotherText)] damage: Damage,
+) {
+    // given a chain, of which a text is damaged on all disks
+    let mut group = Group::new();
+    group.keep_chain();
+    MEMBERS.into_iter().for_each(|id| group.spoil(id, damage));
+    let leader = group.leader();
+    let lost = group.texts(leader).iter().filter(|text| text.is_none()).count();
+    // when turns go on from it, again and again, then each is told to come back
+    let asked = 20;
+    for _ in 0..asked {
+        assert_eq!(group.go_on(), StoreResponse::Busy(None));
+        group.run(2 * TEXT_REQUEST_RETRY_MS / asked);
+    }
+    // and the other members are asked for it once in a while, not each time
+    let rounds = 1 + (asked * 10 + 2 * TEXT_REQUEST_RETRY_MS) / TEXT_REQUEST_RETRY_MS;
+    let each_round = 2 * lost;
+    let requests = group.text_requests;
+    assert!(requests > each_round && requests <= rounds as usize * each_round, "{requests} requests, {lost} lost");
+    assert_eq!((group.mended(leader), group.nodes[&leader].staged), (0, 0));
+}
+
+#[test]
+fn a_request_whose_answers_are_lost_is_repeated() {
+    // given a lost text, and a network that loses the answers
+    let mut group = Group::new();
+    group.keep_chain();
+    let leader = group.leader();
+    group.spoil(leader, Damage::BitFlipped);
+    group.drops_text_responses = true;
+    assert_eq!(group.go_on(), StoreResponse::Busy(None));
+    group.run(20);
+    group.drops_text_responses = false;
+    // when a turn comes back at once, then nobody is asked again
+    let requests = group.text_requests;
+    assert_eq!(group.go_on(), StoreResponse::Busy(None));
+    assert_eq!(group.text_requests, requests);
+    // when it comes back later, then the text is fetched
+    group.run(TEXT_REQUEST_RETRY_MS);
+    assert_eq!(group.go_on(), StoreResponse::Busy(None));
+    group.run(20);
+    assert_whole(group.go_on());
+}
+
+/// An answer that must not be written.
+#[derive(Clone, Copy, Debug)]
+enum WrongResponse {
+    /// To the place that was asked for, the text of another turn.
+    AnotherText,
+    CutShort,
+    /// The right text, to the place of another one.
+    AnotherPlace,
+    /// A place and its text that nobody asked for.
+    NotAskedFor,
+}
+
+#[rstest]
+fn a_wrong_answer_is_ignored(
+    #[values(
+        WrongResponse::AnotherText,
+        WrongResponse::CutShort,
+        WrongResponse::AnotherPlace,
+        WrongResponse::NotAskedFor
+    )]
+    wrong: WrongResponse,
+) {
+    // given a lost text that the other members are asked for, whose own answers are lost
+    let mut group = Group::new();
+    group.keep_chain();
+    let leader = group.leader();
+    let (places, texts) = (group.places(leader), group.texts(leader));
+    let bytes = |number: usize| texts[number].as_ref().expect("whole").to_vec();
+    group.spoil(leader, Damage::BitFlipped);
+    group.drops_text_responses = true;
+    assert_eq!(group.go_on(), StoreResponse::Busy(None));
+    group.run(20);
+    // when a wrong answer comes
+    let lost = places[DAMAGED];
+    let (place, bytes) = match wrong {
+        WrongResponse::AnotherText => (lost, bytes(0)),
+        WrongResponse::CutShort => (lost, bytes(DAMAGED)[1..].to_vec()),
+        WrongResponse::AnotherPlace => (TextPlace { offset: places[0].offset, ..lost }, bytes(DAMAGED)),
+        WrongResponse::NotAskedFor => (places[2], bytes(2)),
+    };
+    let from = another_than(leader);
+    group.step(leader, Input::Message { from, at: from.to_string(), msg: RaftMessage::TextResponse { place, bytes } });
+    group.run(20);
+    // then nothing is written
+    assert_eq!((group.nodes[&leader].staged, group.mended(leader)), (0, 0));
+    // and the right one is still taken
+    let msg = RaftMessage::TextResponse { place: lost, bytes: texts[DAMAGED].as_ref().expect("whole").to_vec() };
+    group.step(leader, Input::Message { from, at: from.to_string(), msg });
+    group.run(20);
+    assert_whole(group.go_on());
+}
+
+#[test]
+fn a_text_that_is_named_no_more_is_not_written_again() {
+    // given a lost text that the other members are asked for, whose answers are lost
+    let mut group = Group::new();
+    group.keep_chain();
+    let leader = group.leader();
+    let lost = group.places(leader)[DAMAGED];
+    let text = group.texts(leader)[DAMAGED].clone().expect("whole");
+    group.spoil(leader, Damage::BitFlipped);
+    group.drops_text_responses = true;
+    assert_eq!(group.go_on(), StoreResponse::Busy(None));
+    // when the answer comes once its turn has been forgotten
+    group.run(DISPATCH_MS + 1_000 + 2 * RETENTION_MS);
+    assert_eq!(group.places(leader), []);
+    let from = another_than(leader);
+    let msg = RaftMessage::TextResponse { place: lost, bytes: text.to_vec() };
+    group.step(leader, Input::Message { from, at: from.to_string(), msg });
+    group.run(20);
+    // then it is not written
+    assert_eq!((group.nodes[&leader].staged, group.mended(leader)), (0, 0));
+}
+
+#[test]
+fn a_mended_text_holds_no_promise_back() {
+    // given a follower whose disk has just been given a text that it had lost, and hasn't synced it
+    let mut group = Group::new();
+    group.keep_chain();
+    let leader = group.leader();
+    let follower = another_than(leader);
+    let lost = group.places(follower)[DAMAGED];
+    let text = group.texts(follower)[DAMAGED].clone().expect("whole");
+    group.step(follower, Input::TextsMissing(vec![lost]));
+    let now = group.now;
+    let replica = &mut group.nodes.get_mut(&follower).expect("a member").replica;
+    let msg = RaftMessage::TextResponse { place: lost, bytes: text.to_vec() };
+    let written = replica.step(now, Input::Message { from: leader, at: leader.to_string(), msg });
+    assert!(written.iter().any(|output| matches!(output, Output::Persist { .. })));
+    // when the leader sends what the follower's log has already, then it says yes at once
+    let raft = &replica.raft;
+    let (term, index, last_term) = (raft.term, raft.last(), raft.last_term());
+    let heartbeat = RaftMessage::AppendRequest {
+        term,
+        previous_index: index,
+        previous_term: last_term,
+        entries: vec![],
+        commit: raft.commit,
+        round: 0,
+    };
+    let said = replica.step(now, Input::Message { from: leader, at: leader.to_string(), msg: heartbeat });
+    let yes = |output: &Output<StoreResponse, ()>| matches!(output, Output::Send { msg: RaftMessage::AppendResponse { success: true, index: upto, .. }, .. } if *upto == index);
+    assert!(said.iter().any(yes));
+}
--- a/huts/src/store_metrics.rs
+++ b/huts/src/store_metrics.rs
@@ -163,6 +163,7 @@
         }
         let Some(hut) = hut else { return };
         metric(out, "inbox_full_total", &[], hut.inbox_full.load(Ordering::Relaxed));
+        metric(out, "texts_mended_total", &[], hut.look(|replica| replica.texts_mended()));
         metric(out, "disk_failing", &[], u8::from(hut.disk_failing.load(Ordering::Relaxed)));
         for (kind, bytes) in hut.look(StateSize::of).kinds() {
             metric(out, "store_bytes", &[("kind", kind)], bytes);
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -6,6 +6,7 @@
 use hutbook::coordination::store::StoreRequest;
 use hutbook::coordination::view::View;
 use hutbook::state::memory::MemoryBudget;
+use hutbook::state::texts::TextPlace;
 use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::reach::{open_jobs, pump, renew, Reach, Speak, Stores};
 use hutbook::transport::serve::{look_around, Ground, ModelCall, Stream, StreamEvent, ToolCall};
@@ -508,6 +509,17 @@
         w.sync(name);
     }
 
+    /// Damages every text that the store's state names on its disk, whichever turn's it is.
+    pub fn damage_texts(&self, name: &str) {
+        let places: Vec<TextPlace> =
+            self.store(name, |r| r.machine.kept_texts().collect()).expect("a store that is up");
+        let w = self.0.borrow();
+        for place in places {
+            let middle = (place.offset + place.length / 2) as usize;
+            w.nodes[name].disk.texts.spoil(place.segment, |bytes| bytes[middle] ^= 4);
+        }
+    }
+
     pub fn disk_waiting(&self, name: &str) -> usize {
         self.0.borrow().nodes[name].disk.waiting()
     }
--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -17,13 +17,14 @@
 pub use passing::{PendingTurn, TurnAnswer, TurnRequest};
 
 use crate::saw::Saw;
+use bytes::Bytes;
 use disk::Disk;
 use exec::Exec;
 use hutbook::constants::*;
 use hutbook::coordination::control::{ponder, CheckIn, ControlRequest, ControlResponse, Core, Duty, Shape};
 use hutbook::coordination::edge::Edge;
-use hutbook::coordination::raft::Role;
-use hutbook::coordination::replica::{Input, Output, Outputs, Replica, StateMachine};
+use hutbook::coordination::raft::{RaftMessage, Role};
+use hutbook::coordination::replica::{missing_places, Input, Output, Outputs, Replica, StateMachine};
 use hutbook::coordination::store::{Store, StoreResponse};
 use hutbook::protocol::wire::{Body, CORE};
 use hutbook::state::disk::{Boot, DiskOp};
@@ -421,11 +422,27 @@
                 Output::Persist { sync_ticket: mark, ops } => self.persist(name, mark, ops),
                 Output::Reply { ticket, response: tell } => {
                     let n = self.nodes.get_mut(name).expect("known node");
-                    let texts = M::lacking_texts(&tell).iter().map(|place| n.disk.text(place)).collect();
+                    let places = M::lacking_texts(&tell);
+                    let texts: Vec<Option<Bytes>> = places.iter().map(|place| n.disk.text(place)).collect();
+                    let missing = missing_places(&places, &texts);
                     let tell = M::with_texts(tell, texts);
                     if let Some(a) = n.asks.remove(&ticket) {
                         self.answer(name, a, said(tell));
                     }
+                    if !missing.is_empty() {
+                        let input = Input::TextsMissing(missing.clone());
+                        self.step_any(
+                            name,
+                            |r, now| r.step(now, Input::TextsMissing(missing)),
+                            |r, now| r.step(now, input),
+                        );
+                    }
+                }
+                Output::ReadText { addr, place, .. } => {
+                    if let Some(text) = self.nodes[name].disk.text(&place) {
+                        let msg = RaftMessage::TextResponse { place, bytes: text.to_vec() };
+                        self.letter(name, &addr, 0, Body::Raft { group, msg, at: name.to_string() });
+                    }
                 }
                 Output::Compute(k) => {
                     if let Some(ask) = think(k) {
--- a/scramble/src/model/state.rs
+++ b/scramble/src/model/state.rs
@@ -365,6 +365,7 @@
                 }
                 Output::Persist { sync_ticket, ops } => self.persist(rules, id, sync_ticket, ops)?,
                 Output::Reply { ticket, response } => self.reply(rules, ticket, response)?,
+                Output::ReadText { .. } => unreachable!("the checker's state names no texts"),
                 Output::Compute(()) => unreachable!("the checker's state machine computes nothing"),
             }
         }
