--- a/hutbook/src/state/disk.rs
+++ b/hutbook/src/state/disk.rs
@@ -30,7 +30,7 @@
     },
     /// Texts that the state names, and segments that it needs no more. On disk for good with the next snapshot.
     Texts(Vec<TextOp>),
-    /// Bytes of a segment that belong to a snapshot under way from another member.
+    /// Bytes of a segment that come from another member: of a snapshot under way, or of a text that was lost here.
     StageTexts {
         segment: u32,
         offset: u32,
@@ -385,7 +385,7 @@
         let files = &mut self.texts;
         let written = ops.iter().try_for_each(|op| match op {
             DiskOp::Texts(ops) => ops.iter().try_for_each(|op| files.apply(op)),
-            DiskOp::StageTexts { segment, offset, bytes } => files.write_at(*segment, *offset, bytes),
+            DiskOp::StageTexts { segment, offset, bytes } => files.rewrite_at(*segment, *offset, bytes),
             _ => Ok(()),
         });
         written.map_err(|e| self.texts_failed(e))
--- a/hutbook/src/state/texts/files.rs
+++ b/hutbook/src/state/texts/files.rs
@@ -73,6 +73,13 @@
         self.reopen_after(written)
     }
 
+    /// Writes bytes that may replace lost ones. The file is opened by its name: the one that is open may have been
+    /// removed or replaced beneath this process, and what is written to that would be lost as well.
+    pub fn rewrite_at(&mut self, segment: u32, offset: u32, bytes: &[u8]) -> Result<()> {
+        self.newest = None;
+        self.write_at(segment, offset, bytes)
+    }
+
     /// After a failure the file is opened anew before it is written to again.
     fn reopen_after<T>(&mut self, result: Result<T>) -> Result<T> {
         if result.is_err() {
--- /dev/null
+++ b/hutbook/tests/text_repair_disk.rs
@@ -0,0 +1,184 @@
+//! Texts that a running member's data folder has lost come from another member: three stores in one process, with
+//! their own folders, over loopback connections.
+
+use hutbook::coordination::store::{Link, Store, StoreRequest, StoreResponse, TurnEnd, TurnLeave};
+use hutbook::protocol::wire::Body;
+use hutbook::state::disk::Disk;
+use hutbook::state::entry::Member;
+use hutbook::state::memory::MemoryBudget;
+use hutbook::transport::hut::{Clock, Hut};
+use hutbook::transport::post::{Handler, Post};
+use rstest::rstest;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::{mpsc, Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+const CLUSTER: u64 = 9;
+const GROUP: u32 = 1;
+const KIND: u64 = 2;
+/// Longer than anything here takes on a busy machine.
+const SOON: Duration = Duration::from_secs(30);
+const AGAIN: Duration = Duration::from_millis(20);
+/// ms. Longer than a test runs.
+const RETENTION_MS: u64 = 600_000;
+const TURNS: usize = 3;
+/// bytes. What is said in one turn.
+const SAID_BYTES: usize = 600;
+
+/// A store with a data folder and a listener.
+struct Running {
+    hut: Arc<Hut<Store>>,
+    folder: PathBuf,
+}
+
+/// Addresses that were free a moment ago.
+fn free_addresses() -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+    listeners.iter().map(|listener| listener.local_addr().expect("it is bound")).collect()
+}
+
+fn start(name: &str, member: &Member, members: &[Member]) -> Running {
+    let folder = std::env::temp_dir().join(format!("corkdrum-text-repair-{name}-{}-{}", member.id, std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let mut disk = Disk::open(&folder, KIND, || member.id).expect("a new folder");
+    disk.found_with(members, None).expect("it is empty");
+    let boot = disk.boot().expect("just founded");
+    // no room for texts in memory: each is read from the disk
+    let texts = Arc::new(disk.stored_texts(0));
+    let budget = MemoryBudget::default();
+    let slot = Arc::new(OnceLock::<Arc<Hut<Store>>>::new());
+    let hut_of_handler = slot.clone();
+    let handler: Handler = Arc::new(move |letter, _| {
+        if let (Body::Raft { msg, at, .. }, Some(hut)) = (letter.body, hut_of_handler.get()) {
+            hut.msg(letter.from, at, msg);
+        }
+    });
+    let at = member.addr.parse().expect("an address");
+    let post = Post::start(member.id, CLUSTER, Some(at), at, handler).expect("its address is free");
+    let store = Store::with(budget, texts.clone());
+    let nothing_to_compute = Arc::new(|()| None);
+    let hut = Hut::start(GROUP, disk, boot, store, texts, budget, member.id, Clock::start(), post, nothing_to_compute)
+        .expect("threads");
+    let _ = slot.set(hut.clone());
+    Running { hut, folder }
+}
+
+fn start_group(name: &str) -> Vec<Running> {
+    let addresses = free_addresses();
+    let members: Vec<Member> = (1..).zip(&addresses).map(|(id, at)| Member { id, addr: at.to_string() }).collect();
+    members.iter().map(|member| start(name, member, &members)).collect()
+}
+
+/// Tries until it brings something.
+fn until<T>(what: &str, mut brings: impl FnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(brought) = brings() {
+            return brought;
+        }
+        assert!(began.elapsed() < SOON, "not within {SOON:?}: {what}");
+        std::thread::sleep(AGAIN);
+    }
+}
+
+fn leader(group: &[Running]) -> &Running {
+    until("a leader", || group.iter().find(|running| running.hut.look(|replica| replica.leads())))
+}
+
+fn ask(running: &Running, request: StoreRequest) -> StoreResponse {
+    let (tell, told) = mpsc::channel();
+    running.hut.ask(request, StoreResponse::Busy(None), move |response| drop(tell.send(response)));
+    told.recv_timeout(SOON).expect("an answer")
+}
+
+fn turn_name(number: usize) -> String {
+    format!("{:016x}", number + 1)
+}
+
+fn said(number: usize) -> Vec<u8> {
+    (0..SAID_BYTES).map(|i| (i as u8).wrapping_mul(31).wrapping_add(number as u8)).collect()
+}
+
+fn keep(number: usize) -> StoreRequest {
+    let turn = turn_name(number);
+    StoreRequest::TurnEnd(TurnEnd {
+        turn: turn.clone(),
+        program: "p".into(),
+        session: "s".into(),
+        before: number.checked_sub(1).map(turn_name).unwrap_or_default(),
+        edge: 1,
+        tokens: 1,
+        server: "10.0.0.1:80".into(),
+        kept: Some(Link { turn, said: said(number), answer: vec![1; 50], stored: None }),
+        retention_ms: RETENTION_MS,
+    })
+}
+
+fn go_on() -> StoreRequest {
+    StoreRequest::TurnLeave(TurnLeave {
+        turn: turn_name(TURNS),
+        program: "p".into(),
+        session: "s".into(),
+        before: turn_name(TURNS - 1),
+        budget: u64::MAX,
+        cap: 1,
+        edge: 1,
+        run_ms: RETENTION_MS,
+        retention_ms: RETENTION_MS,
+        have: vec![],
+        account_retention_ms: Some(RETENTION_MS),
+    })
+}
+
+/// The chain as it is told, once it is; meanwhile the only answer is to come back.
+fn chain(running: &Running) -> Vec<(String, Vec<u8>)> {
+    until("the chain is told", || match ask(running, go_on()) {
+        StoreResponse::TurnMay { chain, .. } => Some(chain.into_iter().map(|link| (link.turn, link.said)).collect()),
+        StoreResponse::Busy(None) => None,
+        other => panic!("told of a lost text: {other:?}"),
+    })
+}
+
+fn whole_chain() -> Vec<(String, Vec<u8>)> {
+    (0..TURNS).map(|number| (turn_name(number), said(number))).collect()
+}
+
+/// What can happen to the segment's file while its process runs.
+#[derive(Clone, Copy, Debug)]
+enum Damage {
+    BitFlipped,
+    CutShort,
+    Missing,
+}
+
+fn damage_segment(running: &Running, damage: Damage) {
+    let path = running.folder.join("texts/0000000000.segment");
+    let mut bytes = std::fs::read(&path).expect("texts are in the first segment");
+    match damage {
+        Damage::BitFlipped => bytes[SAID_BYTES / 2] ^= 4,
+        Damage::CutShort => bytes.truncate(SAID_BYTES / 2),
+        Damage::Missing => return std::fs::remove_file(&path).expect("it is there"),
+    }
+    std::fs::write(&path, bytes).expect("room");
+}
+
+#[rstest]
+fn a_running_leader_mends_its_folder(#[values(Damage::BitFlipped, Damage::CutShort, Damage::Missing)] damage: Damage) {
+    // given a chain that all members have on disk
+    let group = start_group(&format!("{damage:?}"));
+    let leader = leader(&group);
+    for number in 0..TURNS {
+        assert_eq!(ask(leader, keep(number)), StoreResponse::Settled);
+    }
+    assert_eq!(chain(leader), whole_chain());
+    let agreed = leader.hut.look(|replica| replica.raft.applied());
+    until("all have it", || group.iter().all(|r| r.hut.look(|replica| replica.raft.applied()) >= agreed).then_some(()));
+    // when a segment is damaged beneath the leader
+    damage_segment(leader, damage);
+    // then the chain is told whole again, from a folder that has it again
+    assert_eq!(ask(leader, go_on()), StoreResponse::Busy(None));
+    assert_eq!(chain(leader), whole_chain());
+    assert!(leader.hut.look(|replica| replica.texts_mended()) > 0);
+    group.iter().for_each(|running| drop(std::fs::remove_dir_all(&running.folder)));
+}
