--- /dev/null
+++ b/hutbook/examples/store_turns/shim.rs
@@ -0,0 +1,106 @@
+//! The store as the benchmark uses it where texts lie in segments on disk.
+
+use hutbook::coordination::replica::StateMachine;
+use hutbook::coordination::store::{Link, Store, StoreResponse, TurnLeave};
+use hutbook::state::disk::{Disk, DiskOp};
+use hutbook::state::memory::MemoryBudget;
+use hutbook::state::texts::{Found, StoredTexts, TextOp, TextPlace};
+use std::cell::Cell;
+use std::sync::Arc;
+
+/// MB. Memory and disk of the machine whose cache of texts and bound of the log are used.
+const MEMORY_MB: u64 = 58;
+const DISK_MB: u64 = 350;
+/// Tokens. The most that a turn puts out.
+const CAP: u64 = 136;
+const EDGE: u64 = 7;
+/// ms. The longest time a turn runs.
+const RUN_MS: u64 = 4_000;
+
+fn machine() -> MemoryBudget {
+    MemoryBudget::of(Some(MEMORY_MB), Some(DISK_MB))
+}
+
+/// bytes. Of entries applied, after which a snapshot is taken.
+pub fn log_limit() -> usize {
+    machine().log
+}
+
+/// bytes. What the state keeps of all turns, by its own estimate.
+pub fn turn_index_bytes(store: &Store) -> usize {
+    store.usage().turn_index
+}
+
+/// The texts of a member, read as a store's process reads them.
+pub struct Texts {
+    stored: Arc<StoredTexts>,
+    /// Texts read from segments.
+    reads: Cell<usize>,
+}
+
+impl Texts {
+    pub fn of(disk: &Disk) -> Texts {
+        Texts { stored: Arc::new(disk.stored_texts(machine().text_cache)), reads: Cell::new(0) }
+    }
+
+    /// An empty store that refuses nothing for want of room at the benchmark's size.
+    pub fn store(&self) -> Store {
+        Store::with(MemoryBudget::default(), self.stored.clone())
+    }
+
+    /// These changes are on their way to the disk.
+    pub fn hand_out(&self, ops: &[DiskOp]) {
+        text_ops(ops).for_each(|ops| self.stored.hand_out(ops));
+    }
+
+    /// These changes have been written.
+    pub fn written(&self, ops: &[DiskOp]) {
+        text_ops(ops).for_each(|ops| self.stored.written(ops));
+    }
+
+    /// The response with the texts that it lacks.
+    pub fn complete(&self, response: StoreResponse) -> StoreResponse {
+        let places = Store::lacking_texts(&response);
+        let texts = places.iter().map(|place| self.text(place)).collect();
+        Store::with_texts(response, texts)
+    }
+
+    fn text(&self, place: &TextPlace) -> Option<bytes::Bytes> {
+        if self.stored.find(place) == Found::OnDisk {
+            self.reads.set(self.reads.get() + 1);
+        }
+        self.stored.text(place)
+    }
+
+    /// Texts read from segments since this was last asked.
+    pub fn take_reads(&self) -> usize {
+        self.reads.take()
+    }
+}
+
+fn text_ops(ops: &[DiskOp]) -> impl Iterator<Item = &[TextOp]> {
+    ops.iter().filter_map(|op| match op {
+        DiskOp::Texts(ops) => Some(ops.as_slice()),
+        _ => None,
+    })
+}
+
+pub fn turn_leave(turn: String, program: String, before: String, retention_ms: u64) -> TurnLeave {
+    TurnLeave {
+        turn,
+        session: program.clone(),
+        program,
+        before,
+        budget: u64::MAX,
+        cap: CAP,
+        edge: EDGE,
+        run_ms: RUN_MS,
+        retention_ms,
+        have: vec![],
+        account_retention_ms: Some(retention_ms),
+    }
+}
+
+pub fn link(turn: String, said: Vec<u8>, answer: Vec<u8>) -> Link {
+    Link { turn, said, answer, stored: None }
+}
