--- a/scramble/src/fleet/disk.rs
+++ b/scramble/src/fleet/disk.rs
@@ -103,6 +103,11 @@
         self.busy = false;
     }
 
+    /// Writes of texts that no sync has covered yet.
+    pub fn unsynced_texts(&self) -> usize {
+        self.unsynced_texts.len()
+    }
+
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
--- a/scramble/src/fleet/ground.rs
+++ b/scramble/src/fleet/ground.rs
@@ -1,11 +1,13 @@
 //! The fleet as stories handle it, and the ground its edges and callers stand on.
 
 use super::*;
+use bytes::Bytes;
 use hutbook::coordination::control::{founder_id, founders, founding_cluster, Shape};
 use hutbook::coordination::line::Look;
 use hutbook::coordination::store::StoreRequest;
 use hutbook::coordination::view::View;
 use hutbook::state::memory::MemoryBudget;
+use hutbook::state::texts::TextPlace;
 use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::reach::{open_jobs, pump, renew, Reach, Speak, Stores};
 use hutbook::transport::serve::{look_around, Ground, ModelCall, Stream, StreamEvent, ToolCall};
@@ -512,6 +514,16 @@
         self.0.borrow().nodes[name].disk.waiting()
     }
 
+    /// A text on this machine's disk, if it is there whole.
+    pub fn stored_text(&self, name: &str, place: &TextPlace) -> Option<Bytes> {
+        self.0.borrow().nodes[name].disk.text(place)
+    }
+
+    /// Writes of texts that a loss of power may take from this machine's disk.
+    pub fn unsynced_texts(&self, name: &str) -> usize {
+        self.0.borrow().nodes[name].disk.unsynced_texts()
+    }
+
     pub fn id(&self, name: &str) -> u64 {
         self.0.borrow().nodes[name].id
     }
