--- a/hutbook/tests/texts_on_disk.rs
+++ b/hutbook/tests/texts_on_disk.rs
@@ -56,6 +56,24 @@
     std::fs::remove_dir_all(&data).unwrap();
 }
 
+#[test]
+fn a_snapshot_is_not_written_while_a_segment_fails_its_sync() {
+    // given a folder with a text whose segment takes writes, but no sync: the null device does so
+    let data = folder("failing-sync");
+    let mut disk = Disk::open(&data, KIND, || 7).unwrap();
+    std::fs::create_dir_all(data.join("texts")).unwrap();
+    let segment = data.join("texts/0000000000.segment");
+    std::os::unix::fs::symlink("/dev/null", &segment).unwrap();
+    disk.write(&[append(1), append(2), write(place_of(b"a text"), b"a text")]).unwrap();
+    // when a snapshot is to be written, then it is not, however often: the log still has the text
+    for _ in 0..2 {
+        assert!(matches!(disk.write(&[snapshot(2, false)]), Err(DiskError::Failed(_))));
+    }
+    let boot = disk.boot().unwrap();
+    assert_eq!((boot.snapshot, boot.entries.len()), (None, 2));
+    std::fs::remove_dir_all(&data).unwrap();
+}
+
 #[test]
 fn segments_of_a_replaced_state_go_only_once_the_new_one_is_on_disk() {
     // given a folder with a state that names a text in segment 0
