--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -269,6 +269,9 @@
 pub const HUNT_MOST_MS: u64 = 4 * HUNT_MS;
 /// times. That the pause doubles until then.
 pub const HUNT_DOUBLINGS: u32 = 2;
+/// ms. For one try of a search for the leader, with the pause after it; then the right to search goes to whoever asks
+/// next. Longer than the longest pause, so that members which answer are asked no more often for it.
+pub const SEARCH_TRY_MS: u64 = HUNT_MOST_MS + HUNT_MS;
 /// ms. Taken off a run's time for settling it.
 pub const SETTLE_MS: u64 = 250;
 /// tries. At a repeatable job, the first one included.
--- a/hutbook/src/transport/reach.rs
+++ b/hutbook/src/transport/reach.rs
@@ -16,7 +16,7 @@
 use crate::protocol::wire::Body;
 use crate::state::entry::Member;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -60,24 +60,52 @@
     hint: Mutex<Option<String>>,
     /// Tries that had to be repeated.
     pub retries: Arc<RefusalCounts>,
-    /// Somebody looks for the leader; None where everybody does so by himself.
-    search: Option<AtomicBool>,
+    /// ms. Until when somebody's right to look for the leader lasts, 0 while nobody has it; None where everybody
+    /// looks for himself.
+    search: Option<AtomicU64>,
     /// Of the addresses: where the next ask without a hint begins.
     first: AtomicUsize,
 }
 
-/// The right to look for the leader on behalf of all who ask by the same `Reach`. Given back when it is dropped.
-struct Search<'a>(&'a AtomicBool);
+/// The right to look for the leader on behalf of all who ask by the same `Reach`. Given back when it is dropped,
+/// and lost to whoever asks next once it has lapsed: one silent member must not hold everybody's search.
+struct Search<'a> {
+    held_until: &'a AtomicU64,
+    /// ms. What this holder last wrote there.
+    own: u64,
+}
 
 impl<'a> Search<'a> {
-    fn begin(flag: &'a AtomicBool) -> Option<Search<'a>> {
-        (!flag.swap(true, Ordering::AcqRel)).then(|| Search(flag))
+    /// None while another holds it. `first` is moved on where that one's right has lapsed: it waits on a member
+    /// that says nothing.
+    fn begin(held_until: &'a AtomicU64, first: &AtomicUsize, now: u64) -> Option<Search<'a>> {
+        let seen = held_until.load(Ordering::Acquire);
+        if now < seen {
+            return None;
+        }
+        let mut search = Search { held_until, own: seen };
+        if !search.extend(now) {
+            return None;
+        }
+        if seen != 0 {
+            first.fetch_add(1, Ordering::Relaxed);
+        }
+        Some(search)
+    }
+
+    /// Holds it for another try and the pause after it. False: it has been lost to another.
+    fn extend(&mut self, now: u64) -> bool {
+        let until = now + SEARCH_TRY_MS;
+        let swapped = self.held_until.compare_exchange(self.own, until, Ordering::AcqRel, Ordering::Acquire);
+        // a search that was lost must not be given back by this holder
+        self.own = if swapped.is_ok() { until } else { u64::MAX };
+        swapped.is_ok()
     }
 }
 
 impl Drop for Search<'_> {
     fn drop(&mut self) {
-        self.0.store(false, Ordering::Release);
+        let _ = self.held_until.compare_exchange(self.own, 0, Ordering::AcqRel, Ordering::Acquire);
     }
 }
 
@@ -174,7 +202,7 @@
     /// for what it finds, or a group without a leader would be asked by each of them again and again. Repeated
     /// tries are counted in `retries`.
     pub fn shared(way: S, retries: Arc<RefusalCounts>) -> Reach<S> {
-        Reach { way, hint: Mutex::default(), retries, search: Some(AtomicBool::new(false)), first: AtomicUsize::new(0) }
+        Reach { way, hint: Mutex::default(), retries, search: Some(AtomicU64::new(0)), first: AtomicUsize::new(0) }
     }
 
     fn hint(&self) -> Option<String> {
@@ -197,17 +225,20 @@
         let mut turn = self.first.load(Ordering::Relaxed);
         let mut is_unclear = false;
         let mut next = self.hint();
-        let mut search = None;
+        let mut search: Option<Search> = None;
         let mut pauses = 0;
         loop {
             let now = self.way.now();
             if now >= end {
                 return None;
             }
-            if let (Some(flag), None, None) = (&self.search, &next, &search) {
+            if let (Some(held_until), None) = (&self.search, &next) {
                 next = self.hint();
-                if next.is_none() {
-                    search = Search::begin(flag);
+                // one that has waited too long on a silent member has lost its search to another
+                if next.is_none() && !search.as_mut().is_some_and(|s| s.extend(now)) {
+                    search = Search::begin(held_until, &self.first, now);
+                    // whom the one before waits for isn't asked again
+                    turn = turn.max(self.first.load(Ordering::Relaxed));
                 }
                 if next.is_none() && search.is_none() {
                     self.way.nap(HUNT_MS.min(end - now)).await;
