--- /dev/null
+++ b/hutbook/src/coordination/balancer/routes.rs
@@ -0,0 +1,53 @@
+//! Routes of proxied requests: chosen by host and the longest prefix of the path.
+
+use crate::state::config::{Config, Way};
+use std::collections::HashMap;
+
+struct Prefix {
+    prefix: String,
+    route: String,
+}
+
+/// All routes of a configuration, by host, the longest prefix first.
+#[derive(Default)]
+pub(super) struct RouteTable {
+    by_host: HashMap<String, Vec<Prefix>>,
+}
+
+impl RouteTable {
+    pub(super) fn new(config: &Config) -> RouteTable {
+        let mut by_host: HashMap<String, Vec<Prefix>> = HashMap::new();
+        for (name, route) in &config.ways {
+            let prefix = Prefix { prefix: route.prefix.clone(), route: name.clone() };
+            by_host.entry(route.host.clone()).or_default().push(prefix);
+        }
+        let longest_first = |a: &Prefix, b: &Prefix| {
+            let by_length = b.prefix.len().cmp(&a.prefix.len());
+            by_length.then_with(|| a.prefix.cmp(&b.prefix)).then_with(|| a.route.cmp(&b.route))
+        };
+        by_host.values_mut().for_each(|prefixes| prefixes.sort_by(longest_first));
+        RouteTable { by_host }
+    }
+
+    /// Name of the route that a request takes. A port is no part of the host's name.
+    pub(super) fn find(&self, host: &str, path: &str) -> Option<&str> {
+        let of_host = |host: &str| {
+            let prefixes = self.by_host.get(host)?;
+            prefixes.iter().find(|p| path.starts_with(p.prefix.as_str())).map(|p| p.route.as_str())
+        };
+        of_host(host).or_else(|| of_host(host.rsplit_once(':')?.0))
+    }
+}
+
+/// The service of a route that takes a request: by weight, the same one for the same draw.
+pub fn service_of(route: &Way, draw: u64) -> Option<&str> {
+    let sum: u64 = route.to.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    let mut at = draw.checked_rem(sum)?;
+    for (service, weight) in &route.to {
+        if at < u64::from(*weight) {
+            return Some(service);
+        }
+        at -= u64::from(*weight);
+    }
+    None
+}
--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -1,10 +1,10 @@
 //! What one trailhead knows and may do: the view it follows, its licence, its
 //! waiting lines and its measurements. Each under its own lock.
 
+use super::balancer::Balancer;
 use super::control::{Grant, Renewal, Update, Window};
 use super::edge_admission::EdgeAdmission;
 use super::line::{Left, Line, Look, Placed, Refusal, Srv, Wait};
-use super::pass::Pass;
 use super::shares::Held;
 use super::view::View;
 use crate::constants::*;
@@ -81,7 +81,7 @@
     licence: Mutex<Licence>,
     lanes: RwLock<BTreeMap<String, Lane>>,
     book: Mutex<Book>,
-    pass: Mutex<Pass>,
+    balancer: Mutex<Balancer>,
     admission: Mutex<EdgeAdmission>,
     /// Retries saved up.
     retries: Mutex<f64>,
@@ -97,7 +97,7 @@
             licence: Mutex::default(),
             lanes: RwLock::default(),
             book: Mutex::default(),
-            pass: Mutex::new(Pass::new(cell)),
+            balancer: Mutex::new(Balancer::new(cell)),
             admission: Mutex::default(),
             retries: Mutex::new(RETRY_MOST),
         }
@@ -120,14 +120,14 @@
         now < grip(&self.licence).until
     }
 
-    /// The servers that take work passed through, as believed here.
-    pub fn pass(&self) -> MutexGuard<'_, Pass> {
-        grip(&self.pass)
+    /// The servers that take proxied requests, as believed here.
+    pub fn balancer(&self) -> MutexGuard<'_, Balancer> {
+        grip(&self.balancer)
     }
 
     /// What this edge may remember of prompts cached at servers, in bytes.
     pub fn limit_prompt_parts(&self, bytes: usize) {
-        self.pass().limit_parts(bytes / PROMPT_PART_BYTES);
+        self.balancer().limit_parts(bytes / PROMPT_PART_BYTES);
     }
 
     /// What the store groups have refused.
@@ -135,9 +135,9 @@
         grip(&self.admission)
     }
 
-    /// The last look before work passed through goes out.
-    pub fn may_pass(&self, now: u64, group: &str, server: &str) -> bool {
-        self.licensed(now) && self.pass().stands(group, server)
+    /// The last look before a proxied request goes out.
+    pub fn may_proxy(&self, now: u64, group: &str, server: &str) -> bool {
+        self.licensed(now) && self.balancer().is_usable(group, server)
     }
 
     /// Term of the leader that gave the newest grant.
@@ -233,7 +233,7 @@
             l.until = sent + LICENCE_MS - DRIFT_MS;
         }
         let v = new.as_ref().unwrap_or(&old);
-        grip(&self.pass).follow(v, &g.cold, g.edges);
+        grip(&self.balancer).follow(v, &g.cold, g.edges);
         match new {
             Some(v) => {
                 self.follow(&v, &g.shares);
@@ -351,7 +351,7 @@
             }
             e.1 += 1;
         }
-        for (g, busy, _) in self.pass().busy() {
+        for (g, busy, _) in self.balancer().in_flight() {
             let e = b.groups.entry(g).or_default();
             e.0[1] += f64::from(busy);
             e.1 += 1;
--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -1,9 +1,9 @@
 //! Coordination: how many nodes act as one. Synchronous; given the time.
+pub mod balancer;
 pub mod control;
 pub mod edge;
 pub mod edge_admission;
 pub mod line;
-pub mod pass;
 pub mod raft;
 pub mod replica;
 pub mod scaler;
--- a/hutbook/src/transport/front.rs
+++ b/hutbook/src/transport/front.rs
@@ -3,11 +3,11 @@
 use super::dispatch::{Gate, NoAnswer};
 use super::field::Field;
 use super::lexicon::Lexicon;
-use super::passing::{pass, Incoming, OutBody, Outgoing, PassAnswer, PassGround};
+use super::proxy::{serve, Incoming, OutBody, Outgoing, ProxyGround, ServerAnswer};
 use super::recovery_phases::Phase;
 use super::sessions::{Answer, Bite, Sending, Sessions};
 use crate::constants::*;
-use crate::coordination::pass::Spotted;
+use crate::coordination::balancer::Placement;
 use crate::state::byte_budget::HeldBytes;
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
@@ -23,17 +23,17 @@
     static SESSIONS: Sessions = Sessions::default();
 }
 
-impl PassGround for Arc<Field> {
+impl ProxyGround for Arc<Field> {
     type Answer = Answer;
 
-    async fn send(&self, to: &Spotted, s: Sending, gate: Gate) -> Result<Answer, NoAnswer> {
+    async fn send(&self, to: &Placement, s: Sending, gate: Gate) -> Result<Answer, NoAnswer> {
         let c = self.clock;
         let all = SESSIONS.with(Sessions::clone);
-        all.send(&to.server, &to.addr, to.sessions, s, move || c.now(), &*gate).await
+        all.send(&to.server, &to.addr, to.max_connections, s, move || c.now(), &*gate).await
     }
 }
 
-impl PassAnswer for Answer {
+impl ServerAnswer for Answer {
     fn status(&self) -> StatusCode {
         self.status
     }
@@ -69,7 +69,7 @@
     let (tx, rx) = oneshot::channel();
     let passing = f.clone();
     actix_rt::spawn(async move {
-        pass(&passing, &passing.edge, lex, a, tx).await;
+        serve(&passing, &passing.edge, lex, a, tx).await;
         // given back only now: the end of a turn may have waited for its store
         drop(held);
     });
--- /dev/null
+++ b/hutbook/src/transport/proxy.rs
@@ -0,0 +1,263 @@
+//! Proxied requests, from the first byte to the last: one function a request.
+//!
+//! A plain request is kept once-only by this one edge: its id never comes again and its answer can only go out over
+//! the connection that asked, so no store has to know of it. A turn needs two agreements: its reservation before its
+//! first byte goes to a server, and its end before its answer is whole.
+
+mod answers;
+mod attempt;
+mod context;
+mod events;
+mod request;
+mod reservation;
+mod stream;
+
+use super::dispatch::{Gate, NoAnswer};
+use super::lexicon::Lexicon;
+use super::serve::Ground;
+use super::sessions::{Bite, Sending};
+use crate::constants::*;
+use crate::coordination::balancer::{service_of, Outcome, Placement};
+use crate::coordination::edge::Edge;
+use crate::coordination::view::View;
+use crate::state::config::{Nature, Way};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, StatusCode, Uri};
+use answers::{own_answer, refusal, refusal_until};
+use attempt::{first_answer, Attempts, Failure};
+use bytes::{Bytes, BytesMut};
+use context::{within, Context};
+use request::{whole_conversation, ProxyRequest};
+use reservation::{end, reserve, Reservation};
+use std::sync::Arc;
+use stream::{relay, Relayed};
+use tokio::sync::{mpsc, oneshot};
+
+/// A request as it came in, read to its end.
+pub struct Incoming {
+    pub method: Method,
+    pub target: Uri,
+    pub host: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// An answer's head, and where its body comes from.
+pub struct Outgoing {
+    pub status: StatusCode,
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    pub body: OutBody,
+    /// The code of an answer of our own; None where a server gave it.
+    pub own_code: Option<&'static str>,
+}
+
+pub enum OutBody {
+    Whole(Bytes),
+    /// An error breaks the answer off: it must not look complete.
+    Events(mpsc::Receiver<Result<Bytes, ()>>),
+}
+
+/// Where the answer goes.
+pub type Reply = oneshot::Sender<Outgoing>;
+
+/// How requests get to servers, beside what `Ground` gives.
+#[allow(async_fn_in_trait)]
+pub trait ProxyGround: Ground {
+    type Answer: ServerAnswer;
+    async fn send(&self, to: &Placement, request: Sending, gate: Gate) -> Result<Self::Answer, NoAnswer>;
+}
+
+/// A server's answer, of which the head has come.
+#[allow(async_fn_in_trait)]
+pub trait ServerAnswer {
+    fn status(&self) -> StatusCode;
+    fn headers(&self) -> &HeaderMap;
+    async fn next(&mut self) -> Bite;
+}
+
+/// Serves one request: lease, route, reservation, server, answer, end.
+pub async fn serve<G: ProxyGround + Clone + 'static>(
+    ground: &G,
+    edge: &Arc<Edge>,
+    names: &Lexicon,
+    incoming: Incoming,
+    reply: Reply,
+) {
+    let came = ground.now();
+    let view = edge.view();
+    if !wait_for_lease(ground, edge, &view, &incoming, &reply).await {
+        return drop(reply.send(refusal("no_licence")));
+    }
+    let (service, route) = match find_route(ground, edge, &view, &incoming) {
+        Ok(found) => found,
+        Err(answer) => return drop(reply.send(answer)),
+    };
+    let Some(mut request) = ProxyRequest::read(&incoming, names, route, edge, came) else {
+        return drop(reply.send(own_answer(400, "no_job", None)));
+    };
+    let mut body = incoming.body.clone();
+    if let Some(turn) = &request.turn {
+        match reserve(ground, edge, turn, route.aim_ms, came).await {
+            Reservation::Made { chain, server } => {
+                body = whole_conversation(&chain, &incoming.body);
+                request.placement.last_server = server;
+            }
+            Reservation::BudgetSpent => return drop(reply.send(own_answer(402, "allowance_spent", None))),
+            Reservation::TurnUnknown => return drop(reply.send(own_answer(404, "no_such_turn", None))),
+            // nothing stands at the store: there is nothing to settle
+            Reservation::Refused { retry_after_ms } => {
+                return drop(reply.send(refusal_until("store_full", retry_after_ms)))
+            }
+            Reservation::Unclear { retry_after_ms } => {
+                drop(reply.send(refusal_until("store_unreachable", retry_after_ms)));
+                // it may stand: it is given back when the store can be reached
+                return end(ground, edge, &request, 0, String::new(), None).await;
+            }
+        }
+    }
+    let context = Context {
+        ground,
+        edge,
+        names,
+        view: &view,
+        incoming: &incoming,
+        body,
+        route,
+        service: &service,
+        request: &request,
+        came,
+    };
+    run(&context, reply).await;
+}
+
+/// Without a lease nothing new goes out; one that is just being renewed is waited for shortly.
+async fn wait_for_lease<G: ProxyGround>(
+    ground: &G,
+    edge: &Edge,
+    view: &View,
+    incoming: &Incoming,
+    reply: &Reply,
+) -> bool {
+    let aim_ms = aim_of(edge, view, incoming);
+    let longest_ms = aim_ms.map_or(PASS_UNLICENSED_MS, |aim| PASS_UNLICENSED_MS.min(aim / LEASE_PART));
+    let until = ground.now() + longest_ms;
+    while !edge.licensed(ground.now()) {
+        if ground.now() >= until || reply.is_closed() {
+            return false;
+        }
+        ground.nap(PASS_LOOK_MS).await;
+    }
+    true
+}
+
+/// ms. The aim of a request's route, as far as this edge knows its routes.
+fn aim_of(edge: &Edge, view: &View, incoming: &Incoming) -> Option<u64> {
+    let name = edge.balancer().route(&incoming.host, incoming.target.path()).map(str::to_string)?;
+    Some(view.config.as_ref()?.ways.get(&name)?.aim_ms)
+}
+
+/// A request's service and route, or the answer where there is none.
+fn find_route<'a, G: ProxyGround>(
+    ground: &G,
+    edge: &Edge,
+    view: &'a View,
+    incoming: &Incoming,
+) -> Result<(String, &'a Way), Outgoing> {
+    let Some(config) = &view.config else { return Err(refusal("no_config")) };
+    let name = edge.balancer().route(&incoming.host, incoming.target.path()).map(str::to_string);
+    let Some(route) = name.and_then(|name| config.ways.get(&name)) else {
+        return Err(own_answer(404, "no_way", None));
+    };
+    let Some(service) = service_of(route, ground.draw()) else { return Err(refusal("no_group")) };
+    Ok((service.to_string(), route))
+}
+
+/// Tries servers until one's answer can be given, and agrees on the end of a turn.
+async fn run<G: ProxyGround + Clone + 'static>(context: &Context<'_, G>, mut reply: Reply) {
+    let mut attempts = Attempts::new(context);
+    let failure = loop {
+        let (placement, answer, sent_at) = match first_answer(context, &mut attempts, &mut reply).await {
+            Ok(found) => found,
+            Err(failure) => break failure,
+        };
+        context.note_load(&placement, answer.headers());
+        if context.route.nature != Nature::Stream || !answer.status().is_success() {
+            match give_whole(context, &mut attempts, placement, answer, sent_at, reply).await {
+                Some(unused) => reply = unused,
+                None => return,
+            }
+        } else {
+            match relay(context, &mut attempts, placement, answer, sent_at, reply).await {
+                Relayed::Over => return,
+                Relayed::BrokeBeforeFirstEvent(unused) => reply = unused,
+            }
+        }
+        if !attempts.may_repeat(context) {
+            break Failure::NoAnswer;
+        }
+    };
+    give_failure(context, &attempts, failure, reply).await;
+}
+
+/// Gives a plain answer once it is whole. Some: it isn't, and another server may be tried.
+async fn give_whole<G: ProxyGround + Clone + 'static>(
+    context: &Context<'_, G>,
+    attempts: &mut Attempts,
+    placement: Placement,
+    mut answer: G::Answer,
+    sent_at: u64,
+    reply: Reply,
+) -> Option<Reply> {
+    let whole = read_whole(context, &mut answer).await;
+    let is_fine = whole.is_some() && !answer.status().is_server_error();
+    let outcome = if is_fine { Outcome::Success } else { Outcome::Failed };
+    context.finish(&placement, sent_at, outcome);
+    attempts.may_have_run = true;
+    if !is_fine && attempts.may_repeat(context) {
+        attempts.placement.tried.push(placement.server);
+        return Some(reply);
+    }
+    context.note_timing();
+    let outgoing = match whole {
+        Some(body) => Outgoing {
+            status: answer.status(),
+            headers: answers::end_to_end_headers(answer.headers()),
+            body: OutBody::Whole(body),
+            own_code: None,
+        },
+        None => own_answer(502, "answer_broke_off", None),
+    };
+    let _ = reply.send(outgoing);
+    end(context.ground, context.edge, context.request, 0, placement.server, None).await;
+    None
+}
+
+async fn read_whole<G: ProxyGround>(context: &Context<'_, G>, answer: &mut G::Answer) -> Option<Bytes> {
+    let mut out = BytesMut::new();
+    loop {
+        match within(context.ground, context.request.ends_at, answer.next()).await? {
+            Bite::Bytes(bytes) if out.len() + bytes.len() > FRAME_BYTES => return None,
+            Bite::Bytes(bytes) => out.extend_from_slice(&bytes),
+            Bite::End => return Some(out.freeze()),
+            Bite::Broken => return None,
+        }
+    }
+}
+
+/// No server's answer can be given: says so at once, and ends a turn.
+async fn give_failure<G: ProxyGround + Clone + 'static>(
+    context: &Context<'_, G>,
+    attempts: &Attempts,
+    failure: Failure,
+    reply: Reply,
+) {
+    log::debug!("{}: unserved after {:?}: {}", context.service, attempts.placement.tried, failure.code());
+    let outgoing = match failure {
+        Failure::ClientLeft => refusal(failure.code()),
+        // what may have run can't be promised not to have
+        _ if attempts.may_have_run && context.request.placement.once_only => own_answer(502, failure.code(), None),
+        _ => refusal(failure.code()),
+    };
+    let _ = reply.send(outgoing);
+    end(context.ground, context.edge, context.request, 0, String::new(), None).await;
+}
--- /dev/null
+++ b/hutbook/src/transport/proxy/context.rs
@@ -0,0 +1,77 @@
+//! What stays the same while one request is served.
+
+use super::request::{header_text, ProxyRequest};
+use super::{Incoming, ProxyGround};
+use crate::coordination::balancer::{Outcome, Placement};
+use crate::coordination::control::OUTSIDE;
+use crate::coordination::edge::Edge;
+use crate::coordination::view::View;
+use crate::state::config::{Group, Way};
+use actix_http::header::HeaderMap;
+use bytes::Bytes;
+use futures_util::future::{select, Either};
+use std::pin::pin;
+use std::sync::Arc;
+
+pub(super) struct Context<'a, G> {
+    pub(super) ground: &'a G,
+    pub(super) edge: &'a Arc<Edge>,
+    pub(super) names: &'a super::Lexicon,
+    pub(super) view: &'a View,
+    pub(super) incoming: &'a Incoming,
+    /// What a server is to get: the conversation so far, then the new input.
+    pub(super) body: Bytes,
+    pub(super) route: &'a Way,
+    pub(super) service: &'a str,
+    pub(super) request: &'a ProxyRequest,
+    /// ms. When it came in.
+    pub(super) came: u64,
+}
+
+impl<G: ProxyGround> Context<'_, G> {
+    pub(super) fn now(&self) -> u64 {
+        self.ground.now()
+    }
+
+    /// The request has left its server.
+    pub(super) fn finish(&self, placement: &Placement, sent_at: u64, outcome: Outcome) {
+        let now = self.now();
+        self.edge.balancer().finish(now, placement, now - sent_at, outcome);
+    }
+
+    /// What an answer says of its server's load, if anything.
+    pub(super) fn note_load(&self, placement: &Placement, headers: &HeaderMap) {
+        let Some(text) = header_text(headers, self.names.pressure) else { return };
+        let mut numbers = text.split(',').filter_map(|number| number.trim().parse::<u32>().ok());
+        if let (Some(running), Some(waiting)) = (numbers.next(), numbers.next()) {
+            self.edge.balancer().note_load(self.now(), placement, running, waiting);
+        }
+    }
+
+    /// Records how long the service took, for the scaler.
+    pub(super) fn note_timing(&self) {
+        let is_model = |(name, group): (&String, &Group)| {
+            group.pass.as_ref().is_some_and(|settings| settings.batch > 0).then(|| name.clone())
+        };
+        // a program's tools are called by its model
+        let caller = match (&self.request.turn, self.request.has_program) {
+            (None, true) => self.view.config.as_ref().and_then(|config| config.groups.iter().find_map(is_model)),
+            _ => None,
+        };
+        let now = self.now();
+        self.edge.timed(now, caller.as_deref().unwrap_or(OUTSIDE), self.service, now - self.came);
+    }
+}
+
+/// None when its time was over first.
+pub(super) async fn within<G: ProxyGround, T>(
+    ground: &G,
+    ends_at: u64,
+    future: impl std::future::Future<Output = T>,
+) -> Option<T> {
+    let left = ends_at.saturating_sub(ground.now());
+    match select(pin!(future), pin!(ground.nap(left))).await {
+        Either::Left((output, _)) => Some(output),
+        Either::Right(_) => None,
+    }
+}
--- /dev/null
+++ b/hutbook/src/transport/proxy/events.rs
@@ -0,0 +1,79 @@
+//! Events of one stream: whole ones are passed on, what they hold is counted and gathered.
+
+use bytes::{Bytes, BytesMut};
+
+#[derive(Default)]
+pub(super) struct Events {
+    /// Bytes of an event that has not come whole yet.
+    held: BytesMut,
+    /// Events with data.
+    pub(super) count: u64,
+    pub(super) last_id: Option<String>,
+    /// Data of each event, each with a line feed, where the turn is kept.
+    data: Option<Vec<u8>>,
+}
+
+impl Events {
+    pub(super) fn new(keeps_data: bool) -> Events {
+        Events { data: keeps_data.then(Vec::new), ..Events::default() }
+    }
+
+    /// Whole events that these bytes complete, as they came.
+    pub(super) fn take(&mut self, bytes: &[u8]) -> Bytes {
+        self.held.extend_from_slice(bytes);
+        let mut at = 0;
+        while let Some(length) = end_of_event(&self.held[at..]) {
+            let event = self.held[at..at + length].to_vec();
+            self.note(&event);
+            at += length;
+        }
+        self.held.split_to(at).freeze()
+    }
+
+    fn note(&mut self, event: &[u8]) {
+        let mut has_data = false;
+        for line in event.split(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            let field = |name: &[u8]| line.strip_prefix(name).map(|value| value.strip_prefix(b" ").unwrap_or(value));
+            if let Some(value) = field(b"data:") {
+                has_data = true;
+                if let Some(data) = &mut self.data {
+                    // lines of one event's data are joined by line feeds
+                    data.extend_from_slice(value);
+                    data.push(b'\n');
+                }
+            } else if let Some(value) = field(b"id:") {
+                self.last_id = Some(String::from_utf8_lossy(value).into_owned());
+            }
+        }
+        self.count += u64::from(has_data);
+    }
+
+    /// Nothing of an event is missing: the stream may end here.
+    pub(super) fn is_whole(&self) -> bool {
+        self.held.is_empty() && self.count > 0
+    }
+
+    /// What has come of an event that broke off is let go.
+    pub(super) fn drop_partial(&mut self) {
+        self.held.clear();
+    }
+
+    pub(super) fn take_data(&mut self) -> Vec<u8> {
+        self.data.take().unwrap_or_default()
+    }
+}
+
+/// Length of the first whole event: up to and with its empty line.
+fn end_of_event(bytes: &[u8]) -> Option<usize> {
+    let mut at = 0;
+    while let Some(feed) = bytes[at..].iter().position(|byte| *byte == b'\n') {
+        at += feed + 1;
+        match bytes.get(at) {
+            Some(b'\n') => return Some(at + 1),
+            Some(b'\r') if bytes.get(at + 1) == Some(&b'\n') => return Some(at + 2),
+            _ => {}
+        }
+    }
+    None
+}
--- a/hutbook/src/transport/passing/reservation.rs
+++ b/hutbook/src/transport/proxy/reservation.rs
@@ -1,7 +1,11 @@
 //! A turn's reservation at its store: asked for before its first byte goes out, settled at its end.
 
+use super::context::within;
+use super::request::ProxyRequest;
 use super::*;
 use crate::coordination::edge_admission::spread;
+use crate::coordination::store::{Link, StoreRequest, StoreResponse, TurnEnd, TurnLeave};
+use std::pin::pin;
 
 /// What became of asking for a reservation.
 pub(super) enum Reservation {
@@ -29,88 +33,101 @@
 }
 
 /// Asks the turn's store group for a reservation, unless its last word still refuses the like.
-pub(super) async fn reserve<G: PassGround>(g: &G, e: &Edge, turn: &TurnLeave, aim_ms: u64, came: u64) -> Reservation {
-    let Some(group) = e.view().store_of(&turn.program) else {
-        return Reservation::Refused { retry_after_ms: spread(RESERVE_BACK_MS, g.draw()) };
+pub(super) async fn reserve<G: ProxyGround>(
+    ground: &G,
+    edge: &Edge,
+    turn: &TurnLeave,
+    aim_ms: u64,
+    came: u64,
+) -> Reservation {
+    let Some(group) = edge.view().store_of(&turn.program) else {
+        return Reservation::Refused { retry_after_ms: spread(RESERVE_BACK_MS, ground.draw()) };
     };
-    let class = e.admission().class_of(&turn.program, &turn.before, turn.retention_ms > 0);
-    if let Some(ms) = e.admission().refusal(g.now(), group, class) {
-        return Reservation::Refused { retry_after_ms: spread(ms, g.draw()) };
+    let class = edge.admission().class_of(&turn.program, &turn.before, turn.retention_ms > 0);
+    if let Some(ms) = edge.admission().refusal(ground.now(), group, class) {
+        return Reservation::Refused { retry_after_ms: spread(ms, ground.draw()) };
     }
-    let answer = ask_in_time(g, e, turn, group, aim_ms, came).await;
+    let answer = ask_in_time(ground, edge, turn, group, aim_ms, came).await;
     if answer.is_some() {
-        e.admission().note_heard(g.now(), group);
+        edge.admission().note_heard(ground.now(), group);
     }
     match answer {
         Some(StoreResponse::TurnMay { chain, server }) => {
-            e.admission().note_admitted(group, class, &turn.program);
+            edge.admission().note_admitted(group, class, &turn.program);
             Reservation::Made { chain, server }
         }
         Some(StoreResponse::TurnSpent) => Reservation::BudgetSpent,
         Some(StoreResponse::TurnUnknown) => Reservation::TurnUnknown,
         Some(StoreResponse::Busy(Some(refusal))) => {
-            e.admission().note_refusal(g.now(), group, &refusal);
-            Reservation::Refused { retry_after_ms: spread(refusal.retry_after_ms, g.draw()) }
+            edge.admission().note_refusal(ground.now(), group, &refusal);
+            Reservation::Refused { retry_after_ms: spread(refusal.retry_after_ms, ground.draw()) }
         }
-        _ => Reservation::Unclear { retry_after_ms: spread(RESERVE_BACK_MS, g.draw()) },
+        _ => Reservation::Unclear { retry_after_ms: spread(RESERVE_BACK_MS, ground.draw()) },
     }
 }
 
 /// The store's answer; None when none came in time. A group that answers others is waited for longer.
-async fn ask_in_time<G: PassGround>(
-    g: &G,
-    e: &Edge,
+async fn ask_in_time<G: ProxyGround>(
+    ground: &G,
+    edge: &Edge,
     turn: &TurnLeave,
     group: u32,
     aim_ms: u64,
     came: u64,
 ) -> Option<StoreResponse> {
-    let mut ask = pin!(g.store(&turn.program, StoreRequest::TurnLeave(turn.clone())));
-    let answer = within(g, came + patience(aim_ms, RESERVE_SILENT_PART), ask.as_mut()).await;
-    if answer.is_some() || !e.admission().is_heard(g.now(), group) {
+    let mut ask = pin!(ground.store(&turn.program, StoreRequest::TurnLeave(turn.clone())));
+    let answer = within(ground, came + patience(aim_ms, RESERVE_SILENT_PART), ask.as_mut()).await;
+    if answer.is_some() || !edge.admission().is_heard(ground.now(), group) {
         return answer.flatten();
     }
-    within(g, came + patience(aim_ms, RESERVE_HEARD_PART), ask).await.flatten()
+    within(ground, came + patience(aim_ms, RESERVE_HEARD_PART), ask).await.flatten()
 }
 
 /// The end of a turn, agreed; where it ran, and its link if it is kept. True once it stands.
-pub(super) async fn settle<G: PassGround>(
-    g: &G,
-    e: &Edge,
-    s: &Said,
+pub(super) async fn settle<G: ProxyGround>(
+    ground: &G,
+    edge: &Edge,
+    request: &ProxyRequest,
     tokens: u64,
     server: String,
     kept: Option<Link>,
     for_ms: u64,
 ) -> bool {
-    let Some(t) = &s.turn else { return true };
+    let Some(t) = &request.turn else { return true };
     let ask = StoreRequest::TurnEnd(TurnEnd {
         turn: t.turn.clone(),
         program: t.program.clone(),
         session: t.session.clone(),
         before: t.before.clone(),
-        edge: e.id,
+        edge: edge.id,
         tokens,
         server,
         kept,
         retention_ms: t.retention_ms,
     });
-    let until = g.now() + for_ms;
+    let until = ground.now() + for_ms;
     loop {
-        match within(g, until, g.store(&t.program, ask.clone())).await.flatten() {
+        match within(ground, until, ground.store(&t.program, ask.clone())).await.flatten() {
             Some(StoreResponse::Settled) => {
-                if let Some(group) = e.view().store_of(&t.program) {
-                    e.admission().note_heard(g.now(), group);
+                if let Some(group) = edge.view().store_of(&t.program) {
+                    edge.admission().note_heard(ground.now(), group);
                 }
                 return true;
             }
-            _ if g.now() >= until => return false,
-            _ => g.nap(HUNT_MS).await,
+            _ if ground.now() >= until => return false,
+            _ => ground.nap(HUNT_MS).await,
         }
     }
 }
 
 /// The end of a turn that isn't kept: nobody waits for it.
-pub(super) async fn end<G: PassGround>(g: &G, e: &Edge, s: &Said, tokens: u64, server: String, kept: Option<Link>) {
-    settle(g, e, s, tokens, server, kept, PASS_END_MS).await;
+pub(super) async fn end<G: ProxyGround>(
+    ground: &G,
+    edge: &Edge,
+    request: &ProxyRequest,
+    tokens: u64,
+    server: String,
+    kept: Option<Link>,
+) {
+    settle(ground, edge, request, tokens, server, kept, PASS_END_MS).await;
 }
--- a/huts/src/trailhead.rs
+++ b/huts/src/trailhead.rs
@@ -208,7 +208,7 @@
     metric(&mut o, "requests_held_bytes", &[], f.requests.held());
     metric(&mut o, "requests_limit_bytes", &[], f.requests.limit());
     metric(&mut o, "requests_refused_for_memory_total", &[], f.requests.refused());
-    metric(&mut o, "prompt_parts", &[], f.edge.pass().parts());
+    metric(&mut o, "prompt_parts", &[], f.edge.balancer().parts());
     metric(&mut o, "rpc_queue_bytes", &[], post.queue.held());
     metric(&mut o, "rpc_queue_refused_total", &[], post.queue.refused());
     post.traffic.told().iter().for_each(|(n, v)| metric(&mut o, n, &[], v));
--- a/scramble/src/fleet/passing.rs
+++ b/scramble/src/fleet/passing.rs
@@ -5,10 +5,10 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{Method, StatusCode, Uri};
 use bytes::Bytes;
-use hutbook::coordination::pass::Spotted;
+use hutbook::coordination::balancer::Placement;
 use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::lexicon::LEXICON;
-use hutbook::transport::passing::{pass, Incoming, OutBody, PassAnswer, PassGround};
+use hutbook::transport::proxy::{serve, Incoming, OutBody, ProxyGround, ServerAnswer};
 use hutbook::transport::reach::Speak;
 use hutbook::transport::sessions::{Bite, Sending};
 use std::cell::RefCell;
@@ -55,7 +55,7 @@
     _hold: Hold,
 }
 
-impl PassAnswer for OneEvent {
+impl ServerAnswer for OneEvent {
     fn status(&self) -> StatusCode {
         StatusCode::OK
     }
@@ -73,10 +73,10 @@
     }
 }
 
-impl PassGround for Meadow {
+impl ProxyGround for Meadow {
     type Answer = OneEvent;
 
-    async fn send(&self, to: &Spotted, request: Sending, gate: Gate) -> Result<OneEvent, NoAnswer> {
+    async fn send(&self, to: &Placement, request: Sending, gate: Gate) -> Result<OneEvent, NoAnswer> {
         let key = request.job.to_str().unwrap_or_default().to_string();
         let mut headers = HeaderMap::new();
         headers.insert(HeaderName::from_static(LEXICON.seal), HeaderValue::from_static("seal"));
@@ -110,7 +110,7 @@
         let pending = PendingTurn::default();
         let (reply, answer) = oneshot::channel();
         let (ground, edge_state, incoming) = (self.proxy_ground(edge), self.edge(edge), incoming(&request));
-        self.spawn(edge, async move { pass(&ground, &edge_state, &LEXICON, incoming, reply).await });
+        self.spawn(edge, async move { serve(&ground, &edge_state, &LEXICON, incoming, reply).await });
         let (way, seen, sent_at) = (self.way("outside"), pending.clone(), self.now());
         self.spawn("outside", async move {
             let read = async {
