--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -12,6 +12,8 @@
 pub const ELECTION_MS: u64 = 400;
 /// ms. Random part of that wait, so that candidates rarely collide.
 pub const ELECTION_SPREAD_MS: u64 = 300;
+/// ms. That wait for a member which has heard no leader since its start: two heartbeats, and the way to it.
+pub const FIRST_ELECTION_MS: u64 = 2 * HEARTBEAT_MS;
 /// ms. How often a replica is ticked: fine against the heartbeat, cheap for a thread.
 pub const TICK_MS: u64 = 10;
 /// ms. A sync slower than this makes its node answer no and a leader step down.
@@ -392,8 +394,6 @@
 pub const PASS_READ_PER_MS: f64 = 35.0;
 /// ms. What each job already on a server is taken to cost the next one there.
 pub const PASS_JOB_COST_MS: f64 = 4.0;
-/// ms. What another cell's server is taken to cost more.
-pub const PASS_CELL_COST_MS: f64 = 3.0;
 /// ms. What a server said of its load counts for this long.
 pub const PASS_SAID_MS: u64 = 400;
 /// share. Of its slots that a server may be given by one edge's own count before it passes for full.
@@ -498,13 +498,19 @@
 /// times. The body of a caller's job is held: as bytes, as text, read, and in its job. Measured: 4.9.
 pub const CALLER_BODY_COPIES: usize = 5;
 /// share. Of an edge machine's memory for the prompt parts it believes to be cached at servers.
-pub const PROMPT_PARTS_SHARE: f64 = 0.08;
+pub const PROMPT_PARTS_SHARE: f64 = 0.05;
 /// bytes. These, where the machine's memory isn't told.
 pub const PROMPT_PARTS_BYTES: usize = 64 * 1024 * 1024;
 /// bytes. One such part in its table, with the table's free room.
 pub const PROMPT_PART_BYTES: usize = 40;
 /// parts. Remembered for a server at the least, however many servers there are.
 pub const PROMPT_PARTS_LEAST: usize = 64;
+/// share. Of an edge machine's memory for the texts of turns that passed through it lately.
+pub const TURN_TEXTS_SHARE: f64 = 0.035;
+/// bytes. These, where the machine's memory isn't told.
+pub const TURN_TEXTS_BYTES: usize = 64 * 1024 * 1024;
+/// bytes. One such text beside its bytes and names: two table entries with their free room.
+pub const TURN_TEXT_BYTES: usize = 300;
 /// share. Of an edge machine's memory for frames that wait to be written to other processes.
 pub const RPC_QUEUE_SHARE: f64 = 0.07;
 /// bytes. These, where the machine's memory isn't told.
@@ -517,3 +523,54 @@
 pub const WORK_KINDS_KEPT: usize = 256;
 /// bytes. Text of one token, generously.
 pub const TOKEN_BYTES: usize = 8;
+
+/// share. Weight of a new latency in the smoothed mean and deviation: some twenty requests are remembered.
+pub const LATENCY_WEIGHT: f64 = 0.05;
+/// samples. Fewer say nothing of what is usual.
+pub const LATENCY_SAMPLES_LEAST: u32 = 8;
+/// deviations. Above the mean: a request that has waited for longer is stalled. Of log-normal work some 2 in 100 are.
+pub const STALL_DEVIATIONS: f64 = 6.0;
+/// ms. But none sooner: a pause of a process or network is no server's.
+pub const STALL_LEAST_MS: f64 = 100.0;
+/// deviations. Above the mean: a repeatable request that has waited for longer is sent to a second server.
+pub const HEDGE_DEVIATIONS: f64 = 4.0;
+/// second sends. Saved up at the most, for each service of an edge.
+pub const HEDGES_MOST: f64 = 10.0;
+/// routes. Whose latencies an edge remembers, for each service: far more than are busy at once.
+pub const LATENCY_ROUTES_KEPT: usize = 256;
+/// tokens. Length of the prompt at the far end of the reading prior.
+pub const READ_PRIOR_TOKENS: f64 = 4_000.0;
+/// requests. That each end of that prior counts for.
+pub const READ_PRIOR_WEIGHT: f64 = 4.0;
+/// share. Of the past that counts still with each new answer: some two hundred are remembered.
+pub const READ_MEMORY: f64 = 0.995;
+/// ms. What edges say of a server's failures and slowness fades in this time.
+pub const EVIDENCE_MEMORY_MS: u64 = 3_000;
+/// edges. Whose complaints of a server are remembered: enough to tell several from one.
+pub const ACCUSERS_KEPT: usize = 4;
+/// edges. That must complain of a server within that time: one alone may be the one in trouble.
+pub const ACCUSERS_LEAST: usize = 2;
+/// requests. Lost or stalled at a server, at the least, before it is suspect.
+pub const LOST_LEAST: f64 = 2.0;
+/// share. And of those that it was given lately.
+pub const LOST_SHARE: f64 = 0.2;
+/// requests. Succeeded lately, before a server's slowness says anything.
+pub const SLOWNESS_SAMPLES_LEAST: f64 = 3.0;
+/// times. What its like take: beyond it, against the service's median as well, a server is slow.
+pub const SLOWNESS_SUSPECT: f64 = 2.5;
+/// ms. Waits below it are no sign of a slow server.
+pub const SLOWNESS_FLOOR_MS: f64 = 20.0;
+/// times. The most that one request's slowness counts for.
+pub const SLOWNESS_MOST: f64 = 20.0;
+/// ms. A suspect server comes last for this long, doubling each time that its trial fails.
+pub const SUSPECT_MS: u64 = 2_000;
+/// ms. The longest.
+pub const SUSPECT_MOST_MS: u64 = 16_000;
+/// requests. That must succeed at a server on trial before it is sound again.
+pub const TRIAL_SUCCESSES: f64 = 3.0;
+/// ms. An edge's report counts for this long: its next one comes with each renewal.
+pub const FLEET_REPORT_MS: u64 = 1_000;
+/// ms. What the fleet said of a server's load counts for this long at an edge.
+pub const FLEET_DIGEST_MS: u64 = 1_000;
+/// times. A server's slots: an edge that says it has more under way there is not believed.
+pub const LOAD_SLOTS_MOST: u32 = 1_000;
--- a/hutbook/src/coordination/balancer/choose.rs
+++ b/hutbook/src/coordination/balancer/choose.rs
@@ -3,78 +3,123 @@
 use super::server::ServerState;
 use super::{PlacementRequest, ServicePool};
 use crate::constants::*;
+use crate::coordination::fleet_health::{most_ejected, Verdict};
+use crate::state::config::Policy;
 
 /// How a server stands for a request; the least goes first.
 #[derive(Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
     is_out: bool,
     is_full: bool,
+    is_suspect: bool,
     /// ms.
     cost: f64,
 }
 
-/// Name of the best server for a request now; None where none may take it.
-pub(super) fn choose(now: u64, own_zone: &str, pool: &ServicePool, request: &PlacementRequest) -> Option<String> {
-    let mut best: Option<(Rank, &String)> = None;
-    for (name, server) in &pool.servers {
-        if server.is_replaced || request.tried.contains(name) || !server.may_send(now) {
-            continue;
+/// One choice: what is the same for all servers.
+pub(super) struct Choice<'a> {
+    pub(super) now: u64,
+    pub(super) own_zone: &'a str,
+    /// Drawn for this edge: edges that know the same prefer different servers.
+    pub(super) edge_salt: u64,
+    /// Edges that hold a lease.
+    pub(super) edges: u32,
+    pub(super) policy: &'a Policy,
+    pub(super) pool: &'a ServicePool,
+    pub(super) request: &'a PlacementRequest,
+}
+
+impl Choice<'_> {
+    /// Name of the best server now; None where none may take the request.
+    pub(super) fn best(&self) -> Option<String> {
+        let trusts_suspects = self.too_many_suspects();
+        let mut best: Option<(Rank, &String)> = None;
+        for (name, server) in &self.pool.servers {
+            if server.is_replaced || self.request.tried.contains(name) || !server.may_send(self.now) {
+                continue;
+            }
+            if self.is_trial(server) {
+                return Some(name.clone());
+            }
+            let rank = self.rank(name, server, trusts_suspects);
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, name));
+            }
         }
-        let load = server.load(now);
-        let rank = Rank {
-            is_out: now < server.out_until,
+        best.map(|(_, name)| name.clone())
+    }
+
+    fn rank(&self, name: &str, server: &ServerState, trusts_suspects: bool) -> Rank {
+        let load = server.load(self.now, self.policy.shared_load);
+        Rank {
+            is_out: self.policy.failure_ejection && self.now < server.out_until,
             is_full: load >= f64::from(server.slots) * PASS_FULL,
-            cost: cost(now, own_zone, pool, request, name, server, load),
-        };
-        if best.is_none_or(|(least, _)| rank < least) {
-            best = Some((rank, name));
+            is_suspect: !trusts_suspects && self.is_suspect(server),
+            cost: self.cost(name, server, load),
         }
     }
-    best.map(|(_, name)| name.clone())
-}
 
-/// ms. What sending the request there is expected to cost it.
-fn cost(
-    now: u64,
-    own_zone: &str,
-    pool: &ServicePool,
-    request: &PlacementRequest,
-    name: &str,
-    server: &ServerState,
-    load: f64,
-) -> f64 {
-    let zone = if server.zone == own_zone { 0.0 } else { PASS_CELL_COST_MS };
-    let work = match pool.settings.batch {
-        0 => queue_cost(now, pool, server, load),
-        _ => batch_cost(request, name, server, load),
-    };
-    let failure = if request.once_only { 40.0 } else { 10.0 };
-    zone + work + f64::from(server.failures.min(8)) * failure
-}
+    fn is_suspect(&self, server: &ServerState) -> bool {
+        let stalls = self.policy.stall_detection && server.is_stalled(self.now);
+        stalls || self.policy.shared_health && server.verdict(self.now) != Verdict::Sound
+    }
 
-/// At a server that runs one request a slot: below its slots a request waits for nobody.
-fn queue_cost(now: u64, pool: &ServicePool, server: &ServerState, load: f64) -> f64 {
-    let slots = f64::from(server.slots);
-    let over = (load + 1.0 - slots).max(0.0);
-    over * pool.took_ms.max(1.0) / slots + load / slots * 4.0 + spread(now, server.salt)
-}
+    /// Where most look bad nobody is an outlier: that is load, or a fault of this edge's own.
+    fn too_many_suspects(&self) -> bool {
+        let servers = self.pool.servers.values();
+        let suspects = servers.filter(|server| self.is_suspect(server)).count();
+        suspects > most_ejected(self.pool.servers.len(), self.policy.max_ejected_share)
+    }
 
-/// At a server that runs batches: what it must still read, and who is there already.
-fn batch_cost(request: &PlacementRequest, name: &str, server: &ServerState, load: f64) -> f64 {
-    let unread = server.unread_tokens(&request.parts);
-    let mut cost = f64::from(unread) / PASS_READ_PER_MS + load * PASS_JOB_COST_MS;
-    if name == request.last_server {
-        // what was said before is kept there, whoever sent it
-        let own = request.parts.last().map_or(0, |(_, tokens)| *tokens);
-        cost -= f64::from(unread.saturating_sub(own)) / PASS_READ_PER_MS;
+    /// A server on trial gets a request that may be repeated now and then, over all edges as many as one edge has.
+    fn is_trial(&self, server: &ServerState) -> bool {
+        let may = self.policy.shared_health && !self.request.once_only && self.request.tried.is_empty();
+        may && server.verdict(self.now) == Verdict::OnTrial
+            && spread(self.now ^ self.edge_salt, server.salt) * f64::from(self.edges) < 1.0
+    }
+
+    /// ms. What sending the request there is expected to cost it.
+    fn cost(&self, name: &str, server: &ServerState, load: f64) -> f64 {
+        let is_own_zone = !self.policy.own_zone || server.zone == self.own_zone;
+        let zone = if is_own_zone { 0.0 } else { self.policy.other_zone_ms };
+        let work = match self.pool.settings.batch {
+            0 => self.queue_cost(server, load),
+            _ => self.batch_cost(name, server, load),
+        };
+        let failure = if self.request.once_only { 40.0 } else { 10.0 };
+        let failures = if self.policy.failure_ejection { server.failures.min(8) } else { 0 };
+        zone + work + f64::from(failures) * failure
+    }
+
+    /// At a server that runs one request a slot: below its slots a request waits for nobody.
+    fn queue_cost(&self, server: &ServerState, load: f64) -> f64 {
+        let slots = f64::from(server.slots);
+        let over = (load + 1.0 - slots).max(0.0);
+        over * self.pool.took_ms.max(1.0) / slots + load / slots * 4.0 + spread(self.now, server.salt)
+    }
+
+    /// At a server that runs batches: what it must still read, and who is there already.
+    fn batch_cost(&self, name: &str, server: &ServerState, load: f64) -> f64 {
+        let request = self.request;
+        let ms_per_token = self.pool.reading.ms_per_token();
+        let unread = match self.policy.prefix_affinity {
+            true => server.unread_tokens(&request.parts),
+            false => request.tokens(),
+        };
+        let mut cost = f64::from(unread) * ms_per_token + load * PASS_JOB_COST_MS;
+        if self.policy.session_affinity && name == request.last_server {
+            // what was said before is kept there, whoever sent it
+            let own = request.parts.last().map_or(0, |(_, tokens)| *tokens);
+            cost -= f64::from(unread.saturating_sub(own)) * ms_per_token;
+        }
+        // what is alike is spread: each edge prefers others, and for each beginning of a prompt
+        let first = request.parts.first().map_or(0, |(part, _)| *part);
+        cost + spread(first ^ self.edge_salt, server.salt) * 8.0
     }
-    // all edges lean to the same server for the same beginning, without a word
-    let first = request.parts.first().map_or(0, |(part, _)| *part);
-    cost + spread(first, server.salt) * 8.0
 }
 
 /// 0 to 1, the same for the same two numbers.
-fn spread(a: u64, b: u64) -> f64 {
+pub(super) fn spread(a: u64, b: u64) -> f64 {
     let bits = (a ^ b).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
     bits as f64 / (1u64 << 24) as f64
 }
--- a/hutbook/src/coordination/balancer/mod.rs
+++ b/hutbook/src/coordination/balancer/mod.rs
@@ -4,6 +4,7 @@
 //! over: there the controller's numbers bind, over any second.
 
 mod choose;
+mod latency;
 mod routes;
 mod server;
 
@@ -11,7 +12,10 @@
 
 use super::view::{hash, Server, View};
 use crate::constants::*;
-use crate::state::config::{Group, PassGroup};
+use crate::coordination::fleet_health::{FleetDigest, ServerReport, Verdict};
+use crate::state::config::{Group, PassGroup, Policy};
+use choose::Choice;
+use latency::{LatencyModel, ReadModel};
 use routes::RouteTable;
 use server::ServerState;
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,6 +31,17 @@
     pub tried: Vec<String>,
     /// It can't be tried again if it goes wrong: suspect servers come last.
     pub once_only: bool,
+    /// Its route, in a number: requests of one route are alike.
+    pub route: u64,
+    /// ms. Within this its first byte should come: what is usual, until that is known. 0 where nothing is said.
+    pub aim_ms: u64,
+}
+
+impl PlacementRequest {
+    /// Tokens of its prompt.
+    fn tokens(&self) -> u32 {
+        self.parts.iter().map(|(_, tokens)| tokens).sum()
+    }
 }
 
 /// Where a request goes.
@@ -39,6 +54,10 @@
     pub max_connections: u32,
     /// Tokens of its prompt that the server must still read, as believed here.
     pub unread_tokens: u32,
+    /// Names this send among this edge's.
+    ticket: u64,
+    route: u64,
+    aim_ms: u64,
 }
 
 /// How a request left its server.
@@ -51,6 +70,8 @@
     WrongServer,
     /// It failed, was silent or broke off.
     Failed,
+    /// It was sent to a second server later, and that one answered first.
+    Overtaken,
     /// Ended from this side; says nothing of the server.
     Cancelled,
 }
@@ -63,6 +84,57 @@
     in_flight: u32,
     /// ms. How long a request takes here, smoothed.
     took_ms: f64,
+    /// How long a request waits for its first byte, by route.
+    first_byte: BTreeMap<u64, LatencyModel>,
+    reading: ReadModel,
+    /// Second sends saved up.
+    hedges: f64,
+}
+
+impl ServicePool {
+    fn new(settings: PassGroup) -> ServicePool {
+        ServicePool {
+            settings,
+            servers: BTreeMap::new(),
+            in_flight: 0,
+            took_ms: 0.0,
+            first_byte: BTreeMap::new(),
+            reading: ReadModel::default(),
+            hedges: HEDGES_MOST,
+        }
+    }
+
+    /// ms. How long a request may wait for its first byte, by so many deviations: until these are known its aim
+    /// stands for them. None where there is neither.
+    fn wait_bound(&self, route: u64, aim_ms: u64, unread_tokens: u32, deviations: f64) -> Option<u64> {
+        let learned = self.first_byte.get(&route).and_then(|model| model.bound(deviations));
+        let prior = (aim_ms > 0).then_some(aim_ms as f64 * deviations / HEDGE_DEVIATIONS);
+        let reading = f64::from(unread_tokens) * self.reading.ms_per_token();
+        Some((learned.or(prior)? + reading).max(STALL_LEAST_MS) as u64)
+    }
+
+    /// ms. When a request sent now has waited for longer than its like take.
+    fn stalls_at(&self, now: u64, request: &PlacementRequest, unread_tokens: u32) -> u64 {
+        let bound = self.wait_bound(request.route, request.aim_ms, unread_tokens, STALL_DEVIATIONS);
+        bound.map_or(u64::MAX, |ms| now + ms)
+    }
+
+    /// A request's first byte has come after `ms`. Returns how long that was against its like.
+    fn note_first_byte(&mut self, placement: &Placement, ms: u64) -> f32 {
+        let unread = f64::from(placement.unread_tokens);
+        if self.settings.batch > 0 {
+            self.reading.add(unread, ms as f64);
+        }
+        let reading = unread * self.reading.ms_per_token();
+        if self.first_byte.len() >= LATENCY_ROUTES_KEPT && !self.first_byte.contains_key(&placement.route) {
+            self.first_byte.clear();
+        }
+        let model = self.first_byte.entry(placement.route).or_default();
+        let usual = model.bound(0.0);
+        model.add((ms as f64 - reading).max(0.0));
+        // short waits differ by chance: a floor keeps them from counting as slow
+        usual.map_or(1.0, |usual| ((ms as f64) / (usual + reading).max(SLOWNESS_FLOOR_MS)) as f32)
+    }
 }
 
 /// One edge's belief about all servers that take proxied requests.
@@ -77,12 +149,17 @@
     max_parts_each: usize,
     routes: RouteTable,
     revision: u64,
+    policy: Policy,
+    /// Drawn for this edge.
+    salt: u64,
+    last_ticket: u64,
 }
 
 impl Balancer {
-    pub fn new(zone: &str) -> Balancer {
+    /// `salt` is drawn for this edge: edges that know the same prefer different servers.
+    pub fn new(zone: &str, salt: u64) -> Balancer {
         let max_parts = PROMPT_PARTS_BYTES / PROMPT_PART_BYTES;
-        Balancer { zone: zone.into(), max_parts, max_parts_each: PASS_PARTS, ..Balancer::default() }
+        Balancer { zone: zone.into(), salt, max_parts, max_parts_each: PASS_PARTS, ..Balancer::default() }
     }
 
     /// From now on so many prompt parts are remembered at the most, over all servers.
@@ -122,6 +199,7 @@
     fn learn(&mut self, view: &View) {
         let Some(config) = &view.config else { return };
         self.routes = RouteTable::new(config);
+        self.policy = config.policy.clone();
         let settings_of = |(name, group): (&String, &Group)| Some((name.clone(), group.pass.clone()?));
         let mut services: BTreeMap<String, PassGroup> = view.fading.iter().filter_map(settings_of).collect();
         services.extend(config.groups.iter().filter_map(settings_of));
@@ -135,12 +213,7 @@
     fn learn_service(&mut self, view: &View, service: String, settings: PassGroup) {
         let is_usable = |server: &&Server| server.group == service && view.usable(&server.name);
         let usable: BTreeSet<&String> = view.servers.values().filter(is_usable).map(|server| &server.name).collect();
-        let pool = self.pools.entry(service.clone()).or_insert_with(|| ServicePool {
-            settings: settings.clone(),
-            servers: BTreeMap::new(),
-            in_flight: 0,
-            took_ms: 0.0,
-        });
+        let pool = self.pools.entry(service).or_insert_with(|| ServicePool::new(settings.clone()));
         pool.settings = settings;
         pool.servers.retain(|name, _| usable.contains(name));
         for name in usable {
@@ -163,17 +236,82 @@
     /// The best server for a request now, of which a place is then taken.
     pub fn choose(&mut self, now: u64, service: &str, request: &PlacementRequest) -> Option<Placement> {
         let pool = self.pools.get_mut(service)?;
-        let name = choose::choose(now, &self.zone, pool, request)?;
+        let choice = Choice {
+            now,
+            own_zone: &self.zone,
+            edge_salt: self.salt,
+            edges: self.edges,
+            policy: &self.policy,
+            pool,
+            request,
+        };
+        let name = choice.best()?;
         let max_connections = match pool.settings.sessions_most {
             0 => POOLED as u32,
             most => (most / self.edges.max(1)).max(2),
         };
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
         pool.in_flight += 1;
+        pool.hedges = (pool.hedges + self.policy.hedge_budget).min(HEDGES_MOST);
+        let unread_tokens = pool.servers.get(&name)?.unread_tokens(&request.parts);
+        let stalls_at = pool.stalls_at(now, request, unread_tokens);
         let server = pool.servers.get_mut(&name)?;
-        let unread_tokens = server.unread_tokens(&request.parts);
-        server.note_sent(now, &request.parts, self.max_parts_each);
+        server.note_sent(now, ticket, stalls_at, &request.parts, self.max_parts_each);
         let addr = server.addr.clone();
-        Some(Placement { server: name, addr, service: service.into(), max_connections, unread_tokens })
+        let PlacementRequest { route, aim_ms, .. } = *request;
+        let service = service.to_string();
+        Some(Placement { server: name, addr, service, max_connections, unread_tokens, ticket, route, aim_ms })
+    }
+
+    /// ms. How long a repeatable request waits for its first byte before it is sent to a second server as well;
+    /// None where it isn't.
+    pub fn hedge_after(&self, placement: &Placement) -> Option<u64> {
+        if !self.policy.hedging {
+            return None;
+        }
+        let Placement { service, route, aim_ms, unread_tokens, .. } = placement;
+        self.pools.get(service)?.wait_bound(*route, *aim_ms, *unread_tokens, HEDGE_DEVIATIONS)
+    }
+
+    /// Takes one second send from the service's budget, if there is one left.
+    pub fn take_hedge(&mut self, service: &str) -> bool {
+        let Some(pool) = self.pools.get_mut(service) else { return false };
+        let has = pool.hedges >= 1.0;
+        if has {
+            pool.hedges -= 1.0;
+        }
+        has
+    }
+
+    /// The first byte of a request's answer has come, `waited_ms` after it was sent.
+    pub fn note_first_byte(&mut self, placement: &Placement, waited_ms: u64) {
+        let Some(pool) = self.pools.get_mut(&placement.service) else { return };
+        let slowness = pool.note_first_byte(placement, waited_ms);
+        if let Some(server) = pool.servers.get_mut(&placement.server) {
+            server.note_first_byte(placement.ticket, slowness);
+        }
+    }
+
+    /// What this edge has seen of its servers since the last report.
+    pub fn report(&mut self, now: u64) -> Vec<ServerReport> {
+        let servers = self.pools.values_mut().flat_map(|pool| &mut pool.servers);
+        servers.filter_map(|(name, server)| server.report(now, name)).collect()
+    }
+
+    /// Takes the fleet's word on its servers, if it speaks of the servers of this view.
+    pub fn note_fleet(&mut self, now: u64, view: &View, digest: &FleetDigest) {
+        let is_whole = digest.load.len() == view.servers.len() && digest.verdicts.len() == view.servers.len();
+        if digest.revision != view.rev || !is_whole {
+            return;
+        }
+        let words = digest.load.iter().zip(&digest.verdicts);
+        for (listed, (load, verdict)) in view.servers.values().zip(words) {
+            let server = self.pools.get_mut(&listed.group).and_then(|pool| pool.servers.get_mut(&listed.name));
+            if let Some(server) = server {
+                server.note_fleet(now, *load, Verdict::from_byte(*verdict));
+            }
+        }
     }
 
     /// May this server get work still?
@@ -208,7 +346,7 @@
             pool.took_ms = if pool.took_ms == 0.0 { took } else { pool.took_ms * 0.95 + took * 0.05 };
         }
         if let Some(server) = pool.servers.get_mut(&placement.server) {
-            server.note_outcome(now, outcome);
+            server.note_outcome(now, placement.ticket, outcome);
         }
     }
 
@@ -217,3 +355,6 @@
         self.pools.iter().map(|(name, pool)| (name.clone(), pool.in_flight, pool.servers.len())).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/hutbook/src/coordination/balancer/server.rs
+++ b/hutbook/src/coordination/balancer/server.rs
@@ -2,6 +2,7 @@
 
 use super::Outcome;
 use crate::constants::*;
+use crate::coordination::fleet_health::{ServerReport, Verdict};
 use std::collections::{HashMap, VecDeque};
 
 /// What a server said of its load, and this edge's own part of it then.
@@ -12,6 +13,31 @@
     own: u32,
 }
 
+/// A request that has brought nothing back yet.
+struct Waiting {
+    ticket: u64,
+    /// ms. From then on it has waited for longer than its like take.
+    stalls_at: u64,
+}
+
+/// What the fleet said of a server.
+#[derive(Default)]
+struct FleetWord {
+    at: u64,
+    /// Requests of other edges under way there.
+    others: u32,
+    verdict: Verdict,
+}
+
+/// What this edge has seen since its last report.
+#[derive(Default)]
+struct Unreported {
+    failed: u32,
+    succeeded: u32,
+    /// Sum over the succeeded ones, 1.0 each where they took as long as their like.
+    slowness: f32,
+}
+
 /// One edge's belief about one server.
 #[derive(Default)]
 pub(super) struct ServerState {
@@ -35,6 +61,11 @@
     cached_parts: HashMap<u64, u64>,
     /// Another server answered in its place.
     pub(super) is_replaced: bool,
+    waiting: Vec<Waiting>,
+    fleet: FleetWord,
+    unreported: Unreported,
+    /// Requests under way when this edge last reported.
+    reported_in_flight: u32,
 }
 
 impl ServerState {
@@ -42,15 +73,51 @@
         ServerState { salt, ..ServerState::default() }
     }
 
-    /// Requests there, as far as is known here.
-    pub(super) fn load(&self, now: u64) -> f64 {
-        match &self.told_load {
-            Some(told) if now < told.at + PASS_SAID_MS => {
-                let others = (told.running + told.waiting).saturating_sub(told.own);
-                f64::from(others + self.in_flight)
-            }
-            _ => f64::from(self.in_flight),
+    /// Requests there, as far as is known here: by its own word, else by the fleet's, else this edge's own.
+    pub(super) fn load(&self, now: u64, uses_fleet: bool) -> f64 {
+        let others = match &self.told_load {
+            Some(told) if now < told.at + PASS_SAID_MS => (told.running + told.waiting).saturating_sub(told.own),
+            _ if uses_fleet && self.has_fleet_word(now) => self.fleet.others,
+            _ => 0,
+        };
+        f64::from(others + self.in_flight)
+    }
+
+    fn has_fleet_word(&self, now: u64) -> bool {
+        now < self.fleet.at + FLEET_DIGEST_MS
+    }
+
+    /// The fleet's verdict, while it is fresh.
+    pub(super) fn verdict(&self, now: u64) -> Verdict {
+        if self.has_fleet_word(now) {
+            self.fleet.verdict
+        } else {
+            Verdict::Sound
+        }
+    }
+
+    /// Takes the fleet's word; `load` counts this edge's own requests as it last reported them.
+    pub(super) fn note_fleet(&mut self, now: u64, load: u8, verdict: Verdict) {
+        let others = u32::from(load).saturating_sub(self.reported_in_flight);
+        self.fleet = FleetWord { at: now, others, verdict };
+    }
+
+    /// Does a request wait here for longer than its like take?
+    pub(super) fn is_stalled(&self, now: u64) -> bool {
+        self.waiting.iter().any(|waiting| now >= waiting.stalls_at)
+    }
+
+    /// What is new since the last report; None where there is nothing to say.
+    pub(super) fn report(&mut self, now: u64, name: &str) -> Option<ServerReport> {
+        let seen = std::mem::take(&mut self.unreported);
+        self.reported_in_flight = self.in_flight;
+        let stalled = self.waiting.iter().filter(|waiting| now >= waiting.stalls_at).count() as u32;
+        if self.in_flight + stalled + seen.failed + seen.succeeded == 0 {
+            return None;
         }
+        let slowness = (seen.slowness * 100.0) as u32;
+        let Unreported { failed, succeeded, .. } = seen;
+        Some(ServerReport { server: name.into(), in_flight: self.in_flight, stalled, failed, succeeded, slowness })
     }
 
     /// Cold servers are bound over any second, not by the second of a clock.
@@ -70,9 +137,11 @@
         self.cached_parts.len()
     }
 
-    /// A request goes out to it; at most `max_parts` prompt parts are remembered.
-    pub(super) fn note_sent(&mut self, now: u64, parts: &[(u64, u32)], max_parts: usize) {
+    /// A request goes out to it, which has waited too long from `stalls_at` on; at most `max_parts` prompt parts
+    /// are remembered.
+    pub(super) fn note_sent(&mut self, now: u64, ticket: u64, stalls_at: u64, parts: &[(u64, u32)], max_parts: usize) {
         self.in_flight += 1;
+        self.waiting.push(Waiting { ticket, stalls_at });
         if self.cold_rate.is_some() {
             self.sent_while_cold.push_back(now);
             while self.sent_while_cold.front().is_some_and(|sent| sent + 2_000 < now) {
@@ -89,15 +158,28 @@
         self.told_load = Some(ToldLoad { at: now, running, waiting, own: self.in_flight });
     }
 
+    /// The first byte of a request's answer has come, after `slowness` times what its like take.
+    pub(super) fn note_first_byte(&mut self, ticket: u64, slowness: f32) {
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+        self.unreported.succeeded += 1;
+        self.unreported.slowness += slowness;
+    }
+
     /// A request has left it.
-    pub(super) fn note_outcome(&mut self, now: u64, outcome: Outcome) {
+    pub(super) fn note_outcome(&mut self, now: u64, ticket: u64, outcome: Outcome) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        let was_stalled = self.waiting.iter().any(|waiting| waiting.ticket == ticket && now >= waiting.stalls_at);
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+        let is_lost = matches!(outcome, Outcome::Failed | Outcome::Overtaken);
+        if is_lost || outcome == Outcome::Cancelled && was_stalled {
+            self.unreported.failed += 1;
+        }
         match outcome {
             Outcome::Success => (self.failures, self.out_until) = (0, 0),
             Outcome::WrongServer => self.is_replaced = true,
             // full for the moment: others first
             Outcome::TurnedAway => self.out_until = self.out_until.max(now + PASS_OUT_MS / 4),
-            Outcome::Failed => {
+            Outcome::Failed | Outcome::Overtaken => {
                 self.failures += 1;
                 self.out_until = now + (PASS_OUT_MS << self.failures.min(5)).min(PASS_OUT_MOST_MS);
             }
--- /dev/null
+++ b/hutbook/src/coordination/balancer/tests.rs
@@ -0,0 +1,234 @@
+use super::*;
+use crate::coordination::view::Spot;
+use crate::state::config::{Config, Kind, Limits, Tuning};
+
+const SERVICE: &str = "lm";
+const ROUTE: u64 = 7;
+/// Of one conversation's beginning: (id, tokens).
+const BEGINNING: (u64, u32) = (11, 2_560);
+/// ms. How long an ordinary answer waits for its first byte.
+const USUAL_MS: u64 = 50;
+
+fn config(batch: u32, policy: Policy) -> Config {
+    let settings = PassGroup {
+        sessions_most: 1_000,
+        cold_per_s: 0.0,
+        cache_tokens: 0,
+        piece_tokens: 4,
+        batch,
+        health_path: "/".into(),
+    };
+    let group = Group {
+        kind: Kind::Model,
+        slo_ms: 1_000,
+        least: 1,
+        most: 10_000,
+        in_flight: 8,
+        warm_jobs: 1,
+        pressure_most: 8.0,
+        cache_most: 0.9,
+        pass: Some(settings),
+    };
+    Config {
+        groups: BTreeMap::from([(SERVICE.to_string(), group)]),
+        routes: BTreeMap::new(),
+        work: BTreeMap::new(),
+        scaler: Tuning::default(),
+        limits: Limits::default(),
+        ways: BTreeMap::new(),
+        policy,
+    }
+}
+
+/// So many servers over so many zones, each with so many slots.
+fn view_of(servers: usize, zones: usize, slots: u32, batch: u32, policy: Policy) -> View {
+    let mut view = View { rev: 1, config: Some(config(batch, policy)), ..View::default() };
+    for i in 0..servers {
+        let name = format!("s{i:03}");
+        let server = Server {
+            name: name.clone(),
+            group: SERVICE.into(),
+            addr: name.clone(),
+            cell: format!("z{}", i % zones),
+            leaving: false,
+            since: 1,
+            born: 0,
+            slots,
+            cold: false,
+            listed_by_directory: true,
+        };
+        view.servers.insert(name.clone(), server);
+        view.places.entry(SERVICE.into()).or_default().insert(name, Spot { since: 1, draining: false });
+    }
+    view
+}
+
+fn balancer(view: &View, zone: &str, salt: u64, edges: u32) -> Balancer {
+    let mut balancer = Balancer::new(zone, salt);
+    balancer.follow(view, &BTreeMap::new(), edges);
+    balancer
+}
+
+fn repeatable() -> PlacementRequest {
+    PlacementRequest { route: ROUTE, ..PlacementRequest::default() }
+}
+
+/// An ordinary answer at every server in turn, so that the edge knows what is usual.
+fn learn(balancer: &mut Balancer, servers: usize) {
+    for i in 0..servers.max(2 * LATENCY_SAMPLES_LEAST as usize) as u64 {
+        let placement = balancer.choose(i, SERVICE, &repeatable()).unwrap();
+        balancer.note_first_byte(&placement, USUAL_MS);
+        balancer.finish(i, &placement, USUAL_MS, Outcome::Success);
+    }
+}
+
+#[test]
+fn edges_spread_alike_beginnings_over_all_servers() {
+    // given 71 edges over five zones before 72 servers
+    let view = view_of(72, 5, 24, 24, Policy::default());
+    let mut begun: BTreeMap<String, u32> = BTreeMap::new();
+    // when conversations of six beginnings come to each
+    for edge in 0..71u64 {
+        let mut balancer = balancer(&view, &format!("z{}", edge % 5), hash(&format!("edge-{edge}")), 71);
+        for turn in 0..60u64 {
+            let parts = vec![(turn % 6, 2_560), (1_000 + turn, 500)];
+            let placement = balancer.choose(turn, SERVICE, &PlacementRequest { parts, ..repeatable() }).unwrap();
+            *begun.entry(placement.server).or_default() += 1;
+        }
+    }
+    // then every server has its part
+    let mean = 71 * 60 / 72;
+    let most = begun.values().max().copied().unwrap_or(0);
+    assert_eq!(begun.len(), 72, "servers without work");
+    assert!(most < 3 * mean, "{most} at the busiest, {mean} on average");
+}
+
+#[test]
+fn a_server_that_keeps_a_request_waiting_comes_last() {
+    for is_on in [true, false] {
+        // given an edge that knows what is usual, and a request that hangs
+        let view = view_of(10, 1, 8, 0, Policy { stall_detection: is_on, ..Policy::default() });
+        let mut balancer = balancer(&view, "z0", 1, 1);
+        learn(&mut balancer, 10);
+        let hung = balancer.choose(1_000, SERVICE, &repeatable()).unwrap();
+        // when as many other requests are under way as the servers have slots
+        let others = (0..60).map(|i| balancer.choose(3_000 + i, SERVICE, &repeatable()).unwrap());
+        let went_there = others.filter(|placement| placement.server == hung.server).count();
+        // then none of them goes there, and with the switch off some do
+        assert_eq!(went_there == 0, is_on, "{went_there}");
+        let server = &balancer.pools[SERVICE].servers[&hung.server];
+        assert!(server.is_stalled(3_000));
+    }
+}
+
+#[test]
+fn where_most_servers_look_bad_none_is_passed_over() {
+    // given a service of which every server holds a request that waits too long
+    let view = view_of(4, 1, 8, 0, Policy::default());
+    let mut balancer = balancer(&view, "z0", 1, 1);
+    learn(&mut balancer, 4);
+    for i in 0..4 {
+        let tried = (0..4).filter(|j| *j != i).map(|j| format!("s{j:03}")).collect();
+        balancer.choose(1_000, SERVICE, &PlacementRequest { tried, ..repeatable() }).unwrap();
+    }
+    // when another comes, then it is placed by load as ever
+    let mut used = BTreeSet::new();
+    used.extend((0..8).map(|i| balancer.choose(9_000 + i, SERVICE, &repeatable()).unwrap().server));
+    assert_eq!(used.len(), 4);
+}
+
+#[test]
+fn reading_speed_is_learned_from_answers() {
+    // given a server that keeps a beginning and has work, and one that is free
+    let view = view_of(2, 1, 64, 64, Policy::default());
+    let choose = |balancer: &mut Balancer| {
+        balancer.choose(1, SERVICE, &PlacementRequest { parts: vec![BEGINNING], ..repeatable() }).unwrap()
+    };
+    let mut slow = balancer(&view, "z0", 1, 1);
+    let mut fast = balancer(&view, "z0", 1, 1);
+    let (keeps, also) = (choose(&mut slow).server, choose(&mut fast).server);
+    assert_eq!(keeps, also);
+    (0..8).for_each(|_| drop((choose(&mut slow), choose(&mut fast))));
+    // when the answers of one edge show that reading costs next to nothing
+    for tokens in (0..2_000u32).map(|i| i % 4_000) {
+        let unread_tokens = tokens;
+        let placement = Placement { unread_tokens, ..choose(&mut fast) };
+        fast.note_first_byte(&placement, 20 + u64::from(tokens) / 1_000);
+        fast.finish(1, &placement, 20, Outcome::Cancelled);
+    }
+    // then it no longer waits behind others for what is kept, and the other edge does
+    assert_eq!(choose(&mut slow).server, keeps);
+    assert_ne!(choose(&mut fast).server, keeps);
+}
+
+#[test]
+fn a_second_send_is_due_only_past_what_is_usual_and_within_its_budget() {
+    // given an edge that knows nothing yet, and then knows what is usual
+    let view = view_of(4, 1, 64, 0, Policy { hedge_budget: 0.0, ..Policy::default() });
+    let mut balancer = balancer(&view, "z0", 1, 1);
+    let placement = balancer.choose(0, SERVICE, &repeatable()).unwrap();
+    assert_eq!(balancer.hedge_after(&placement), None);
+    // its aim stands for what is usual until that is known
+    assert_eq!(balancer.hedge_after(&Placement { aim_ms: 250, ..placement.clone() }), Some(250));
+    learn(&mut balancer, 4);
+    let after = balancer.hedge_after(&placement).unwrap();
+    assert!(after as f64 >= STALL_LEAST_MS && after < 10 * USUAL_MS, "{after}");
+    // when more second sends are wanted than the budget has
+    let taken = (0..100).filter(|_| balancer.take_hedge(SERVICE)).count();
+    // then only what was saved up is given
+    assert_eq!(taken, HEDGES_MOST as usize);
+}
+
+#[test]
+fn the_fleets_word_counts_while_it_is_fresh_and_of_this_view() {
+    // given three servers of which the fleet says that one is loaded, and one is suspect
+    let view = view_of(3, 1, 8, 0, Policy::default());
+    let mut balancer = balancer(&view, "z0", 1, 3);
+    let digest = |revision| FleetDigest { revision, load: vec![200, 0, 0], verdicts: vec![0, 1, 0] };
+    // when the digest is of another revision, then it says nothing
+    balancer.note_fleet(10, &view, &digest(9));
+    assert_eq!(balancer.pools[SERVICE].servers["s001"].verdict(10), Verdict::Sound);
+    // when it is of this one, then work goes to the third until the word is old
+    balancer.note_fleet(10, &view, &digest(1));
+    for i in 0..4 {
+        assert_eq!(balancer.choose(10 + i, SERVICE, &repeatable()).unwrap().server, "s002");
+    }
+    let old = 10 + FLEET_DIGEST_MS;
+    let used: BTreeSet<String> =
+        (0..12).map(|i| balancer.choose(old + i, SERVICE, &repeatable()).unwrap().server).collect();
+    assert_eq!(used.len(), 3);
+    // and one that is too short is dropped whole
+    balancer.note_fleet(old, &view, &FleetDigest { revision: 1, load: vec![1], verdicts: vec![1] });
+    assert_eq!(balancer.pools[SERVICE].servers["s000"].verdict(old), Verdict::Sound);
+}
+
+#[test]
+fn a_server_on_trial_gets_repeatable_requests_only_and_few() {
+    // given a server on trial before an edge of ten
+    let view = view_of(5, 1, 64, 0, Policy::default());
+    let mut balancer = balancer(&view, "z0", 5, 10);
+    let sent_there = |balancer: &mut Balancer, once_only| {
+        let sends = (0..1_000u64).filter(|i| {
+            let now = 10 + i;
+            balancer.note_fleet(
+                now,
+                &view,
+                &FleetDigest { revision: 1, load: vec![0; 5], verdicts: vec![2, 0, 0, 0, 0] },
+            );
+            let request = PlacementRequest { once_only, ..repeatable() };
+            let placement = balancer.choose(now, SERVICE, &request).unwrap();
+            balancer.finish(now, &placement, 1, Outcome::Cancelled);
+            placement.server == "s000"
+        });
+        sends.count()
+    };
+    // then one in ten that may be repeated goes there, and none that may not
+    let repeated = sent_there(&mut balancer, false);
+    assert!((20..300).contains(&repeated), "{repeated}");
+    assert_eq!(sent_there(&mut balancer, true), 0);
+}
+
+#[test]
+fn what_is_kept_of_a_server_is_small() {
+    assert!(std::mem::size_of::<ServerState>() <= 256, "{}", std::mem::size_of::<ServerState>());
+}
--- a/hutbook/src/coordination/control/configuration/tests.rs
+++ b/hutbook/src/coordination/control/configuration/tests.rs
@@ -14,6 +14,7 @@
         scaler: Tuning::default(),
         limits: Limits::default(),
         ways: BTreeMap::new(),
+        policy: Default::default(),
     }
 }
 
--- a/hutbook/src/coordination/control/growth_tests.rs
+++ b/hutbook/src/coordination/control/growth_tests.rs
@@ -32,6 +32,7 @@
         scaler: Tuning::default(),
         limits: Limits::default(),
         ways: BTreeMap::new(),
+        policy: Default::default(),
     }
 }
 
@@ -72,6 +73,7 @@
         held: vec![held],
         windows: vec![window],
         term: 1,
+        reports: vec![],
     })
 }
 
--- a/hutbook/src/coordination/control/leases.rs
+++ b/hutbook/src/coordination/control/leases.rs
@@ -24,6 +24,8 @@
         self.ledger.births(st.now, &self.state.view, r.node, &mut self.births);
         let (no, shares) = self.ledger.grant(st.now, &self.state.view, r.node);
         let cold = self.ledger.cold(st.now, &self.state.view, r.node);
+        self.fleet_health.note(st.now, &self.state.view, r.node, r.reports);
+        let fleet = self.fleet_health.digest(st.now, &self.state.view);
         let update = match self.journal.since(r.have) {
             Some(e) if r.have <= self.state.view.rev && (r.have > 0 || self.state.view.rev == 0) => Update::Events(e),
             _ => Update::Whole(Box::new(self.state.view.clone())),
@@ -36,6 +38,7 @@
             shares,
             cold,
             edges: self.ledger.live(st.now) as u32,
+            fleet,
         }))
     }
 
--- a/hutbook/src/coordination/control/messages.rs
+++ b/hutbook/src/coordination/control/messages.rs
@@ -1,6 +1,7 @@
 //! Messages of the control group: what edges, stores and operators ask it, what it
 //! answers, and the commands of its log. Field numbers are fixed for ever.
 
+use super::super::fleet_health::{FleetDigest, ServerReport};
 use super::super::scaler::{Decision, Sample};
 use super::super::shares::{Held, OpenJobs};
 use super::super::view::{Event, StoreGroup, View};
@@ -34,6 +35,8 @@
         #[n(7)] pub windows: Vec<Window>,
         /// Term of the leader that gave the grant `seen`.
         #[n(8)] pub term: u64,
+        /// What the edge has seen of the servers of proxied requests since its last renewal.
+        #[cbor(n(9), default)] pub reports: Vec<ServerReport>,
     }
     pub enum Update {
         #[n(0)] Events(#[n(0)] Vec<(u64, Event)>),
@@ -51,6 +54,8 @@
         #[cbor(n(5), default)] pub cold: BTreeMap<String, u32>,
         /// Edges that hold a licence.
         #[cbor(n(6), default)] pub edges: u32,
+        /// What all edges together know of the servers of proxied requests.
+        #[cbor(n(7), default)] pub fleet: FleetDigest,
     }
     pub struct CheckIn {
         #[n(0)] pub me: Member,
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -24,6 +24,7 @@
 pub use scaling::ponder;
 pub use status::{id_text, members_json};
 
+use super::fleet_health::FleetHealth;
 use super::raft::{Change, Denial, Raft};
 use super::replica::{LeaderContext, LeaderTask, Plan, StateMachine};
 use super::scaler::{Sample, Scene};
@@ -111,6 +112,8 @@
     idle: BTreeMap<String, u64>,
     /// Servers whose process is news: (since, born, fell).
     births: BTreeMap<String, (u64, u64, bool)>,
+    /// What edges report of the servers of proxied requests.
+    fleet_health: FleetHealth,
 }
 
 impl Core {
@@ -139,6 +142,7 @@
             listed_at: 0,
             alive: Default::default(),
             births: BTreeMap::new(),
+            fleet_health: FleetHealth::default(),
             idle: BTreeMap::new(),
         }
     }
@@ -303,6 +307,7 @@
         self.merged.clear();
         self.seen.clear();
         self.births.clear();
+        self.fleet_health = FleetHealth::default();
         self.idle.clear();
         self.cells.clear();
         self.alive.clear();
--- a/hutbook/src/coordination/control/scaling.rs
+++ b/hutbook/src/coordination/control/scaling.rs
@@ -49,6 +49,9 @@
     /// Everything one decision looks at.
     pub(super) fn scene(&self, now: u64, term: u64) -> Option<Scene> {
         let c = self.state.view.config.as_ref()?;
+        if !c.policy.scaler {
+            return None;
+        }
         // the newest slot is still filling
         let slots: Vec<u64> = match (self.merged.keys().next(), now / WINDOW_MS) {
             (Some(a), b) => (*a..b).collect(),
--- a/hutbook/src/coordination/control/tests.rs
+++ b/hutbook/src/coordination/control/tests.rs
@@ -83,6 +83,7 @@
         scaler: Tuning::default(),
         limits: Limits::default(),
         ways: BTreeMap::new(),
+        policy: Default::default(),
     };
     c.put_config(1, unnumbered(0, "a"), String::new(), config.clone());
     let listing = |i: u64| Listing {
@@ -147,6 +148,7 @@
         scaler: Tuning::default(),
         limits: Limits::default(),
         ways: BTreeMap::new(),
+        policy: Default::default(),
     };
     c.emit(1, Event::Config { text: String::new(), config, number: 0 });
     for slot in 0..4 {
--- a/hutbook/src/coordination/edge.rs
+++ b/hutbook/src/coordination/edge.rs
@@ -9,6 +9,7 @@
 use super::view::View;
 use crate::constants::*;
 use crate::state::hist::Hist;
+use crate::state::turn_texts::TurnTexts;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use tokio::sync::oneshot;
@@ -83,6 +84,7 @@
     book: Mutex<Book>,
     balancer: Mutex<Balancer>,
     admission: Mutex<EdgeAdmission>,
+    turn_texts: Mutex<TurnTexts>,
     /// Retries saved up.
     retries: Mutex<f64>,
 }
@@ -97,8 +99,9 @@
             licence: Mutex::default(),
             lanes: RwLock::default(),
             book: Mutex::default(),
-            balancer: Mutex::new(Balancer::new(cell)),
+            balancer: Mutex::new(Balancer::new(cell, id)),
             admission: Mutex::default(),
+            turn_texts: Mutex::new(TurnTexts::new(TURN_TEXTS_BYTES)),
             retries: Mutex::new(RETRY_MOST),
         }
     }
@@ -130,6 +133,11 @@
         self.balancer().limit_parts(bytes / PROMPT_PART_BYTES);
     }
 
+    /// Texts of turns that passed through here lately.
+    pub fn turn_texts(&self) -> MutexGuard<'_, TurnTexts> {
+        grip(&self.turn_texts)
+    }
+
     /// What the store groups have refused.
     pub fn admission(&self) -> MutexGuard<'_, EdgeAdmission> {
         grip(&self.admission)
@@ -184,6 +192,7 @@
                 fell: s.fell(),
             }));
         }
+        let reports = self.balancer().report(now);
         let mut b = grip(&self.book);
         b.sent = b.no;
         let told = b.told;
@@ -199,6 +208,7 @@
             held,
             windows,
             term,
+            reports,
         }
     }
 
@@ -233,7 +243,10 @@
             l.until = sent + LICENCE_MS - DRIFT_MS;
         }
         let v = new.as_ref().unwrap_or(&old);
-        grip(&self.balancer).follow(v, &g.cold, g.edges);
+        let mut balancer = grip(&self.balancer);
+        balancer.follow(v, &g.cold, g.edges);
+        balancer.note_fleet(now, v, &g.fleet);
+        drop(balancer);
         match new {
             Some(v) => {
                 self.follow(&v, &g.shares);
--- a/hutbook/src/coordination/edge/tests.rs
+++ b/hutbook/src/coordination/edge/tests.rs
@@ -3,7 +3,16 @@
 
 fn grant(no: u64, term: u64) -> Grant {
     let shares = BTreeMap::from([("s1".to_string(), 3)]);
-    Grant { no, term, rev: 0, update: Update::Events(vec![]), shares, cold: BTreeMap::new(), edges: 1 }
+    Grant {
+        no,
+        term,
+        rev: 0,
+        update: Update::Events(vec![]),
+        shares,
+        cold: BTreeMap::new(),
+        edges: 1,
+        fleet: Default::default(),
+    }
 }
 
 fn claims(e: &Edge, now: u64) -> u32 {
@@ -61,6 +70,7 @@
         scaler: Tuning::default(),
         limits: Limits::default(),
         ways: BTreeMap::new(),
+        policy: Default::default(),
     };
     View { rev: revision, config: Some(config), ..View::default() }
 }
--- /dev/null
+++ b/hutbook/src/coordination/fleet_health.rs
@@ -0,0 +1,296 @@
+//! What all edges together know of the servers of proxied requests: load, and which servers are bad.
+//!
+//! Each edge reports with its lease renewal what it has under way at each server and what became of its requests
+//! since the last one. The controller's leader adds that up and gives every edge a digest, one byte a server each
+//! for load and for the verdict. Nothing of it is agreed on: a new leader begins without evidence.
+
+use super::view::View;
+use crate::constants::*;
+use crate::state::config::Policy;
+use std::collections::BTreeMap;
+
+messages! {
+    /// What one edge has seen of one server since its last report.
+    #[derive(Default, Eq)]
+    pub struct ServerReport {
+        #[n(0)] pub server: String,
+        /// Requests under way there now.
+        #[n(1)] pub in_flight: u32,
+        /// Of these, those that have waited for longer than their like take.
+        #[n(2)] pub stalled: u32,
+        #[n(3)] pub failed: u32,
+        #[n(4)] pub succeeded: u32,
+        /// Percent. Sum over the succeeded ones: how long each took against what its like take.
+        #[n(5)] pub slowness: u32,
+    }
+    /// The fleet's word on its servers, in the order of the view's servers at `revision`.
+    #[derive(Default, Eq)]
+    pub struct FleetDigest {
+        #[n(0)] pub revision: u64,
+        /// Requests under way at each, 255 for more.
+        #[cbor(n(1), with = "minicbor::bytes")] pub load: Vec<u8>,
+        #[cbor(n(2), with = "minicbor::bytes")] pub verdicts: Vec<u8>,
+    }
+}
+
+/// What the fleet holds of one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Verdict {
+    #[default]
+    Sound,
+    /// Several edges found it bad lately: it comes last.
+    Suspect,
+    /// It was suspect, and may get a careful request now and then.
+    OnTrial,
+}
+
+impl Verdict {
+    fn byte(self) -> u8 {
+        match self {
+            Verdict::Sound => 0,
+            Verdict::Suspect => 1,
+            Verdict::OnTrial => 2,
+        }
+    }
+
+    /// An unknown byte says nothing against a server.
+    pub fn from_byte(byte: u8) -> Verdict {
+        match byte {
+            1 => Verdict::Suspect,
+            2 => Verdict::OnTrial,
+            _ => Verdict::Sound,
+        }
+    }
+}
+
+/// What one edge said last.
+struct EdgeReport {
+    at: u64,
+    servers: Vec<(String, u32, u32)>,
+}
+
+/// Where a server stands between sound and suspect.
+#[derive(Clone, Copy)]
+enum Standing {
+    Sound,
+    Suspect { until: u64 },
+    OnTrial { successes: f64 },
+}
+
+/// What was said of one server, the past fading.
+struct Evidence {
+    at: u64,
+    failed: f64,
+    succeeded: f64,
+    /// Sum over the succeeded ones, 1.0 each where they took as long as their like.
+    slowness: f64,
+    /// Edges that had something against it, with when; the latest ones.
+    accusers: [(u64, u64); ACCUSERS_KEPT],
+    standing: Standing,
+    /// Times in a row that it became suspect.
+    times: u32,
+}
+
+impl Evidence {
+    fn new(now: u64) -> Evidence {
+        let accusers = [(0, 0); ACCUSERS_KEPT];
+        Evidence { at: now, failed: 0.0, succeeded: 0.0, slowness: 0.0, accusers, standing: Standing::Sound, times: 0 }
+    }
+
+    fn fade(&mut self, now: u64) {
+        let age = now.saturating_sub(self.at) as f64;
+        let kept = (-age / EVIDENCE_MEMORY_MS as f64).exp();
+        self.at = now;
+        for sum in [&mut self.failed, &mut self.succeeded, &mut self.slowness] {
+            *sum *= kept;
+        }
+    }
+
+    fn accuse(&mut self, now: u64, node: u64) {
+        let own = self.accusers.iter().position(|(accuser, _)| *accuser == node);
+        let oldest = || (0..ACCUSERS_KEPT).min_by_key(|i| self.accusers[*i].1).unwrap_or(0);
+        let at = own.unwrap_or_else(oldest);
+        self.accusers[at] = (node, now);
+    }
+
+    /// Edges that had something against it lately.
+    fn accusers(&self, now: u64) -> usize {
+        self.accusers.iter().filter(|(_, at)| *at > 0 && now < at + EVIDENCE_MEMORY_MS).count()
+    }
+
+    fn mean_slowness(&self) -> Option<f64> {
+        (self.succeeded >= SLOWNESS_SAMPLES_LEAST).then(|| self.slowness / self.succeeded)
+    }
+}
+
+/// Evidence of all edges, as the controller's leader keeps it.
+#[derive(Default)]
+pub struct FleetHealth {
+    edges: BTreeMap<u64, EdgeReport>,
+    servers: BTreeMap<String, Evidence>,
+    digest: FleetDigest,
+    digest_at: u64,
+    /// Reports that were dropped because they can't be true.
+    pub absurd_reports: u64,
+}
+
+impl FleetHealth {
+    /// Takes what an edge reports; of servers that aren't listed nothing is kept.
+    pub fn note(&mut self, now: u64, view: &View, node: u64, reports: Vec<ServerReport>) {
+        let mut servers = Vec::with_capacity(reports.len());
+        for report in reports {
+            let Some(listed) = view.servers.get(&report.server) else { continue };
+            let most = listed.slots.max(1).saturating_mul(LOAD_SLOTS_MOST);
+            if report.in_flight > most || report.stalled > report.in_flight {
+                self.absurd_reports += 1;
+                continue;
+            }
+            let evidence = self.servers.entry(report.server.clone()).or_insert_with(|| Evidence::new(now));
+            evidence.fade(now);
+            if report.failed + report.stalled > 0 {
+                evidence.accuse(now, node);
+            }
+            let succeeded = report.succeeded.min(most);
+            evidence.failed += f64::from(report.failed.min(most));
+            evidence.succeeded += f64::from(succeeded);
+            let slowness = f64::from(report.slowness) / 100.0;
+            evidence.slowness += slowness.min(f64::from(succeeded) * SLOWNESS_MOST);
+            if slowness > SLOWNESS_SUSPECT * f64::from(succeeded) && succeeded > 0 {
+                evidence.accuse(now, node);
+            }
+            if let Standing::OnTrial { successes } = &mut evidence.standing {
+                *successes += f64::from(succeeded);
+            }
+            servers.push((report.server, report.in_flight, report.stalled));
+        }
+        self.edges.insert(node, EdgeReport { at: now, servers });
+    }
+
+    /// The fleet's word now, worked out at most every `TARGETS_MS`.
+    pub fn digest(&mut self, now: u64, view: &View) -> FleetDigest {
+        if now >= self.digest_at || self.digest.revision != view.rev {
+            self.digest_at = now + TARGETS_MS;
+            self.edges.retain(|_, report| now < report.at + FLEET_REPORT_MS);
+            self.servers.retain(|server, _| view.servers.contains_key(server));
+            self.judge(now, view);
+            self.digest = self.make_digest(view);
+        }
+        self.digest.clone()
+    }
+
+    /// Requests under way and stalled at each server, and how many edges hold stalled ones.
+    fn sums(&self) -> BTreeMap<&str, (u32, u32, u32)> {
+        let mut sums: BTreeMap<&str, (u32, u32, u32)> = BTreeMap::new();
+        for (server, in_flight, stalled) in self.edges.values().flat_map(|report| &report.servers) {
+            let sum = sums.entry(server).or_default();
+            sum.0 += in_flight;
+            sum.1 += stalled;
+            sum.2 += u32::from(*stalled > 0);
+        }
+        sums
+    }
+
+    fn make_digest(&self, view: &View) -> FleetDigest {
+        let sums = self.sums();
+        let load = |server: &String| sums.get(server.as_str()).map_or(0, |sum| sum.0.min(255) as u8);
+        let verdict = |server: &String| self.verdict(server).byte();
+        FleetDigest {
+            revision: view.rev,
+            load: view.servers.keys().map(load).collect(),
+            verdicts: view.servers.keys().map(verdict).collect(),
+        }
+    }
+
+    pub fn verdict(&self, server: &str) -> Verdict {
+        match self.servers.get(server).map(|evidence| evidence.standing) {
+            Some(Standing::Suspect { .. }) => Verdict::Suspect,
+            Some(Standing::OnTrial { .. }) => Verdict::OnTrial,
+            _ => Verdict::Sound,
+        }
+    }
+
+    /// Moves each server between sound, suspect and on trial.
+    fn judge(&mut self, now: u64, view: &View) {
+        let share = view.config.as_ref().map_or(Policy::default().max_ejected_share, |c| c.policy.max_ejected_share);
+        let stalled: BTreeMap<String, u32> = self.sums().iter().map(|(s, sum)| (s.to_string(), sum.1)).collect();
+        let mut services: BTreeMap<&str, Vec<&String>> = BTreeMap::new();
+        for server in view.servers.values().filter(|server| view.passes(&server.group)) {
+            services.entry(&server.group).or_default().push(&server.name);
+        }
+        for servers in services.into_values() {
+            let median = self.median_slowness(&servers);
+            let mut room = most_ejected(servers.len(), share);
+            let held = |server: &&&String| self.verdict(server) != Verdict::Sound;
+            room = room.saturating_sub(servers.iter().filter(held).count());
+            let mut bad: Vec<(f64, &String)> = vec![];
+            for name in servers {
+                let Some(evidence) = self.servers.get_mut(name) else { continue };
+                evidence.fade(now);
+                let badness = badness(evidence, now, stalled.get(name).copied().unwrap_or(0), median);
+                match evidence.standing {
+                    Standing::Suspect { until } if now >= until => {
+                        evidence.standing = Standing::OnTrial { successes: 0.0 };
+                        (evidence.failed, evidence.succeeded, evidence.slowness) = (0.0, 0.0, 0.0);
+                    }
+                    Standing::OnTrial { .. } if badness > 0.0 => suspect(evidence, now),
+                    Standing::OnTrial { successes } if successes >= TRIAL_SUCCESSES => {
+                        evidence.standing = Standing::Sound;
+                        evidence.times = 0;
+                    }
+                    Standing::Sound if badness > 0.0 => bad.push((badness, name)),
+                    _ => {}
+                }
+            }
+            bad.sort_by(|a, b| b.0.total_cmp(&a.0));
+            for (_, name) in bad.into_iter().take(room) {
+                if let Some(evidence) = self.servers.get_mut(name) {
+                    suspect(evidence, now);
+                }
+            }
+        }
+    }
+
+    /// The middle of the service's servers of which enough is known; 1 where that is none.
+    fn median_slowness(&self, servers: &[&String]) -> f64 {
+        let means = servers.iter().filter_map(|server| self.servers.get(*server)?.mean_slowness());
+        let mut means: Vec<f64> = means.collect();
+        means.sort_by(f64::total_cmp);
+        means.get(means.len() / 2).copied().unwrap_or(1.0)
+    }
+}
+
+/// How many of a service's servers may come last: a share, and one of a few.
+pub fn most_ejected(servers: usize, share: f64) -> usize {
+    let most = (servers as f64 * share) as usize;
+    let has_another = servers > 1 && share > 0.0;
+    most.max(usize::from(has_another))
+}
+
+/// Above 0: it is bad, the more the worse.
+fn badness(evidence: &Evidence, now: u64, stalled: u32, median_slowness: f64) -> f64 {
+    // one edge alone may be the one in trouble
+    if evidence.accusers(now) < ACCUSERS_LEAST {
+        return 0.0;
+    }
+    let asked = evidence.failed + evidence.succeeded + f64::from(stalled);
+    let lost = evidence.failed + f64::from(stalled);
+    if lost >= LOST_LEAST && lost >= LOST_SHARE * asked {
+        return 1.0 + lost / asked;
+    }
+    let slowness = evidence.mean_slowness().unwrap_or(0.0);
+    let bound = SLOWNESS_SUSPECT * median_slowness.max(1.0);
+    if slowness > bound {
+        slowness / bound / SLOWNESS_MOST
+    } else {
+        0.0
+    }
+}
+
+fn suspect(evidence: &mut Evidence, now: u64) {
+    let hold_ms = (SUSPECT_MS << evidence.times.min(8)).min(SUSPECT_MOST_MS);
+    evidence.times += 1;
+    evidence.standing = Standing::Suspect { until: now + hold_ms };
+}
+
+#[cfg(test)]
+mod tests;
--- a/hutbook/src/coordination/line/tests.rs
+++ b/hutbook/src/coordination/line/tests.rs
@@ -75,6 +75,7 @@
         scaler: Tuning::default(),
         limits: Limits::default(),
         ways: BTreeMap::new(),
+        policy: Default::default(),
     };
     l.follow(&View { config: Some(config), ..View::default() }, &BTreeMap::new());
     // then it waits on as it would have, and is told at its own bound
--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod edge;
 pub mod edge_admission;
+pub mod fleet_health;
 pub mod line;
 pub mod raft;
 pub mod replica;
--- a/hutbook/src/coordination/shares/tests.rs
+++ b/hutbook/src/coordination/shares/tests.rs
@@ -54,6 +54,7 @@
         scaler: Tuning::default(),
         limits: Limits::default(),
         ways: BTreeMap::new(),
+        policy: Default::default(),
     };
     let s = Server {
         name: "s1".into(),
--- a/hutbook/src/coordination/view/tests.rs
+++ b/hutbook/src/coordination/view/tests.rs
@@ -33,6 +33,7 @@
         scaler: Tuning::default(),
         limits: Limits::default(),
         ways: BTreeMap::new(),
+        policy: Default::default(),
     };
     View { config: Some(config), ..View::default() }
 }
--- a/hutbook/src/protocol/config.rs
+++ b/hutbook/src/protocol/config.rs
@@ -3,14 +3,14 @@
 
 use super::findings::{at, is_name, Finding, Reader};
 use crate::constants::*;
-use crate::state::config::{Config, Group, Kind, Limits, Route, Tuning, Work};
+use crate::state::config::{Config, Group, Kind, Limits, Policy, Route, Tuning, Work};
 use jzon::JsonValue;
 use std::collections::BTreeMap;
 
 pub fn read(text: &str) -> Result<Config, Vec<Finding>> {
     let mut r = Reader::default();
     let Some(v) = r.parse(text) else { return Err(r.found) };
-    if !r.keys("", &v, &["groups", "routes", "work", "scaler", "limits"]) {
+    if !r.keys("", &v, &["groups", "routes", "work", "scaler", "limits", "policy"]) {
         return Err(r.found);
     }
     let c = Config {
@@ -20,6 +20,7 @@
         scaler: tuning(&mut r, &v["scaler"]),
         limits: limits(&mut r, &v["limits"]),
         ways: BTreeMap::new(),
+        policy: policy(&mut r, &v["policy"]),
     };
     // what one part names must stand in another
     for (n, x) in &c.routes {
@@ -172,5 +173,56 @@
     }
 }
 
+/// A document that holds a policy alone.
+pub fn read_policy(text: &str) -> Result<Policy, Vec<Finding>> {
+    let mut r = Reader::default();
+    let Some(v) = r.parse(text) else { return Err(r.found) };
+    let read = policy(&mut r, &v);
+    if r.found.is_empty() {
+        Ok(read)
+    } else {
+        Err(r.found)
+    }
+}
+
+fn policy(r: &mut Reader, v: &JsonValue) -> Policy {
+    let d = Policy::default();
+    if v.is_null() {
+        return d;
+    }
+    let p = "policy";
+    let known = [
+        "prefix_affinity",
+        "session_affinity",
+        "own_zone",
+        "failure_ejection",
+        "stall_detection",
+        "shared_load",
+        "shared_health",
+        "hedging",
+        "scaler",
+        "max_ejected_share",
+        "hedge_budget",
+        "decision_log_share",
+        "other_zone_ms",
+    ];
+    r.keys(p, v, &known);
+    Policy {
+        prefix_affinity: r.yes(p, v, "prefix_affinity", d.prefix_affinity),
+        session_affinity: r.yes(p, v, "session_affinity", d.session_affinity),
+        own_zone: r.yes(p, v, "own_zone", d.own_zone),
+        failure_ejection: r.yes(p, v, "failure_ejection", d.failure_ejection),
+        stall_detection: r.yes(p, v, "stall_detection", d.stall_detection),
+        shared_load: r.yes(p, v, "shared_load", d.shared_load),
+        shared_health: r.yes(p, v, "shared_health", d.shared_health),
+        hedging: r.yes(p, v, "hedging", d.hedging),
+        scaler: r.yes(p, v, "scaler", d.scaler),
+        max_ejected_share: r.number(p, v, "max_ejected_share", Some(d.max_ejected_share), 0.0, 1.0),
+        hedge_budget: r.number(p, v, "hedge_budget", Some(d.hedge_budget), 0.0, 1.0),
+        decision_log_share: r.number(p, v, "decision_log_share", Some(d.decision_log_share), 0.0, 1.0),
+        other_zone_ms: r.number(p, v, "other_zone_ms", Some(d.other_zone_ms), 0.0, 60_000.0),
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/hutbook/src/state/config.rs
+++ b/hutbook/src/state/config.rs
@@ -109,6 +109,35 @@
         /// Samples kept; every decision trains its forest on them anew.
         #[n(13)] pub history: u32,
     }
+    /// How proxied requests are placed and tried again: a switch for each mechanism, and the bounds of some.
+    pub struct Policy {
+        /// A server that is believed to keep the beginning of a prompt is preferred.
+        #[n(0)] pub prefix_affinity: bool,
+        /// So is the one where a line of turns ran last.
+        #[n(1)] pub session_affinity: bool,
+        /// Servers of the edge's own zone are preferred.
+        #[n(2)] pub own_zone: bool,
+        /// A server that failed comes last for a time that grows.
+        #[n(3)] pub failure_ejection: bool,
+        /// A server that keeps a request waiting for longer than its like takes comes last.
+        #[n(4)] pub stall_detection: bool,
+        /// What the edges together have under way at a server counts as its load.
+        #[n(5)] pub shared_load: bool,
+        /// A server that several edges found bad comes last at all of them.
+        #[n(6)] pub shared_health: bool,
+        /// A repeatable request that waits for longer than its like is sent to a second server as well.
+        #[n(7)] pub hedging: bool,
+        /// The number of servers in use follows the load.
+        #[n(8)] pub scaler: bool,
+        /// Share of a service's servers that may come last for what was observed of them.
+        #[n(9)] pub max_ejected_share: f64,
+        /// Second sends for each request.
+        #[n(10)] pub hedge_budget: f64,
+        /// Share of the requests of which a record is logged; failed ones always, unless it is 0.
+        #[n(11)] pub decision_log_share: f64,
+        /// ms. What a server of another zone is taken to cost a request more: the way, and what the bytes are worth.
+        #[n(12)] pub other_zone_ms: f64,
+    }
     pub struct Limits {
         #[n(0)] pub allowance_most: u64,
         #[n(1)] pub turn_cap: u64,
@@ -123,6 +152,27 @@
         #[n(4)] pub limits: Limits,
         /// Work passed through, by name.
         #[cbor(n(5), default)] pub ways: BTreeMap<String, Way>,
+        #[cbor(n(6), default)] pub policy: Policy,
+    }
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy {
+            prefix_affinity: true,
+            session_affinity: true,
+            own_zone: true,
+            failure_ejection: true,
+            stall_detection: true,
+            shared_load: true,
+            shared_health: true,
+            hedging: true,
+            scaler: true,
+            max_ejected_share: 0.3,
+            hedge_budget: 0.1,
+            decision_log_share: 0.0,
+            other_zone_ms: 20.0,
+        }
     }
 }
 
--- a/hutbook/src/state/edge_budget.rs
+++ b/hutbook/src/state/edge_budget.rs
@@ -2,7 +2,7 @@
 
 use crate::constants::{
     EDGE_FEED_SHARE, MEGABYTE_BYTES, PROCESS_BYTES, PROMPT_PARTS_BYTES, PROMPT_PARTS_SHARE, REQUESTS_BYTES,
-    REQUESTS_LEAST_BYTES, REQUESTS_SHARE, RPC_QUEUE_BYTES, RPC_QUEUE_SHARE,
+    REQUESTS_LEAST_BYTES, REQUESTS_SHARE, RPC_QUEUE_BYTES, RPC_QUEUE_SHARE, TURN_TEXTS_BYTES, TURN_TEXTS_SHARE,
 };
 
 /// Bounds in bytes for one edge process. It keeps nothing on disk.
@@ -12,6 +12,8 @@
     pub requests: usize,
     /// Prompt parts believed to be cached at servers; those used longest ago go first.
     pub prompt_parts: usize,
+    /// Texts of turns that passed through lately; the oldest go first.
+    pub turn_texts: usize,
     /// Frames that wait to be written to other processes of the fleet; more are dropped, as a network would.
     pub rpc_queue: usize,
 }
@@ -24,6 +26,7 @@
         EdgeBudget {
             requests: part(REQUESTS_SHARE, REQUESTS_LEAST_BYTES, REQUESTS_BYTES),
             prompt_parts: part(PROMPT_PARTS_SHARE, 0, PROMPT_PARTS_BYTES),
+            turn_texts: part(TURN_TEXTS_SHARE, 0, TURN_TEXTS_BYTES),
             rpc_queue: part(RPC_QUEUE_SHARE, 0, RPC_QUEUE_BYTES),
         }
     }
@@ -37,6 +40,7 @@
             ("agreed state", agreed_state),
             ("requests", budget.requests),
             ("prompt parts", budget.prompt_parts),
+            ("turn texts", budget.turn_texts),
             ("rpc queue", budget.rpc_queue),
         ]
     }
--- a/hutbook/src/state/mod.rs
+++ b/hutbook/src/state/mod.rs
@@ -10,5 +10,6 @@
 pub mod memory;
 pub mod snapshot_data;
 pub mod texts;
+pub mod turn_texts;
 #[cfg(test)]
 mod unsteady;
--- /dev/null
+++ b/hutbook/src/state/turn_texts/tests.rs
@@ -0,0 +1,47 @@
+use super::*;
+
+fn text(turn: &str, before: &str, bytes: usize) -> TurnText {
+    let said = Bytes::from(vec![b'x'; bytes]);
+    TurnText { turn: turn.into(), before: before.into(), said, answer: Bytes::new() }
+}
+
+fn names(chain: &[TurnText]) -> Vec<&str> {
+    chain.iter().map(|text| text.turn.as_str()).collect()
+}
+
+#[test]
+fn a_chain_is_told_as_far_as_it_is_held_without_a_gap() {
+    // given the turns a, b, c and e of a chain, in which d is missing
+    let mut texts = TurnTexts::new(100_000);
+    for (turn, before) in [("a", ""), ("b", "a"), ("c", "b"), ("e", "d")] {
+        texts.insert(text(turn, before, 10));
+    }
+    // then each is told with those before it that are held
+    assert_eq!(names(&texts.chain("c")), ["c", "b", "a"]);
+    assert_eq!(names(&texts.chain("e")), ["e"]);
+    assert!(texts.chain("d").is_empty() && texts.chain("").is_empty());
+}
+
+#[test]
+fn texts_are_bounded_by_their_bytes_and_the_oldest_go_first() {
+    // given room for some ten texts
+    let mut texts = TurnTexts::new(10 * (1_000 + TURN_TEXT_BYTES + 20));
+    // when a hundred come
+    (0..100).for_each(|i| texts.insert(text(&format!("t{i}"), "", 1_000)));
+    // then the newest are held, within the bound
+    assert!(texts.held() <= 10 * (1_000 + TURN_TEXT_BYTES + 20));
+    assert!(texts.chain("t99").len() == 1 && texts.chain("t0").is_empty());
+    // and one that is larger than the whole is not
+    texts.insert(text("large", "", 1_000_000));
+    assert!(texts.chain("large").is_empty() && texts.chain("t99").len() == 1);
+    texts.set_limit(0);
+    assert_eq!(texts.held(), 0);
+}
+
+#[test]
+fn turns_that_name_each_other_in_a_circle_give_no_chain() {
+    let mut texts = TurnTexts::new(100_000);
+    texts.insert(text("a", "b", 1));
+    texts.insert(text("b", "a", 1));
+    assert!(texts.chain("a").is_empty());
+}
--- a/hutbook/src/transport/lexicon.rs
+++ b/hutbook/src/transport/lexicon.rs
@@ -8,6 +8,8 @@
     pub job: &'static str,
     /// ms that the user agent will wait.
     pub time_left: &'static str,
+    /// ms until the request's program should be over.
+    pub program_time_left: &'static str,
     pub program: &'static str,
     /// One line of a program's turns.
     pub line: &'static str,
@@ -34,6 +36,7 @@
 pub const LEXICON: Lexicon = Lexicon {
     job: "corkdrum-job",
     time_left: "corkdrum-time-left-ms",
+    program_time_left: "corkdrum-program-time-left-ms",
     program: "corkdrum-program",
     line: "corkdrum-line",
     allowance: "corkdrum-allowance",
--- a/hutbook/src/transport/proxy.rs
+++ b/hutbook/src/transport/proxy.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod attempt;
 mod context;
+mod decision;
 mod events;
 mod request;
 mod reservation;
@@ -20,13 +21,14 @@
 use crate::coordination::balancer::{service_of, Outcome, Placement};
 use crate::coordination::edge::Edge;
 use crate::coordination::view::View;
-use crate::state::config::{Nature, Way};
+use crate::state::config::Way;
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode, Uri};
 use answers::{own_answer, refusal, refusal_until};
-use attempt::{first_answer, Attempts, Failure};
+use attempt::{first_answer, Attempts, Failure, Opened};
 use bytes::{Bytes, BytesMut};
 use context::{within, Context};
+use decision::{Arrival, DecisionRecord};
 use request::{whole_conversation, ProxyRequest};
 use reservation::{end, reserve, Reservation};
 use std::sync::Arc;
@@ -88,46 +90,77 @@
     if !wait_for_lease(ground, edge, &view, &incoming, &reply).await {
         return drop(reply.send(refusal("no_licence")));
     }
-    let (service, route) = match find_route(ground, edge, &view, &incoming) {
+    let (service, name, route) = match find_route(ground, edge, &view, &incoming) {
         Ok(found) => found,
         Err(answer) => return drop(reply.send(answer)),
     };
-    let Some(mut request) = ProxyRequest::read(&incoming, names, route, edge, came) else {
+    let Some(request) = ProxyRequest::read(&incoming, names, (&name, route), edge, came) else {
         return drop(reply.send(own_answer(400, "no_job", None)));
     };
-    let mut body = incoming.body.clone();
-    if let Some(turn) = &request.turn {
-        match reserve(ground, edge, turn, route.aim_ms, came).await {
-            Reservation::Made { chain, server } => {
-                body = whole_conversation(&chain, &incoming.body);
-                request.placement.last_server = server;
-            }
-            Reservation::BudgetSpent => return drop(reply.send(own_answer(402, "allowance_spent", None))),
-            Reservation::TurnUnknown => return drop(reply.send(own_answer(404, "no_such_turn", None))),
-            // nothing stands at the store: there is nothing to settle
-            Reservation::Refused { retry_after_ms } => {
-                return drop(reply.send(refusal_until("store_full", retry_after_ms)))
-            }
-            Reservation::Unclear { retry_after_ms } => {
-                drop(reply.send(refusal_until("store_unreachable", retry_after_ms)));
-                // it may stand: it is given back when the store can be reached
-                return end(ground, edge, &request, 0, String::new(), None).await;
-            }
-        }
-    }
-    let context = Context {
+    let record = DecisionRecord::default();
+    let mut context = Context {
         ground,
         edge,
         names,
         view: &view,
         incoming: &incoming,
-        body,
+        body: incoming.body.clone(),
+        last_server: String::new(),
         route,
         service: &service,
         request: &request,
         came,
+        record: &record,
+    };
+    if let Some(reply) = reserve_turn(&mut context, reply).await {
+        run(&context, reply).await;
+    }
+    log_decision(&context, &name);
+}
+
+/// Reserves for a turn at its store and takes the conversation so far. None: it was refused, and its client told.
+async fn reserve_turn<G: ProxyGround>(context: &mut Context<'_, G>, reply: Reply) -> Option<Reply> {
+    let Some(turn) = &context.request.turn else { return Some(reply) };
+    let (ground, edge) = (context.ground, context.edge);
+    let reservation = reserve(ground, edge, turn.clone(), context.route.aim_ms, context.came).await;
+    context.record.note_reserved(ground.now() - context.came);
+    let refused = match reservation {
+        Reservation::Made { chain, server } => {
+            context.body = whole_conversation(&chain, &context.incoming.body);
+            context.last_server = server;
+            return Some(reply);
+        }
+        Reservation::BudgetSpent => own_answer(402, "allowance_spent", None),
+        Reservation::TurnUnknown => own_answer(404, "no_such_turn", None),
+        // nothing stands at the store: there is nothing to settle
+        Reservation::Refused { retry_after_ms } => refusal_until("store_full", retry_after_ms),
+        Reservation::Unclear { retry_after_ms } => {
+            context.record.note_ending("store_unreachable");
+            drop(reply.send(refusal_until("store_unreachable", retry_after_ms)));
+            // it may stand: it is given back when the store can be reached
+            end(ground, edge, context.request, 0, String::new(), None).await;
+            return None;
+        }
     };
-    run(&context, reply).await;
+    context.record.note_ending(refused.own_code.unwrap_or_default());
+    drop(reply.send(refused));
+    None
+}
+
+fn log_decision<G: ProxyGround>(context: &Context<'_, G>, route: &str) {
+    let share = context.view.config.as_ref().map_or(0.0, |config| config.policy.decision_log_share);
+    if share <= 0.0 {
+        return;
+    }
+    let arrival = Arrival {
+        id: context.request.id.to_str().unwrap_or_default(),
+        route,
+        came: context.came,
+        left_ms: context.request.ends_at - context.came,
+        program_left_ms: context.request.program_left_ms,
+        has_turn: context.request.turn.is_some(),
+    };
+    context.record.log(&arrival, context.now(), share, context.ground.draw());
 }
 
 /// Without a lease nothing new goes out; one that is just being renewed is waited for shortly.
@@ -156,38 +189,37 @@
     Some(view.config.as_ref()?.ways.get(&name)?.aim_ms)
 }
 
-/// A request's service and route, or the answer where there is none.
+/// A request's service, route's name and route, or the answer where there is none.
 fn find_route<'a, G: ProxyGround>(
     ground: &G,
     edge: &Edge,
     view: &'a View,
     incoming: &Incoming,
-) -> Result<(String, &'a Way), Outgoing> {
+) -> Result<(String, String, &'a Way), Outgoing> {
     let Some(config) = &view.config else { return Err(refusal("no_config")) };
     let name = edge.balancer().route(&incoming.host, incoming.target.path()).map(str::to_string);
-    let Some(route) = name.and_then(|name| config.ways.get(&name)) else {
-        return Err(own_answer(404, "no_way", None));
-    };
+    let found = name.and_then(|name| config.ways.get(&name).map(|route| (name, route)));
+    let Some((name, route)) = found else { return Err(own_answer(404, "no_way", None)) };
     let Some(service) = service_of(route, ground.draw()) else { return Err(refusal("no_group")) };
-    Ok((service.to_string(), route))
+    Ok((service.to_string(), name, route))
 }
 
 /// Tries servers until one's answer can be given, and agrees on the end of a turn.
 async fn run<G: ProxyGround + Clone + 'static>(context: &Context<'_, G>, mut reply: Reply) {
     let mut attempts = Attempts::new(context);
     let failure = loop {
-        let (placement, answer, sent_at) = match first_answer(context, &mut attempts, &mut reply).await {
-            Ok(found) => found,
+        let opened = match first_answer(context, &mut attempts, &mut reply).await {
+            Ok(opened) => opened,
             Err(failure) => break failure,
         };
-        context.note_load(&placement, answer.headers());
-        if context.route.nature != Nature::Stream || !answer.status().is_success() {
-            match give_whole(context, &mut attempts, placement, answer, sent_at, reply).await {
+        context.note_load(&opened.placement, opened.answer.headers());
+        if opened.first.is_none() {
+            match give_whole(context, &mut attempts, opened, reply).await {
                 Some(unused) => reply = unused,
                 None => return,
             }
         } else {
-            match relay(context, &mut attempts, placement, answer, sent_at, reply).await {
+            match relay(context, &mut attempts, opened, reply).await {
                 Relayed::Over => return,
                 Relayed::BrokeBeforeFirstEvent(unused) => reply = unused,
             }
@@ -203,21 +235,21 @@
 async fn give_whole<G: ProxyGround + Clone + 'static>(
     context: &Context<'_, G>,
     attempts: &mut Attempts,
-    placement: Placement,
-    mut answer: G::Answer,
-    sent_at: u64,
+    opened: Opened<G::Answer>,
     reply: Reply,
 ) -> Option<Reply> {
+    let Opened { placement, sent_at, mut answer, .. } = opened;
     let whole = read_whole(context, &mut answer).await;
     let is_fine = whole.is_some() && !answer.status().is_server_error();
     let outcome = if is_fine { Outcome::Success } else { Outcome::Failed };
     context.finish(&placement, sent_at, outcome);
     attempts.may_have_run = true;
     if !is_fine && attempts.may_repeat(context) {
-        attempts.placement.tried.push(placement.server);
         return Some(reply);
     }
     context.note_timing();
+    let is_good = is_fine && answer.status().is_success();
+    context.record.note_ending(if is_good { "served" } else { "server_failed" });
     let outgoing = match whole {
         Some(body) => Outgoing {
             status: answer.status(),
@@ -251,7 +283,7 @@
     failure: Failure,
     reply: Reply,
 ) {
-    log::debug!("{}: unserved after {:?}: {}", context.service, attempts.placement.tried, failure.code());
+    context.record.note_ending(failure.code());
     let outgoing = match failure {
         Failure::ClientLeft => refusal(failure.code()),
         // what may have run can't be promised not to have
--- a/hutbook/src/transport/proxy/context.rs
+++ b/hutbook/src/transport/proxy/context.rs
@@ -1,5 +1,6 @@
 //! What stays the same while one request is served.
 
+use super::decision::DecisionRecord;
 use super::request::{header_text, ProxyRequest};
 use super::{Incoming, ProxyGround};
 use crate::coordination::balancer::{Outcome, Placement};
@@ -21,11 +22,14 @@
     pub(super) incoming: &'a Incoming,
     /// What a server is to get: the conversation so far, then the new input.
     pub(super) body: Bytes,
+    /// Where its line of turns ran last; empty where that isn't known.
+    pub(super) last_server: String,
     pub(super) route: &'a Way,
     pub(super) service: &'a str,
     pub(super) request: &'a ProxyRequest,
     /// ms. When it came in.
     pub(super) came: u64,
+    pub(super) record: &'a DecisionRecord,
 }
 
 impl<G: ProxyGround> Context<'_, G> {
@@ -37,6 +41,7 @@
     pub(super) fn finish(&self, placement: &Placement, sent_at: u64, outcome: Outcome) {
         let now = self.now();
         self.edge.balancer().finish(now, placement, now - sent_at, outcome);
+        self.record.note_send(&placement.server, sent_at - self.came, now - sent_at, outcome);
     }
 
     /// What an answer says of its server's load, if anything.
--- a/hutbook/src/transport/proxy/request.rs
+++ b/hutbook/src/transport/proxy/request.rs
@@ -2,6 +2,7 @@
 
 use super::context::Context;
 use super::{Incoming, Lexicon, ProxyGround, Sending};
+use crate::constants::DAY_MS;
 use crate::coordination::balancer::{Placement, PlacementRequest};
 use crate::coordination::edge::Edge;
 use crate::coordination::store::{Link, TurnLeave};
@@ -26,12 +27,14 @@
 /// What a request's headers say.
 pub(super) struct ProxyRequest {
     /// Names this try of its client.
-    id: HeaderValue,
+    pub(super) id: HeaderValue,
     /// Where it is a turn whose tokens count or whose text is kept.
     pub(super) turn: Option<TurnLeave>,
     pub(super) placement: PlacementRequest,
     /// ms. Its deadline.
     pub(super) ends_at: u64,
+    /// ms. Until its program should be over, as it came in; None where nothing believable is said.
+    pub(super) program_left_ms: Option<u64>,
     /// It belongs to a program.
     pub(super) has_program: bool,
     /// Id of the last event that the client has.
@@ -58,7 +61,7 @@
     pub(super) fn read(
         incoming: &Incoming,
         names: &Lexicon,
-        route: &Way,
+        (route_name, route): (&str, &Way),
         edge: &Edge,
         now: u64,
     ) -> Option<ProxyRequest> {
@@ -72,8 +75,15 @@
         Some(ProxyRequest {
             id,
             turn,
-            placement: PlacementRequest { parts, once_only, ..PlacementRequest::default() },
+            placement: PlacementRequest {
+                parts,
+                once_only,
+                route: hash(route_name),
+                aim_ms: route.aim_ms,
+                ..PlacementRequest::default()
+            },
             ends_at: now + left_ms,
+            program_left_ms: header_number(headers, names.program_time_left).filter(|ms| *ms <= DAY_MS),
             has_program: header_text(headers, names.program).is_some(),
             last_event: header_text(headers, names.last_event).map(str::to_string),
         })
--- a/hutbook/src/transport/proxy/reservation.rs
+++ b/hutbook/src/transport/proxy/reservation.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::coordination::edge_admission::spread;
 use crate::coordination::store::{Link, StoreRequest, StoreResponse, TurnEnd, TurnLeave};
+use crate::state::turn_texts::TurnText;
 use std::pin::pin;
 
 /// What became of asking for a reservation.
@@ -36,7 +37,7 @@
 pub(super) async fn reserve<G: ProxyGround>(
     ground: &G,
     edge: &Edge,
-    turn: &TurnLeave,
+    mut turn: TurnLeave,
     aim_ms: u64,
     came: u64,
 ) -> Reservation {
@@ -47,13 +48,16 @@
     if let Some(ms) = edge.admission().refusal(ground.now(), group, class) {
         return Reservation::Refused { retry_after_ms: spread(ms, ground.draw()) };
     }
-    let answer = ask_in_time(ground, edge, turn, group, aim_ms, came).await;
+    let held = if turn.before.is_empty() { vec![] } else { edge.turn_texts().chain(&turn.before) };
+    turn.have = held.iter().map(|text| text.turn.clone()).collect();
+    let answer = ask_in_time(ground, edge, &turn, group, aim_ms, came).await;
     if answer.is_some() {
         edge.admission().note_heard(ground.now(), group);
     }
     match answer {
-        Some(StoreResponse::TurnMay { chain, server }) => {
+        Some(StoreResponse::TurnMay { mut chain, server }) => {
             edge.admission().note_admitted(group, class, &turn.program);
+            fill_in(&mut chain, held);
             Reservation::Made { chain, server }
         }
         Some(StoreResponse::TurnSpent) => Reservation::BudgetSpent,
@@ -66,6 +70,17 @@
     }
 }
 
+/// Puts in the texts that this edge holds itself: the store names those, and sends the others.
+fn fill_in(chain: &mut [Link], held: Vec<TurnText>) {
+    for link in chain {
+        let is_named_only = link.said.is_empty() && link.answer.is_empty();
+        let text = held.iter().find(|text| text.turn == link.turn);
+        if let Some(text) = text.filter(|_| is_named_only) {
+            (link.said, link.answer) = (text.said.to_vec(), text.answer.to_vec());
+        }
+    }
+}
+
 /// The store's answer; None when none came in time. A group that answers others is waited for longer.
 async fn ask_in_time<G: ProxyGround>(
     ground: &G,
--- a/hutbook/src/transport/proxy/stream.rs
+++ b/hutbook/src/transport/proxy/stream.rs
@@ -1,12 +1,13 @@
 //! Streams on their way from a server to the client, event by event.
 
 use super::answers::end_to_end_headers;
-use super::attempt::{judge, send, Attempts, Sent};
+use super::attempt::{judge, open, Attempts, Opened, Sent};
 use super::context::{within, Context};
 use super::events::Events;
 use super::reservation::{end, settle};
 use super::*;
 use crate::coordination::store::Link;
+use crate::state::turn_texts::TurnText;
 use futures_util::future::{select, Either};
 use std::pin::pin;
 
@@ -38,6 +39,8 @@
     attempts: &'r mut Attempts,
     placement: Placement,
     answer: G::Answer,
+    /// Read already, and not passed on yet.
+    read_ahead: Option<Bite>,
     sent_at: u64,
     events: Events,
     /// The head of the first server stays, whoever goes on.
@@ -48,22 +51,20 @@
 pub(super) async fn relay<G: ProxyGround + Clone + 'static>(
     context: &Context<'_, G>,
     attempts: &mut Attempts,
-    placement: Placement,
-    answer: G::Answer,
-    sent_at: u64,
+    opened: Opened<G::Answer>,
     reply: Reply,
 ) -> Relayed {
+    let Opened { placement, sent_at, answer, first } = opened;
     let is_kept = context.request.turn.is_some() && context.route.kept;
     let head = (answer.status(), end_to_end_headers(answer.headers()));
     let events = Events::new(is_kept);
-    let mut relay = Relay { context, attempts, placement, answer, sent_at, events, head };
+    let mut relay = Relay { context, attempts, placement, answer, read_ahead: first, sent_at, events, head };
     let mut client = Client::Waits(reply);
     let is_whole = match relay.read(&mut client).await {
         StreamEnd::Whole => true,
         StreamEnd::BrokeOff => false,
         StreamEnd::BrokeBeforeFirstEvent(reply) => {
             relay.attempts.may_have_run = true;
-            relay.attempts.placement.tried.push(relay.placement.server);
             return Relayed::BrokeBeforeFirstEvent(reply);
         }
     };
@@ -110,6 +111,9 @@
 
     /// What comes next of the answer's body; None: its client has left.
     async fn next_bite(&mut self, client: &Client) -> Option<Bite> {
+        if let Some(bite) = self.read_ahead.take() {
+            return Some(bite);
+        }
         let next = within(self.context.ground, self.context.request.ends_at, self.answer.next());
         let Client::Reads(events) = client else { return Some(next.await.unwrap_or(Bite::Broken)) };
         match select(pin!(next), pin!(events.closed())).await {
@@ -141,30 +145,44 @@
     /// Takes the stream up at another server, after the last event that was passed on.
     async fn resume(&mut self) -> bool {
         let Some(last_event) = self.events.last_id.clone() else { return false };
-        self.attempts.placement.tried.push(self.placement.server.clone());
         while self.context.route.resumable && self.attempts.may_repeat(self.context) {
             let now = self.context.now();
             let chosen = self.context.edge.balancer().choose(now, self.context.service, &self.attempts.placement);
             let Some(placement) = chosen else { return false };
             self.attempts.left -= 1;
-            let request = self.context.request.sending(self.context, &placement, Some(&last_event));
-            let outcome = match judge(send(self.context, &placement, request).await, self.context.names) {
+            self.attempts.placement.tried.push(placement.server.clone());
+            let (first, head) = match open(self.context, &placement, now, Some(&last_event)).await {
+                Ok((answer, first)) => (first, Ok(answer)),
+                Err(none) => (None, Err(none)),
+            };
+            let outcome = match judge(head, self.context.names) {
                 Sent::Answer(answer) if answer.status().is_success() => {
                     (self.placement, self.answer, self.sent_at) = (placement, answer, now);
+                    self.read_ahead = first;
                     return true;
                 }
                 Sent::NotRun(outcome) => outcome,
                 _ => Outcome::Failed,
             };
             self.context.finish(&placement, now, outcome);
-            self.attempts.placement.tried.push(placement.server);
         }
         false
     }
 
+    fn note_ending(&self, client: &Client, is_whole: bool) {
+        let has_left = matches!(client, Client::Reads(events) if events.is_closed());
+        let ending = match (is_whole, has_left) {
+            (true, _) => "served",
+            (false, true) => "gone",
+            (false, false) => "stream_broke_off",
+        };
+        self.context.record.note_ending(ending);
+    }
+
     /// Agrees on the turn's end. A kept turn's stands before its answer is whole; unsure, it must not look complete.
     async fn close(mut self, client: Client, keeps_text: bool, is_whole: bool) {
         let Context { ground, edge, request, incoming, .. } = *self.context;
+        self.note_ending(&client, is_whole);
         let tokens = self.events.count * self.tokens_per_event();
         let server = self.placement.server;
         let turn = request.turn.as_ref().filter(|_| keeps_text);
@@ -176,8 +194,17 @@
             return end(ground, edge, request, tokens, server, None).await;
         };
         let (said, answer) = (incoming.body.to_vec(), self.events.take_data());
+        let (turn_name, before) = (turn.turn.clone(), turn.before.clone());
+        let text = TurnText { turn: turn_name, before, said: incoming.body.clone(), answer: answer.clone().into() };
         let link = Link { turn: turn.turn.clone(), said, answer, stored: None };
+        let settle_from = ground.now();
         let stands = settle(ground, edge, request, tokens, server, Some(link), PASS_KEPT_MS).await;
+        if stands {
+            edge.turn_texts().insert(text);
+        } else {
+            self.context.record.note_ending("end_not_agreed");
+        }
+        self.context.record.note_settled(ground.now() - settle_from);
         if let (false, Client::Reads(events)) = (stands, &client) {
             let _ = events.send(Err(())).await;
         }
--- a/huts/src/trailhead.rs
+++ b/huts/src/trailhead.rs
@@ -29,6 +29,7 @@
     let budget = EdgeBudget::of(s.memory_mb);
     let edge = Arc::new(Edge::new(draw(), &s.cell, &s.http.to_string()));
     edge.limit_prompt_parts(budget.prompt_parts);
+    edge.turn_texts().set_limit(budget.turn_texts);
     let handler: Handler = Arc::new(|_, reply| reply.send(Body::Away("a trailhead answers callers only".into())));
     let post = Post::start(edge.id, 0, Some(s.wire), s.at(), handler).map_err(|e| format!("{}: {e}", s.wire))?;
     post.queue.set_limit(budget.rpc_queue);
@@ -209,6 +210,7 @@
     metric(&mut o, "requests_limit_bytes", &[], f.requests.limit());
     metric(&mut o, "requests_refused_for_memory_total", &[], f.requests.refused());
     metric(&mut o, "prompt_parts", &[], f.edge.balancer().parts());
+    metric(&mut o, "turn_texts_bytes", &[], f.edge.turn_texts().held());
     metric(&mut o, "rpc_queue_bytes", &[], post.queue.held());
     metric(&mut o, "rpc_queue_refused_total", &[], post.queue.refused());
     post.traffic.told().iter().for_each(|(n, v)| metric(&mut o, n, &[], v));
--- a/scramble/src/fleet/passing.rs
+++ b/scramble/src/fleet/passing.rs
@@ -6,6 +6,9 @@
 use actix_http::{Method, StatusCode, Uri};
 use bytes::Bytes;
 use hutbook::coordination::balancer::Placement;
+use hutbook::coordination::control::ControlRequest;
+use hutbook::protocol::config;
+use hutbook::state::config::{PassGroup, Way as ProxyRoute};
 use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::lexicon::LEXICON;
 use hutbook::transport::proxy::{serve, Incoming, OutBody, ProxyGround, ServerAnswer};
@@ -23,6 +26,7 @@
     pub host: String,
     pub path: String,
     pub turn: String,
+    /// Empty where it belongs to none: then nothing of it counts or is kept.
     pub program: String,
     /// The turn that it goes on from; empty at the start.
     pub before: String,
@@ -78,6 +82,7 @@
 
     async fn send(&self, to: &Placement, request: Sending, gate: Gate) -> Result<OneEvent, NoAnswer> {
         let key = request.job.to_str().unwrap_or_default().to_string();
+        self.way.world.0.borrow_mut().saw.proxied.push((to.server.clone(), key.clone(), request.body.to_vec()));
         let mut headers = HeaderMap::new();
         headers.insert(HeaderName::from_static(LEXICON.seal), HeaderValue::from_static("seal"));
         let ground = self.clone();
@@ -87,13 +92,55 @@
     }
 }
 
+/// A configuration (`text`) whose group `lang` takes proxied requests in batches, with these routes.
+pub fn put_proxied(text: &str, routes: Vec<(&str, ProxyRoute)>) -> ControlRequest {
+    let mut put = put_request(0, 0, "first", text);
+    if let ControlRequest::PutConfig { config, .. } = &mut put {
+        **config = config::read(text).expect("a good config");
+        let group = config.groups.get_mut("lang").expect("it is there");
+        group.pass = Some(PassGroup {
+            sessions_most: 0,
+            cold_per_s: 0.0,
+            cache_tokens: 0,
+            piece_tokens: 1,
+            batch: 8,
+            health_path: "/".into(),
+        });
+        config.ways.extend(routes.into_iter().map(|(name, route)| (name.to_string(), route)));
+    }
+    put
+}
+
 impl World {
+    /// Every edge holds a lease and a configuration, and the store group of three has a leader.
+    pub fn proxies_turns(&self) -> bool {
+        let serves = |name: &String| {
+            let edge = self.edge(name);
+            edge.licensed(self.now()) && edge.view().config.is_some()
+        };
+        self.names("trailhead").iter().all(serves) && !self.leaders("bothy").is_empty() && self.voters("bothy") == 3
+    }
+
     /// Lists a server of proxied streams, each of which takes so long.
     pub fn list_stream_server(&self, name: &str, group: &str, slots: u32, work_ms: u64) {
         let server = Back { model: true, slots, work_ms, says_born: true, ..Back::default() };
         self.list(name, group, "glen", server, 0);
     }
 
+    /// From now on a stand-in server takes so long for each request.
+    pub fn set_work_ms(&self, server: &str, work_ms: u64) {
+        if let Some(Part::Back(back)) = self.0.borrow_mut().nodes.get_mut(server).map(|node| &mut node.part) {
+            back.work_ms = work_ms;
+        }
+    }
+
+    /// (server, body) of each send of this proxied request so far.
+    pub fn sends_of(&self, id: &str) -> Vec<(String, Vec<u8>)> {
+        let inner = self.0.borrow();
+        let of = inner.saw.proxied.iter().filter(|(_, of, _)| of == id);
+        of.map(|(server, _, body)| (server.clone(), body.clone())).collect()
+    }
+
     /// The ground of an edge's proxied requests: one for the life of its process.
     fn proxy_ground(&self, edge: &str) -> Meadow {
         let state = self.edge(edge);
@@ -142,10 +189,12 @@
         headers.insert(HeaderName::from_static(name), value);
     };
     set(LEXICON.job, &request.turn);
-    set(LEXICON.program, &request.program);
-    set(LEXICON.line, &request.program);
-    set(LEXICON.allowance, "1000");
-    set(LEXICON.tokens, "10,10");
+    if !request.program.is_empty() {
+        set(LEXICON.program, &request.program);
+        set(LEXICON.line, &request.program);
+        set(LEXICON.allowance, "1000");
+        set(LEXICON.tokens, "10,10");
+    }
     if !request.before.is_empty() {
         set(LEXICON.before, &request.before);
     }
--- a/scramble/src/saw.rs
+++ b/scramble/src/saw.rs
@@ -193,6 +193,8 @@
     /// Requests to the store, each copy that an edge sent.
     pub store_orders: Vec<StoreSeen>,
     pub runs: Vec<Ran>,
+    /// (server, id, body) of proxied requests as edges sent them.
+    pub proxied: Vec<(String, String, Vec<u8>)>,
     /// server → (cell, slots, jobs for each further slot).
     pub servers: BTreeMap<String, (String, u32, u32)>,
     /// (from, until, server): told to be leaving.
