--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -572,5 +572,7 @@
 pub const FLEET_REPORT_MS: u64 = 1_000;
 /// ms. What the fleet said of a server's load counts for this long at an edge.
 pub const FLEET_DIGEST_MS: u64 = 1_000;
+/// ms. How old that is when it comes, on average: half of the time between an edge's reports.
+pub const FLEET_WORD_AGE_MS: u64 = RENEW_MS / 2;
 /// times. A server's slots: an edge that says it has more under way there is not believed.
 pub const LOAD_SLOTS_MOST: u32 = 1_000;
--- a/hutbook/src/coordination/balancer/choose.rs
+++ b/hutbook/src/coordination/balancer/choose.rs
@@ -50,7 +50,7 @@
     }
 
     fn rank(&self, name: &str, server: &ServerState, trusts_suspects: bool) -> Rank {
-        let load = server.load(self.now, self.policy.shared_load);
+        let load = server.load(self.now, self.policy.shared_load, self.pool.took_ms);
         Rank {
             is_out: self.policy.failure_ejection && self.now < server.out_until,
             is_full: load >= f64::from(server.slots) * PASS_FULL,
--- a/hutbook/src/coordination/balancer/mod.rs
+++ b/hutbook/src/coordination/balancer/mod.rs
@@ -356,5 +356,7 @@
     }
 }
 
+#[cfg(test)]
+mod deployment_tests;
 #[cfg(test)]
 mod tests;
--- a/hutbook/src/coordination/balancer/server.rs
+++ b/hutbook/src/coordination/balancer/server.rs
@@ -73,14 +73,21 @@
         ServerState { salt, ..ServerState::default() }
     }
 
-    /// Requests there, as far as is known here: by its own word, else by the fleet's, else this edge's own.
-    pub(super) fn load(&self, now: u64, uses_fleet: bool) -> f64 {
+    /// Requests there, as far as is known here: by its own word, else by the fleet's, else this edge's own. The fleet's
+    /// fades as the requests of then end, each after some `took_ms`, and says nothing where they end before the next
+    /// report: a load that is over would only send all edges to the same servers.
+    pub(super) fn load(&self, now: u64, uses_fleet: bool, took_ms: f64) -> f64 {
         let others = match &self.told_load {
-            Some(told) if now < told.at + PASS_SAID_MS => (told.running + told.waiting).saturating_sub(told.own),
-            _ if uses_fleet && self.has_fleet_word(now) => self.fleet.others,
-            _ => 0,
+            Some(told) if now < told.at + PASS_SAID_MS => {
+                f64::from((told.running + told.waiting).saturating_sub(told.own))
+            }
+            _ if uses_fleet && self.has_fleet_word(now) && took_ms > RENEW_MS as f64 => {
+                let age_ms = (now.saturating_sub(self.fleet.at) + FLEET_WORD_AGE_MS) as f64;
+                f64::from(self.fleet.others) * (-age_ms / took_ms.max(1.0)).exp()
+            }
+            _ => 0.0,
         };
-        f64::from(others + self.in_flight)
+        others + f64::from(self.in_flight)
     }
 
     fn has_fleet_word(&self, now: u64) -> bool {
--- a/hutbook/src/coordination/mod.rs
+++ b/hutbook/src/coordination/mod.rs
@@ -11,5 +11,7 @@
 pub mod shares;
 pub mod store;
 pub mod store_admission;
+#[cfg(test)]
+mod test_views;
 mod text_repair;
 pub mod view;
--- /dev/null
+++ b/hutbook/src/coordination/test_views.rs
@@ -0,0 +1,81 @@
+//! Views with one service of proxied requests, for tests.
+
+use super::view::{Server, Spot, View};
+use crate::state::config::{Config, Group, Kind, Limits, PassGroup, Policy, Tuning};
+use std::collections::BTreeMap;
+
+/// The one service of these views.
+pub(crate) const SERVICE: &str = "lm";
+/// The revision that they stand at.
+pub(crate) const REVISION: u64 = 3;
+
+/// What a test's service is like.
+#[derive(Clone)]
+pub(crate) struct ServiceShape {
+    pub(crate) servers: usize,
+    pub(crate) zones: usize,
+    pub(crate) slots: u32,
+    /// 0: it doesn't batch.
+    pub(crate) batch: u32,
+    pub(crate) policy: Policy,
+}
+
+impl Default for ServiceShape {
+    fn default() -> Self {
+        ServiceShape { servers: 10, zones: 1, slots: 8, batch: 0, policy: Policy::default() }
+    }
+}
+
+/// Its servers are `s000` and so on, spread over the zones `z0` and so on.
+pub(crate) fn view_of(shape: &ServiceShape) -> View {
+    let mut view = View { rev: REVISION, config: Some(config(shape)), ..View::default() };
+    for i in 0..shape.servers {
+        let name = format!("s{i:03}");
+        let server = Server {
+            name: name.clone(),
+            group: SERVICE.into(),
+            addr: name.clone(),
+            cell: format!("z{}", i % shape.zones),
+            leaving: false,
+            since: 1,
+            born: 0,
+            slots: shape.slots,
+            cold: false,
+            listed_by_directory: true,
+        };
+        view.servers.insert(name.clone(), server);
+        view.places.entry(SERVICE.into()).or_default().insert(name, Spot { since: 1, draining: false });
+    }
+    view
+}
+
+fn config(shape: &ServiceShape) -> Config {
+    let settings = PassGroup {
+        sessions_most: 1_000,
+        cold_per_s: 0.0,
+        cache_tokens: 0,
+        piece_tokens: 4,
+        batch: shape.batch,
+        health_path: "/".into(),
+    };
+    let group = Group {
+        kind: if shape.batch > 0 { Kind::Model } else { Kind::Tool },
+        slo_ms: 1_000,
+        least: 1,
+        most: 10_000,
+        in_flight: 8,
+        warm_jobs: 1,
+        pressure_most: 8.0,
+        cache_most: 0.9,
+        pass: Some(settings),
+    };
+    Config {
+        groups: BTreeMap::from([(SERVICE.to_string(), group)]),
+        routes: BTreeMap::new(),
+        work: BTreeMap::new(),
+        scaler: Tuning::default(),
+        limits: Limits::default(),
+        ways: BTreeMap::new(),
+        policy: shape.policy.clone(),
+    }
+}
