--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -12,8 +12,6 @@
 pub const ELECTION_MS: u64 = 400;
 /// ms. Random part of that wait, so that candidates rarely collide.
 pub const ELECTION_SPREAD_MS: u64 = 300;
-/// ms. That wait for a member which has heard no leader since its start: two heartbeats, and the way to it.
-pub const FIRST_ELECTION_MS: u64 = 2 * HEARTBEAT_MS;
 /// ms. How often a replica is ticked: fine against the heartbeat, cheap for a thread.
 pub const TICK_MS: u64 = 10;
 /// ms. A sync slower than this makes its node answer no and a leader step down.
--- a/hutbook/src/coordination/raft/election.rs
+++ b/hutbook/src/coordination/raft/election.rs
@@ -26,12 +26,9 @@
 }
 
 impl Raft {
-    /// A member that has just started waits less: where a leader lives its heartbeats come sooner, and its followers
-    /// refuse the pre-vote.
     pub(super) fn reset_election_timer(&mut self, now: u64) {
         let spread = self.rng.next_u64() % ELECTION_SPREAD_MS;
-        let least = if self.has_seen_leader { ELECTION_MS } else { FIRST_ELECTION_MS };
-        self.election_at = now + least + spread;
+        self.election_at = now + ELECTION_MS + spread;
     }
 
     /// Asks the voters for their votes, or with `pre_vote` whether they would give them.
@@ -84,7 +81,6 @@
 
     fn become_leader(&mut self, now: u64) {
         self.role = Role::Leader;
-        self.has_seen_leader = true;
         self.leader = Some(self.id);
         self.transfer = None;
         self.reads.clear();
@@ -164,7 +160,6 @@
             self.step_down(now);
         }
         self.leader = Some(from);
-        self.has_seen_leader = true;
         self.heard_leader = now;
         self.reset_election_timer(now);
         true
--- a/hutbook/src/coordination/raft/mod.rs
+++ b/hutbook/src/coordination/raft/mod.rs
@@ -64,8 +64,6 @@
     votes: BTreeMap<u64, bool>,
     rng: ChaCha8Rng,
     election_at: u64,
-    /// Since its start it has followed a leader or been one.
-    has_seen_leader: bool,
     /// When the leader was last heard.
     heard_leader: u64,
     heartbeat_at: u64,
@@ -120,7 +118,6 @@
             votes: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed ^ id),
             election_at: 0,
-            has_seen_leader: false,
             heard_leader: 0,
             heartbeat_at: 0,
             probe_at: 0,
