--- a/hutbook/src/coordination/balancer/deployment_tests.rs
+++ b/hutbook/src/coordination/balancer/deployment_tests.rs
@@ -319,3 +319,24 @@
         assert!(now >= before - 0.003, "{trouble:?}: {before:.4} -> {now:.4}");
     }
 }
+
+/// What each mechanism is worth on a service of many edges, of which a tenth of the servers hangs or is slow.
+#[rstest]
+#[case::stall_detection(Policy { stall_detection: false, ..Policy::default() })]
+#[case::shared_health(Policy { shared_health: false, ..Policy::default() })]
+#[case::hedging(Policy { hedging: false, ..Policy::default() })]
+fn each_mechanism_is_worth_something_where_servers_are_bad(#[case] without: Policy) {
+    let deployment = Deployment { edges: 71, zones: 5, servers: 40, slots: 6, work_ms: 100, tells_load: false };
+    let gain = |trouble| {
+        let mean = |policy: &Policy| {
+            let days = (1..=4).map(|seed| Day::new(&deployment, trouble, policy.clone(), seed).served());
+            days.sum::<f64>() / 4.0
+        };
+        let (off, on) = (mean(&without), mean(&Policy::default()));
+        println!("{trouble:?}: {off:.4} without, {on:.4} with");
+        on - off
+    };
+    // then on one of these days more is served with it than without
+    let gains = [gain(Trouble::Hanging), gain(Trouble::Slow)];
+    assert!(gains.iter().any(|gain| *gain > 0.0005), "{gains:?}");
+}
