--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -392,6 +392,15 @@
 pub const PASS_READ_PER_MS: f64 = 35.0;
 /// ms. What each job already on a server is taken to cost the next one there.
 pub const PASS_JOB_COST_MS: f64 = 4.0;
+/// ms. Servers that are alike to an edge differ by so much at the most: a draw, so that edges don't all choose the same.
+pub const SPREAD_MS: f64 = 8.0;
+/// ms. What a server whose slots are all taken is taken to cost more than one that is free, before anybody waits there.
+pub const FILLED_SLOTS_COST_MS: f64 = 4.0;
+/// ms. What each failure in a row is taken to cost a request that may be repeated, and one that may not.
+pub const FAILURE_COST_MS: f64 = 10.0;
+pub const FAILURE_COST_ONCE_MS: f64 = 40.0;
+/// failures. In a row that count for so much.
+pub const FAILURES_COUNTED: u32 = 8;
 /// ms. What a server said of its load counts for this long.
 pub const PASS_SAID_MS: u64 = 400;
 /// share. Of its slots that a server may be given by one edge's own count before it passes for full.
--- a/hutbook/src/coordination/balancer/choose.rs
+++ b/hutbook/src/coordination/balancer/choose.rs
@@ -86,8 +86,8 @@
             0 => self.queue_cost(server, load),
             _ => self.batch_cost(name, server, load),
         };
-        let failure = if self.request.once_only { 40.0 } else { 10.0 };
-        let failures = if self.policy.failure_ejection { server.failures.min(8) } else { 0 };
+        let failure = if self.request.once_only { FAILURE_COST_ONCE_MS } else { FAILURE_COST_MS };
+        let failures = if self.policy.failure_ejection { server.failures.min(FAILURES_COUNTED) } else { 0 };
         zone + work + f64::from(failures) * failure
     }
 
@@ -95,7 +95,7 @@
     fn queue_cost(&self, server: &ServerState, load: f64) -> f64 {
         let slots = f64::from(server.slots);
         let over = (load + 1.0 - slots).max(0.0);
-        over * self.pool.took_ms.max(1.0) / slots + load / slots * 4.0 + spread(self.now, server.salt)
+        over * self.pool.took_ms.max(1.0) / slots + load / slots * FILLED_SLOTS_COST_MS + spread(self.now, server.salt)
     }
 
     /// At a server that runs batches: what it must still read, and who is there already.
@@ -114,7 +114,7 @@
         }
         // what is alike is spread: each edge prefers others, and for each beginning of a prompt
         let first = request.parts.first().map_or(0, |(part, _)| *part);
-        cost + spread(first ^ self.edge_salt, server.salt) * 8.0
+        cost + spread(first ^ self.edge_salt, server.salt) * SPREAD_MS
     }
 }
 
--- a/hutbook/src/coordination/balancer/mod.rs
+++ b/hutbook/src/coordination/balancer/mod.rs
@@ -239,7 +239,7 @@
         let choice = Choice {
             now,
             own_zone: &self.zone,
-            edge_salt: self.salt,
+            edge_salt: if self.policy.spread { self.salt } else { 0 },
             edges: self.edges,
             policy: &self.policy,
             pool,
--- a/hutbook/src/coordination/control/mod.rs
+++ b/hutbook/src/coordination/control/mod.rs
@@ -166,6 +166,11 @@
         &self.state.view
     }
 
+    /// What edges report of the servers of proxied requests.
+    pub fn fleet_health(&self) -> &FleetHealth {
+        &self.fleet_health
+    }
+
     pub fn ledger(&self) -> &Ledger {
         &self.ledger
     }
--- a/hutbook/src/coordination/fleet_health.rs
+++ b/hutbook/src/coordination/fleet_health.rs
@@ -209,6 +209,11 @@
         }
     }
 
+    /// Servers that come last at all edges, or are on trial.
+    pub fn suspects(&self) -> usize {
+        self.servers.keys().filter(|server| self.verdict(server) != Verdict::Sound).count()
+    }
+
     /// Moves each server between sound, suspect and on trial.
     fn judge(&mut self, now: u64, view: &View) {
         let share = view.config.as_ref().map_or(Policy::default().max_ejected_share, |c| c.policy.max_ejected_share);
--- a/hutbook/src/protocol/config.rs
+++ b/hutbook/src/protocol/config.rs
@@ -205,6 +205,8 @@
         "hedge_budget",
         "decision_log_share",
         "other_zone_ms",
+        "spread",
+        "turn_texts",
     ];
     r.keys(p, v, &known);
     Policy {
@@ -220,6 +222,8 @@
         max_ejected_share: r.number(p, v, "max_ejected_share", Some(d.max_ejected_share), 0.0, 1.0),
         hedge_budget: r.number(p, v, "hedge_budget", Some(d.hedge_budget), 0.0, 1.0),
         decision_log_share: r.number(p, v, "decision_log_share", Some(d.decision_log_share), 0.0, 1.0),
+        spread: r.yes(p, v, "spread", d.spread),
+        turn_texts: r.yes(p, v, "turn_texts", d.turn_texts),
         other_zone_ms: r.number(p, v, "other_zone_ms", Some(d.other_zone_ms), 0.0, 60_000.0),
     }
 }
--- a/hutbook/src/state/config.rs
+++ b/hutbook/src/state/config.rs
@@ -137,6 +137,10 @@
         #[n(11)] pub decision_log_share: f64,
         /// ms. What a server of another zone is taken to cost a request more: the way, and what the bytes are worth.
         #[n(12)] pub other_zone_ms: f64,
+        /// Servers that are alike are preferred by a draw that differs from edge to edge.
+        #[n(13)] pub spread: bool,
+        /// Texts of turns stay at the edge that they passed through.
+        #[n(14)] pub turn_texts: bool,
     }
     pub struct Limits {
         #[n(0)] pub allowance_most: u64,
@@ -172,6 +176,8 @@
             hedge_budget: 0.1,
             decision_log_share: 0.0,
             other_zone_ms: 20.0,
+            spread: true,
+            turn_texts: true,
         }
     }
 }
--- a/hutbook/src/transport/proxy.rs
+++ b/hutbook/src/transport/proxy.rs
@@ -97,7 +97,8 @@
     let Some(request) = ProxyRequest::read(&incoming, names, (&name, route), edge, came) else {
         return drop(reply.send(own_answer(400, "no_job", None)));
     };
-    let record = DecisionRecord::default();
+    let share = view.config.as_ref().map_or(0.0, |config| config.policy.decision_log_share);
+    let record = DecisionRecord::new(share);
     let mut context = Context {
         ground,
         edge,
@@ -148,8 +149,7 @@
 }
 
 fn log_decision<G: ProxyGround>(context: &Context<'_, G>, route: &str) {
-    let share = context.view.config.as_ref().map_or(0.0, |config| config.policy.decision_log_share);
-    if share <= 0.0 {
+    if !context.record.is_on() {
         return;
     }
     let arrival = Arrival {
@@ -160,7 +160,7 @@
         program_left_ms: context.request.program_left_ms,
         has_turn: context.request.turn.is_some(),
     };
-    context.record.log(&arrival, context.now(), share, context.ground.draw());
+    context.record.log(&arrival, context.now(), context.ground.draw());
 }
 
 /// Without a lease nothing new goes out; one that is just being renewed is waited for shortly.
--- a/hutbook/src/transport/proxy/decision.rs
+++ b/hutbook/src/transport/proxy/decision.rs
@@ -1,7 +1,7 @@
 //! The record of what was decided for one request: how long each phase took, where it was sent, what became of it.
 //!
 //! Logged as event `decision` at the request's end, for the share of requests that the policy names and for every one
-//! that failed; off while that share is 0. `corkdrumctl report` sums such records up.
+//! that failed; off, and nothing is gathered, while that share is 0.
 
 use crate::coordination::balancer::Outcome;
 use crate::transport::logs::{event, Field};
@@ -15,13 +15,13 @@
     first_byte_ms: u64,
     settled_ms: u64,
     sends: String,
-    sent: u64,
     ending: &'static str,
 }
 
 /// Filled as the request goes on.
-#[derive(Default)]
 pub(super) struct DecisionRecord {
+    /// Of the requests that end well, of which a record is logged; 0: none at all.
+    share: f64,
     phases: RefCell<Phases>,
 }
 
@@ -38,6 +38,14 @@
 }
 
 impl DecisionRecord {
+    pub(super) fn new(share: f64) -> DecisionRecord {
+        DecisionRecord { share, phases: RefCell::default() }
+    }
+
+    pub(super) fn is_on(&self) -> bool {
+        self.share > 0.0
+    }
+
     /// The turn's reservation has been answered, so long after the request came.
     pub(super) fn note_reserved(&self, ms: u64) {
         self.phases.borrow_mut().reserved_ms = ms;
@@ -55,8 +63,10 @@
 
     /// One send has ended.
     pub(super) fn note_send(&self, server: &str, after_ms: u64, took_ms: u64, outcome: Outcome) {
+        if !self.is_on() {
+            return;
+        }
         let mut phases = self.phases.borrow_mut();
-        phases.sent += 1;
         let separator = if phases.sends.is_empty() { "" } else { " " };
         // writing to a string can't fail
         let _ = write!(phases.sends, "{separator}{server}@{after_ms}+{took_ms}:{outcome:?}");
@@ -66,11 +76,11 @@
         self.phases.borrow_mut().ending = ending;
     }
 
-    /// Logs the record; a request that ended well only if `draw` falls into the share.
-    pub(super) fn log(&self, arrival: &Arrival, now: u64, share: f64, draw: u64) {
+    /// Logs the record, where records are on; a request that ended well only if `draw` falls into the share.
+    pub(super) fn log(&self, arrival: &Arrival, now: u64, draw: u64) {
         let phases = self.phases.borrow();
-        let is_drawn = (draw >> 11) as f64 / (1u64 << 53) as f64 <= share;
-        if share <= 0.0 || phases.ending == "served" && !is_drawn {
+        let is_drawn = (draw >> 11) as f64 / (1u64 << 53) as f64 <= self.share;
+        if phases.ending == "served" && !is_drawn {
             return;
         }
         let fields: [Field; 11] = [
--- a/hutbook/src/transport/proxy/reservation.rs
+++ b/hutbook/src/transport/proxy/reservation.rs
@@ -48,7 +48,8 @@
     if let Some(ms) = edge.admission().refusal(ground.now(), group, class) {
         return Reservation::Refused { retry_after_ms: spread(ms, ground.draw()) };
     }
-    let held = if turn.before.is_empty() { vec![] } else { edge.turn_texts().chain(&turn.before) };
+    let keeps_texts = edge.view().config.as_ref().is_some_and(|config| config.policy.turn_texts);
+    let held = if keeps_texts { edge.turn_texts().chain(&turn.before) } else { vec![] };
     turn.have = held.iter().map(|text| text.turn.clone()).collect();
     let answer = ask_in_time(ground, edge, &turn, group, aim_ms, came).await;
     if answer.is_some() {
--- a/huts/src/refuge.rs
+++ b/huts/src/refuge.rs
@@ -219,6 +219,8 @@
         metric(&mut o, "revision", &[], r.machine.view().rev);
         metric(&mut o, "config_revision", &[], r.machine.view().config_rev);
         metric(&mut o, "edges_known", &[], r.machine.ledger().edges.len());
+        metric(&mut o, "servers_suspect", &[], r.machine.fleet_health().suspects());
+        metric(&mut o, "edge_reports_absurd_total", &[], r.machine.fleet_health().absurd_reports);
     });
     metric(&mut o, "sync_ms", &[], hut.sync_ms.load(Ordering::Relaxed));
     metric(&mut o, "sync_failed_total", &[], hut.sync_failed.load(Ordering::Relaxed));
