--- a/scramble/src/fleet/mod.rs
+++ b/scramble/src/fleet/mod.rs
@@ -14,7 +14,7 @@
 pub use callers::{Kind, CAP};
 pub use ground::{Meadow, Way, World};
 pub use operators::{put_request, Pending};
-pub use passing::{put_proxied, PendingTurn, TurnAnswer, TurnRequest};
+pub use passing::{stream_route, PendingTurn, TurnAnswer, TurnRequest};
 
 use crate::saw::Saw;
 use bytes::Bytes;
--- a/scramble/src/fleet/passing.rs
+++ b/scramble/src/fleet/passing.rs
@@ -6,9 +6,9 @@
 use actix_http::{Method, StatusCode, Uri};
 use bytes::Bytes;
 use hutbook::coordination::balancer::Placement;
-use hutbook::coordination::control::ControlRequest;
+use hutbook::coordination::control::{ControlRequest, ControlResponse};
 use hutbook::protocol::config;
-use hutbook::state::config::{PassGroup, Way as ProxyRoute};
+use hutbook::state::config::{Nature, PassGroup, Way as ProxyRoute};
 use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::lexicon::LEXICON;
 use hutbook::transport::proxy::{serve, Incoming, OutBody, ProxyGround, ServerAnswer};
@@ -92,8 +92,33 @@
     }
 }
 
+/// ms. That an operator wants a request of `stream_route` held at the most, and within which its first event is in time.
+const ROUTE_TIMEOUT_MS: u64 = 4_000;
+const ROUTE_AIM_MS: u64 = 400;
+/// ms. How long its turns may be gone on from.
+const ROUTE_RETENTION_MS: u64 = 60_000;
+
+/// A route of streams to the group `lang`, sent to one server; turns are kept, or they aren't.
+pub fn stream_route(host: &str, path: &str, kept: bool) -> ProxyRoute {
+    ProxyRoute {
+        host: host.into(),
+        prefix: path.into(),
+        to: vec![("lang".into(), 1)],
+        nature: Nature::Stream,
+        resumable: false,
+        kept,
+        retention_ms: ROUTE_RETENTION_MS,
+        timeout_ms: ROUTE_TIMEOUT_MS,
+        aim_ms: ROUTE_AIM_MS,
+        gap_ms: 0,
+        rank: 0,
+        tries: 1,
+        pinned: false,
+    }
+}
+
 /// A configuration (`text`) whose group `lang` takes proxied requests in batches, with these routes.
-pub fn put_proxied(text: &str, routes: Vec<(&str, ProxyRoute)>) -> ControlRequest {
+fn put_proxied(text: &str, routes: Vec<(&str, ProxyRoute)>) -> ControlRequest {
     let mut put = put_request(0, 0, "first", text);
     if let ControlRequest::PutConfig { config, .. } = &mut put {
         **config = config::read(text).expect("a good config");
@@ -113,7 +138,7 @@
 
 impl World {
     /// Every edge holds a lease and a configuration, and the store group of three has a leader.
-    pub fn proxies_turns(&self) -> bool {
+    fn proxies_turns(&self) -> bool {
         let serves = |name: &String| {
             let edge = self.edge(name);
             edge.licensed(self.now()) && edge.view().config.is_some()
@@ -121,6 +146,17 @@
         self.names("trailhead").iter().all(serves) && !self.leaders("bothy").is_empty() && self.voters("bothy") == 3
     }
 
+    /// Takes this configuration with these routes, lists the servers (name, slots, ms of each request), and runs until the
+    /// fleet serves them.
+    pub fn serve_proxied(&self, text: &str, routes: Vec<(&str, ProxyRoute)>, servers: &[(&str, u32, u64)]) {
+        assert!(matches!(self.operate(put_proxied(text, routes)), Some(ControlResponse::Agreed(_))));
+        for (name, slots, work_ms) in servers {
+            self.list_stream_server(name, "lang", *slots, *work_ms);
+        }
+        assert!(self.until(30_000, World::proxies_turns), "the fleet did not come up");
+        self.run(1_000);
+    }
+
     /// Lists a server of proxied streams, each of which takes so long.
     pub fn list_stream_server(&self, name: &str, group: &str, slots: u32, work_ms: u64) {
         let server = Back { model: true, slots, work_ms, says_born: true, ..Back::default() };
