--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -132,7 +132,7 @@
     def configuration(self, revision, routes=None):
         def route(name, prefix, variant, target, **more):
             r = {'Name': name, 'Host': 'h.example', 'PathPrefix': prefix, 'Variant': variant, 'TimeoutMs': 4000,
-                 'TargetLatencyMs': 1000, 'Rank': 1, 'Target': target, 'MaxTries': 2, 'Retained': False,
+                 'TargetLatencyMs': 2000, 'Rank': 1, 'Target': target, 'MaxTries': 2, 'Retained': False,
                  'RetentionS': self.retention_s, 'Pinned': False, 'Resumable': False, 'GapTargetMs': 400}
             return dict(r, **more)
         engine = {'Capacity': 64, 'KvCapacity': 197627, 'KvTokenBytes': 131072, 'LinkMbps': 1100000.0,
