--- a/hutbook/src/transport/connection_pool.rs
+++ b/hutbook/src/transport/connection_pool.rs
@@ -3,13 +3,14 @@
 //! The protocol itself is implemented by the library's codec; this module decides which connection a request may use. A
 //! connection that delivered anything but one complete answer to its own request is closed.
 
+use super::answer_faults::{AnswerFault, AnswerFaultCounts};
 use super::dispatch::NoAnswer;
 use crate::constants::*;
 use actix_codec::Framed;
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION};
-use actix_http::{Method, RequestHead, RequestHeadType, StatusCode, Uri};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::cell::RefCell;
@@ -17,6 +18,7 @@
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -53,7 +55,10 @@
 
 /// All connections of one thread, by server.
 #[derive(Clone, Default)]
-pub struct ConnectionPool(Rc<RefCell<HashMap<String, Pool>>>);
+pub struct ConnectionPool {
+    pools: Rc<RefCell<HashMap<String, Pool>>>,
+    faults: Arc<AnswerFaultCounts>,
+}
 
 /// Counts an open connection for as long as it exists.
 struct ConnectionCount {
@@ -63,7 +68,7 @@
 
 impl Drop for ConnectionCount {
     fn drop(&mut self) {
-        let mut pools = self.pool.0.borrow_mut();
+        let mut pools = self.pool.pools.borrow_mut();
         if let Some(pool) = pools.get_mut(&self.server) {
             pool.open = pool.open.saturating_sub(1);
             if pool.open == 0 && pool.idle.is_empty() {
@@ -82,6 +87,7 @@
     clean: bool,
     connection: Option<ConnectionCount>,
     keep_alive_ms: u64,
+    faults: Arc<AnswerFaultCounts>,
     now: Box<dyn Fn() -> u64>,
 }
 
@@ -101,6 +107,11 @@
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool that counts what was wrong with answers in `faults`.
+    pub fn new(faults: Arc<AnswerFaultCounts>) -> ConnectionPool {
+        ConnectionPool { faults, ..ConnectionPool::default() }
+    }
+
     /// Sends one request over one connection; at most `max_open` are open to the server at once.
     pub async fn send(
         &self,
@@ -116,7 +127,7 @@
             Some(framed) => (framed, ConnectionCount { pool: self.clone(), server: server.into() }),
             None => {
                 {
-                    let mut pools = self.0.borrow_mut();
+                    let mut pools = self.pools.borrow_mut();
                     let pool = pools.entry(server.to_string()).or_default();
                     // an idle connection that this request can't use is closed in favour of a new one
                     if pool.open >= max_open.max(1) && !pool.idle.is_empty() {
@@ -141,7 +152,7 @@
             return Err(unsent);
         }
         let timeout = Duration::from_millis(request.timeout_ms);
-        let exchanged = exchange(framed, request);
+        let exchanged = exchange(framed, request, &self.faults);
         match actix_rt::time::timeout(timeout, exchanged).await {
             Ok(Ok(ReceivedAnswer { status, headers, body, clean })) => {
                 let keep_alive_ms = server_keep_alive_ms(&headers);
@@ -152,16 +163,21 @@
                     clean,
                     connection: Some(counted),
                     keep_alive_ms,
+                    faults: self.faults.clone(),
                     now: Box::new(now),
                 })
             }
-            _ => Err(NoAnswer { sent: true }),
+            Ok(Err(fault)) => {
+                self.faults.count(fault);
+                Err(NoAnswer { sent: true })
+            }
+            Err(_) => Err(NoAnswer { sent: true }),
         }
     }
 
     /// Returns an idle connection that is still open, as far as can be seen locally.
     fn reuse(&self, server: &str, now: u64, fresh: bool) -> Option<Framed<TcpStream, ClientCodec>> {
-        let mut pools = self.0.borrow_mut();
+        let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(server)?;
         // the most recently used connection is the likeliest to be still open
         while let Some(idle) = pool.idle.pop_if(|idle| !fresh || now < idle.since + MAX_ONCE_ONLY_IDLE_MS) {
@@ -175,7 +191,7 @@
 
     /// Closes connections that have been idle for too long.
     pub fn close_expired(&self, now: u64) {
-        let mut pools = self.0.borrow_mut();
+        let mut pools = self.pools.borrow_mut();
         pools.retain(|_, pool| {
             let idle_before = pool.idle.len();
             pool.idle.retain(|idle| now < idle.reusable_until);
@@ -185,7 +201,7 @@
     }
 
     fn release(&self, count: ConnectionCount, framed: Framed<TcpStream, ClientCodec>, since: u64, reusable_until: u64) {
-        let mut pools = self.0.borrow_mut();
+        let mut pools = self.pools.borrow_mut();
         if let Some(pool) = pools.get_mut(&count.server) {
             pool.idle.push(Idle { framed, since, reusable_until });
         }
@@ -221,21 +237,49 @@
     clean: bool,
 }
 
-async fn exchange(mut framed: Framed<TcpStream, ClientCodec>, request: ServerRequest) -> Result<ReceivedAnswer, ()> {
+/// Returns whether an answer says nothing of where its body ends, so that only the end of its connection can.
+fn has_no_length(head: &ResponseHead) -> bool {
+    let may_have_body = !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let is_final = !head.status.is_informational();
+    may_have_body
+        && is_final
+        && !head.headers().contains_key(CONTENT_LENGTH)
+        && !head.headers().contains_key(TRANSFER_ENCODING)
+}
+
+/// Reads the next head on a connection.
+async fn read_head(framed: &mut Framed<TcpStream, ClientCodec>) -> Result<ResponseHead, AnswerFault> {
+    match framed.next().await {
+        Some(Ok(head)) => Ok(head),
+        Some(Err(error)) => Err(AnswerFault::of_head(&error)),
+        None => Err(AnswerFault::NoHead),
+    }
+}
+
+/// Sends a request and reads heads until its own answer's.
+async fn exchange(
+    mut framed: Framed<TcpStream, ClientCodec>,
+    request: ServerRequest,
+    faults: &AnswerFaultCounts,
+) -> Result<ReceivedAnswer, AnswerFault> {
+    let not_written = |_| AnswerFault::NoHead;
     let mut head = RequestHead::default();
     head.method = request.method;
     head.uri = request.target;
     head.headers = request.headers;
     let size = if request.body.is_empty() { BodySize::None } else { BodySize::Sized(request.body.len() as u64) };
-    framed.feed(Message::Item((RequestHeadType::from(head), size))).await.map_err(drop)?;
+    framed.feed(Message::Item((RequestHeadType::from(head), size))).await.map_err(not_written)?;
     if !request.body.is_empty() {
-        framed.feed(Message::Chunk(Some(request.body))).await.map_err(drop)?;
+        framed.feed(Message::Chunk(Some(request.body))).await.map_err(not_written)?;
     }
-    SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(&mut framed).await.map_err(drop)?;
+    SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(&mut framed).await.map_err(not_written)?;
     // a surplus answer may precede the expected one; its attempt id shows that
     for surplus in 0..=MAX_SURPLUS_ANSWERS {
-        let head = framed.next().await.ok_or(())?.map_err(drop)?;
+        let head = read_head(&mut framed).await?;
         let is_own = head.headers().get(&request.attempt_id_header) == Some(&request.attempt_id);
+        if has_no_length(&head) {
+            faults.count(AnswerFault::NoLength);
+        }
         let message_type = framed.codec_ref().message_type();
         let mut answer_body = match message_type {
             MessageType::None => Body::Done(Some(framed)),
@@ -251,22 +295,26 @@
                 clean: surplus == 0,
             });
         }
+        faults.count(AnswerFault::Surplus);
         while let Body::More(payload) = &mut answer_body {
             match payload.next().await {
                 Some(Ok(Some(_))) => {}
                 Some(Ok(None)) => {
-                    let Body::More(payload) = std::mem::replace(&mut answer_body, Body::Broken) else { return Err(()) };
+                    let Body::More(payload) = std::mem::replace(&mut answer_body, Body::Broken) else {
+                        return Err(AnswerFault::CutShort);
+                    };
                     answer_body = Body::Done(Some(payload.into_map_codec(|c| c.into_message_codec())));
                 }
-                _ => return Err(()),
+                Some(Err(error)) => return Err(AnswerFault::of_body(&error)),
+                None => return Err(AnswerFault::CutShort),
             }
         }
         match answer_body {
             Body::Done(Some(next_framed)) => framed = next_framed,
-            _ => return Err(()),
+            _ => return Err(AnswerFault::UnreadableBody),
         }
     }
-    Err(())
+    Err(AnswerFault::NoHead)
 }
 
 impl Answer {
@@ -286,19 +334,26 @@
                     self.finish();
                     BodyRead::End
                 }
-                _ => {
-                    self.body = Body::Broken;
-                    BodyRead::Broken
-                }
+                Some(Err(error)) => self.break_off(AnswerFault::of_body(&error)),
+                None => self.break_off(AnswerFault::CutShort),
             },
         }
     }
 
+    fn break_off(&mut self, fault: AnswerFault) -> BodyRead {
+        self.faults.count(fault);
+        self.body = Body::Broken;
+        BodyRead::Broken
+    }
+
     /// Returns the connection to the pool, if it is reusable.
     fn finish(&mut self) {
         let Body::Done(Some(framed)) = &mut self.body else { return };
         let closes = self.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
         // bytes after a complete answer belong to no request, like those of a surplus answer before it
+        if !framed.is_read_buf_empty() {
+            self.faults.count(AnswerFault::SurplusBytes);
+        }
         let clean = self.clean && framed.is_read_buf_empty() && framed.codec_ref().keep_alive();
         let Body::Done(Some(framed)) = std::mem::replace(&mut self.body, Body::Done(None)) else { return };
         if let (Some(count), false, true) = (self.connection.take(), closes, clean) {
--- a/hutbook/src/transport/listener.rs
+++ b/hutbook/src/transport/listener.rs
@@ -14,13 +14,20 @@
 use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use std::cell::OnceCell;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
 thread_local! {
     // connections belong to one thread each
-    static CONNECTION_POOL: ConnectionPool = ConnectionPool::default();
+    static CONNECTION_POOL: OnceCell<ConnectionPool> = const { OnceCell::new() };
+}
+
+/// Returns this thread's pool.
+fn connection_pool(environment: &NetworkEnvironment) -> ConnectionPool {
+    let new_pool = || ConnectionPool::new(environment.answer_faults.clone());
+    CONNECTION_POOL.with(|pool| pool.get_or_init(new_pool).clone())
 }
 
 impl ProxyEnvironment for Arc<NetworkEnvironment> {
@@ -28,7 +35,7 @@
 
     async fn send(&self, to: &Placement, request: ServerRequest, gate: Gate) -> Result<Answer, NoAnswer> {
         let clock = self.clock;
-        let pool = CONNECTION_POOL.with(ConnectionPool::clone);
+        let pool = connection_pool(self);
         pool.send(&to.server, &to.addr, to.max_connections, request, move || clock.now(), &*gate).await
     }
 }
@@ -51,7 +58,7 @@
 pub async fn close_idle_connections(environment: Arc<NetworkEnvironment>) {
     loop {
         actix_rt::time::sleep(Duration::from_millis(POOL_CLEANUP_INTERVAL_MS)).await;
-        CONNECTION_POOL.with(|pool| pool.close_expired(environment.clock.now()));
+        connection_pool(&environment).close_expired(environment.clock.now());
     }
 }
 
--- a/hutbook/src/transport/network_environment.rs
+++ b/hutbook/src/transport/network_environment.rs
@@ -1,5 +1,6 @@
 //! The environment of an edge daemon: real time, stores over RPC, backends over HTTP.
 
+use super::answer_faults::AnswerFaultCounts;
 use super::dispatch::NoAnswer;
 use super::http::{call, client, gated_call, gauge, was_sent, GatedBody};
 use super::leader_client::{NetworkClient, StoreClient};
@@ -30,13 +31,22 @@
     /// Answers of this edge that refuse a request, by the code that they carry.
     pub refusals: RefusalCounts,
     pub phases: RecoveryPhases,
+    /// What was wrong with answers of servers.
+    pub answer_faults: Arc<AnswerFaultCounts>,
 }
 
 impl NetworkEnvironment {
     pub fn new(edge: Arc<Edge>, client: NetworkClient, requests: Arc<ByteBudget>) -> NetworkEnvironment {
         let stores = StoreClient::new(client.clone());
-        let (refusals, phases) = (RefusalCounts::default(), RecoveryPhases::default());
-        NetworkEnvironment { edge, clock: client.clock, requests, stores, refusals, phases }
+        NetworkEnvironment {
+            edge,
+            clock: client.clock,
+            requests,
+            stores,
+            refusals: RefusalCounts::default(),
+            phases: RecoveryPhases::default(),
+            answer_faults: Arc::default(),
+        }
     }
 
     /// Store requests that had to be repeated, by reason.
--- a/huts/src/edge.rs
+++ b/huts/src/edge.rs
@@ -165,6 +165,7 @@
         actix_rt::time::sleep(Duration::from_millis(OBSERVE_INTERVAL_MS)).await;
         environment.phases.warn_of_overdue(environment.clock.now());
         environment.refusals.log("edge_refusals");
+        environment.answer_faults.log();
         environment.store_retries().log("store_retries");
         core_retries.log("core_retries");
     }
@@ -215,6 +216,7 @@
     }
     environment.refusals.write_metrics(&mut out, "refusals_total");
     environment.store_retries().write_metrics(&mut out, "store_retries_total");
+    environment.answer_faults.write_metrics(&mut out);
     environment.phases.write_metrics(&mut out);
     metric(&mut out, "under_way", &[], counters.in_progress.load(Ordering::Relaxed));
     metric(&mut out, "term", &[], environment.edge.term());
