--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -403,9 +403,11 @@
 pub const PROXY_KEEP_ALIVE_MARGIN_MS: u64 = 400;
 /// Longest time for which an idle connection is reused, whatever the server announces.
 pub const MAX_PROXY_KEEP_ALIVE_MS: u64 = 10_000;
-/// Maximum number of surplus answers to other jobs that are skipped to find a job's own answer. The connection is
-/// closed after it.
-pub const MAX_SURPLUS_ANSWERS: usize = 3;
+/// Maximum number of interim answers, and of surplus answers to other requests, that are skipped to find a request's
+/// own answer.
+pub const MAX_SKIPPED_ANSWERS: usize = 3;
+/// Size of one read of an answer that ends with its connection.
+pub const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// A job that may run only once uses only an idle connection that was used within this time. Servers close
 /// connections that have been idle longer, and a request written into a connection that is being closed may have
 /// run.
--- a/hutbook/src/transport/answer_faults.rs
+++ b/hutbook/src/transport/connection_pool/faults.rs
@@ -1,6 +1,6 @@
 //! What was wrong with the answers of servers, counted by kind: an answer that is taken for whole leaves no other trace.
 
-use super::refusals::RefusalCounts;
+use crate::transport::refusals::RefusalCounts;
 use actix_http::error::{ParseError, PayloadError};
 
 /// A deviation of a server's answer from one whole answer to its own request.
--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -1,5 +1,4 @@
 //! Transport layer: connections, HTTP, timers and disk threads. All asynchronous code lives here.
-pub mod answer_faults;
 pub mod client_api;
 pub mod connection_pool;
 pub mod daemon;
--- a/hutbook/src/transport/network_environment.rs
+++ b/hutbook/src/transport/network_environment.rs
@@ -1,6 +1,6 @@
 //! The environment of an edge daemon: real time, stores over RPC, backends over HTTP.
 
-use super::answer_faults::AnswerFaultCounts;
+use super::connection_pool::faults::AnswerFaultCounts;
 use super::dispatch::NoAnswer;
 use super::http::{call, client, gated_call, gauge, was_sent, GatedBody};
 use super::leader_client::{NetworkClient, StoreClient};
