--- a/hutbook/src/transport/client_api.rs
+++ b/hutbook/src/transport/client_api.rs
@@ -1,5 +1,6 @@
 //! HTTP API of an edge for clients.
 
+use super::answer_stream::{answer_stream, StreamSender};
 use super::http::{HttpRequest, HttpResponse, ResponseBody};
 use super::lease::leased_view;
 use super::network_environment::NetworkEnvironment;
@@ -349,6 +350,9 @@
     id: &str,
     request: &HttpRequest,
 ) -> HttpResponse {
+    if request.is_http_10 {
+        return HttpResponse::error(505, "http_version", "a turn is answered as a stream, which needs HTTP/1.1");
+    }
     let mut reader = Reader::default();
     let Some(json) = reader.parse(&request.body) else {
         return HttpResponse::error(400, "bad_json", "the body is not JSON");
@@ -385,26 +389,39 @@
             outcome_response(&response, &key)
         }
         Some(first) => {
-            let (forward_sender, events) = mpsc::channel(READ_AHEAD_CHUNKS);
-            actix_rt::spawn(async move {
-                let mut next = Some(first);
-                while let Some(response_event) = next {
-                    if let ResponseEvent::Response(response) = &response_event {
-                        counters.count(response);
-                    }
-                    if forward_sender.send(event(&response_event, &key)).await.is_err() {
-                        // dropping the receiver tells the run that its client has disconnected
-                        return;
-                    }
-                    next = receiver.recv().await;
-                }
-            });
+            let (client, events) = answer_stream(READ_AHEAD_CHUNKS);
+            actix_rt::spawn(forward_events(first, receiver, client, key, counters));
             HttpResponse { status: 200, headers: vec![], body: ResponseBody::Events(events) }
         }
         None => outcome_response(&Response::Unavailable("fault"), &key),
     }
 }
 
+/// Forwards a turn's events to its client. The stream is complete with the response, and with nothing before it.
+async fn forward_events(
+    first: ResponseEvent,
+    mut rest: mpsc::Receiver<ResponseEvent>,
+    client: StreamSender,
+    key: String,
+    counters: Arc<JobCounters>,
+) {
+    let mut next = Some(first);
+    while let Some(response_event) = next {
+        let is_last = matches!(response_event, ResponseEvent::Response(_));
+        if let ResponseEvent::Response(response) = &response_event {
+            counters.count(response);
+        }
+        if client.send(event(&response_event, &key)).await.is_err() {
+            // dropping the receiver tells the run that its client has disconnected
+            return;
+        }
+        if is_last {
+            return client.complete();
+        }
+        next = rest.recv().await;
+    }
+}
+
 fn event(event: &ResponseEvent, key: &str) -> Bytes {
     let (name, json) = match event {
         ResponseEvent::Chunk { run, seq, text } => {
--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -1,9 +1,10 @@
 //! HTTP/1.1 servers for clients and operators, and the HTTP client for backends.
 
+use super::answer_stream::StreamReceiver;
 use super::dispatch::{Gate, NoAnswer};
 use crate::constants::*;
-use actix_http::body::{BodySize, BodyStream, BoxBody, MessageBody};
-use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode};
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode, Version};
 use actix_server::Server;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -17,7 +18,6 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::mpsc;
 
 /// A request as received, read to its end.
 #[derive(Debug, Default)]
@@ -27,6 +27,9 @@
     pub query: BTreeMap<String, String>,
     pub headers: BTreeMap<String, String>,
     pub body: String,
+    /// Whether its client can't read chunks. The end of a stream would be the end of its connection, and a broken
+    /// stream would look like a complete one.
+    pub is_http_10: bool,
 }
 
 pub struct HttpResponse {
@@ -37,8 +40,8 @@
 
 pub enum ResponseBody {
     Full(&'static str, String),
-    /// Server-sent events; a slow reader applies back pressure to the producer.
-    Events(mpsc::Receiver<Bytes>),
+    /// Server-sent events.
+    Events(StreamReceiver),
 }
 
 impl HttpResponse {
@@ -196,7 +199,11 @@
 }
 
 async fn read(mut req: Request, max_bytes: usize) -> Result<HttpRequest, HttpResponse> {
-    let mut request = HttpRequest { method: req.method().to_string(), ..HttpRequest::default() };
+    let mut request = HttpRequest {
+        method: req.method().to_string(),
+        is_http_10: req.version() < Version::HTTP_11,
+        ..HttpRequest::default()
+    };
     request.path = req.path().split('/').filter(|part| !part.is_empty()).map(percent_decode).collect();
     for pair in req.uri().query().unwrap_or("").split('&').filter(|part| !part.is_empty()) {
         let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
@@ -264,10 +271,7 @@
         ResponseBody::Events(receiver) => {
             builder.insert_header(("content-type", "text/event-stream"));
             builder.insert_header(("cache-control", "no-store"));
-            let events = futures_util::stream::unfold(receiver, |mut receiver| async move {
-                receiver.recv().await.map(|chunk| (Ok::<_, std::io::Error>(chunk), receiver))
-            });
-            builder.body(BodyStream::new(Box::pin(events))).map_into_boxed_body()
+            builder.body(receiver.into_body(|| {})).map_into_boxed_body()
         }
     }
 }
--- a/hutbook/src/transport/listener.rs
+++ b/hutbook/src/transport/listener.rs
@@ -9,10 +9,10 @@
 use crate::constants::*;
 use crate::coordination::balancer::Placement;
 use crate::state::byte_budget::ReservedBytes;
-use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::body::{BoxBody, MessageBody};
 use actix_http::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use actix_http::{Request, Response, StatusCode};
-use bytes::{Bytes, BytesMut};
+use actix_http::{Request, Response, StatusCode, Version};
+use bytes::BytesMut;
 use futures_util::StreamExt;
 use std::cell::OnceCell;
 use std::sync::Arc;
@@ -136,6 +136,7 @@
         Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
     }
     drop(payload);
+    let is_http_10 = req.version() < Version::HTTP_11;
     let head = req.head_mut();
     let host = head.headers.get("host").and_then(|h| h.to_str().ok()).unwrap_or_default().to_string();
     Ok(IncomingRequest {
@@ -144,6 +145,7 @@
         host,
         headers: std::mem::take(&mut head.headers),
         body: body.freeze(),
+        is_http_10,
     })
 }
 
@@ -157,19 +159,8 @@
     }
     match outgoing.body {
         ProxyBody::Full(body) => response.set_body(body.boxed()),
-        ProxyBody::Events(receiver) => {
-            let events =
-                futures_util::stream::unfold((receiver, environment), |(mut receiver, environment)| async move {
-                    let Some(next) = receiver.recv().await else {
-                        // the stream is complete: a broken one would have ended with an error before
-                        environment.phases.reach(Phase::TurnServed, environment.clock.now(), &[]);
-                        return None;
-                    };
-                    let event: Result<Bytes, std::io::Error> =
-                        next.map_err(|_| std::io::ErrorKind::ConnectionAborted.into());
-                    Some((event, (receiver, environment)))
-                });
-            response.set_body(BodyStream::new(Box::pin(events)).boxed())
-        }
+        ProxyBody::Events(receiver) => response.set_body(receiver.into_body(move || {
+            environment.phases.reach(Phase::TurnServed, environment.clock.now(), &[]);
+        })),
     }
 }
--- a/hutbook/src/transport/proxy.rs
+++ b/hutbook/src/transport/proxy.rs
@@ -13,6 +13,7 @@
 mod reservation;
 mod stream;
 
+use super::answer_stream::StreamReceiver;
 use super::connection_pool::{BodyRead, ServerRequest};
 use super::dispatch::{Gate, NoAnswer};
 use super::header_names::HeaderNames;
@@ -23,7 +24,7 @@
 use crate::coordination::edge::Edge;
 use crate::coordination::leased_view::LeasedView;
 use crate::coordination::routes::pick_service;
-use crate::state::config::ProxyRoute;
+use crate::state::config::{ProxyRoute, RetrySemantics};
 use crate::transport::logs::event;
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode, Uri};
@@ -37,7 +38,7 @@
 use reservation::{end, reserve, Reservation};
 use std::sync::Arc;
 use stream::{relay, Relayed};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 /// A request as received, read to its end.
 pub struct IncomingRequest {
@@ -46,6 +47,9 @@
     pub host: String,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Whether its client can't read chunks. The end of a stream would be the end of its connection, and a broken
+    /// stream would look like a complete one.
+    pub is_http_10: bool,
 }
 
 /// An answer's head, and the source of its body.
@@ -59,8 +63,7 @@
 
 pub enum ProxyBody {
     Full(Bytes),
-    /// An error aborts the answer, so that it does not look complete.
-    Events(mpsc::Receiver<Result<Bytes, ()>>),
+    Events(StreamReceiver),
 }
 
 /// Where the answer is sent.
@@ -214,6 +217,9 @@
     }
     let found = view.find_route(&incoming.host, incoming.target.path());
     let Some((name, route)) = found else { return Err(own_answer(404, UNKNOWN_ROUTE, None)) };
+    if incoming.is_http_10 && route.retry_semantics == RetrySemantics::Stream {
+        return Err(own_answer(505, "http_version", None));
+    }
     let Some(service) = pick_service(route, environment.random_u64()) else { return Err(refusal("no_group")) };
     Ok((service.to_string(), name, route))
 }
--- a/hutbook/src/transport/proxy/stream.rs
+++ b/hutbook/src/transport/proxy/stream.rs
@@ -8,12 +8,10 @@
 use super::*;
 use crate::coordination::store::TurnRecord;
 use crate::state::turn_texts::TurnText;
+use crate::transport::answer_stream::{answer_stream, StreamSender};
 use futures_util::future::{select, Either};
 use std::pin::pin;
 
-/// Sends events to the client.
-type EventSender = mpsc::Sender<Result<Bytes, ()>>;
-
 pub(super) enum Relayed {
     Done,
     /// It broke off before anything was forwarded: the reply is unused.
@@ -30,7 +28,16 @@
 /// The client's side of a stream: either nothing has been sent yet, or events go through a channel.
 enum Client {
     NotStarted(Reply),
-    Streaming(EventSender),
+    Streaming(StreamSender),
+}
+
+impl Client {
+    /// Ends the answer, as complete or broken off.
+    fn end(self, is_complete: bool) {
+        if let (true, Client::Streaming(events)) = (is_complete, self) {
+            events.complete();
+        }
+    }
 }
 
 /// One stream that is being relayed.
@@ -97,7 +104,7 @@
                     self.events.drop_partial();
                     if let Client::NotStarted(_) = client {
                         let Client::NotStarted(reply) =
-                            std::mem::replace(client, Client::Streaming(mpsc::channel(1).0))
+                            std::mem::replace(client, Client::Streaming(answer_stream(1).0))
                         else {
                             return StreamEnd::BrokeOff;
                         };
@@ -118,7 +125,7 @@
         }
         let next = within(self.context.environment, self.context.request.ends_at, self.answer.next());
         let Client::Streaming(events) = client else { return Some(next.await.unwrap_or(BodyRead::Broken)) };
-        match select(pin!(next), pin!(events.closed())).await {
+        match select(pin!(next), pin!(events.disconnected())).await {
             Either::Left((body_read, _)) => Some(body_read.unwrap_or(BodyRead::Broken)),
             Either::Right(_) => None,
         }
@@ -127,7 +134,7 @@
     async fn forward(&mut self, client: &mut Client, events: Bytes) {
         if let Client::NotStarted(_) = client {
             self.context.note_timing();
-            let (sender, receiver) = mpsc::channel(READ_AHEAD_CHUNKS);
+            let (sender, receiver) = answer_stream(READ_AHEAD_CHUNKS);
             let (status, headers) = self.head.clone();
             let outgoing = Outgoing { status, headers, body: ProxyBody::Events(receiver), own_code: None };
             if let Client::NotStarted(reply) = std::mem::replace(client, Client::Streaming(sender)) {
@@ -136,7 +143,8 @@
             }
         }
         if let Client::Streaming(sender) = client {
-            let _ = sender.send(Ok(events)).await;
+            // a client that has disconnected is noticed at the next read
+            let _ = sender.send(events).await;
         }
     }
 
@@ -172,7 +180,7 @@
     }
 
     fn note_ending(&self, client: &Client, is_complete: bool) {
-        let has_disconnected = matches!(client, Client::Streaming(events) if events.is_closed());
+        let has_disconnected = matches!(client, Client::Streaming(events) if events.is_disconnected());
         let ending = match (is_complete, has_disconnected) {
             (true, _) => "served",
             (false, true) => "gone",
@@ -190,10 +198,7 @@
         let server = self.placement.server;
         let turn = request.turn.as_ref().filter(|_| stores_text);
         let Some(turn) = turn else {
-            if let (false, Client::Streaming(events)) = (is_complete, &client) {
-                let _ = events.send(Err(())).await;
-            }
-            drop(client);
+            client.end(is_complete);
             return end(environment, edge, request, tokens, server, None).await;
         };
         let (input, answer) = (incoming.body.to_vec(), self.events.take_data());
@@ -214,9 +219,7 @@
             self.context.record.note_ending("end_not_agreed");
         }
         self.context.record.note_settled(environment.now() - settle_started);
-        if let (false, Client::Streaming(events)) = (committed, &client) {
-            let _ = events.send(Err(())).await;
-        }
+        client.end(committed);
     }
 
     fn tokens_per_event(&self) -> u64 {
--- a/scramble/src/bin/bivouac.rs
+++ b/scramble/src/bin/bivouac.rs
@@ -2,6 +2,7 @@
 //! drop answers or behave incorrectly on purpose.
 
 use bytes::Bytes;
+use hutbook::transport::answer_stream::answer_stream;
 use hutbook::transport::http::{self, HttpRequest, HttpResponse, ResponseBody};
 use hutbook::transport::network_environment::REVISION_HEADER;
 use hutbook::transport::replica_runtime::Clock;
@@ -13,7 +14,6 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::mpsc;
 
 const NAME: &str = "bivouac";
 
@@ -178,7 +178,7 @@
     let chunk_count = body["max_tokens"].as_u64().unwrap_or(backend.chunks).min(backend.chunks);
     let (run, run_number) = backend.start_run(request);
     let mut run = Some(run);
-    let (sender, receiver) = mpsc::channel(2);
+    let (sender, receiver) = answer_stream(2);
     actix_rt::spawn(async move {
         let clock = Clock::start();
         let is_lost = backend.lose_every > 0 && run_number.is_multiple_of(backend.lose_every);
@@ -209,10 +209,11 @@
         }
         if backend.fault == "usage" {
             let _ = sender.send(Bytes::from("data: [DONE]\n\n")).await;
-            return;
+            return sender.complete();
         }
         let event = jzon::object! { choices: [], usage: { completion_tokens: chunk_count, total_ms: clock.now() } };
         let _ = sender.send(Bytes::from(format!("data: {}\n\ndata: [DONE]\n\n", event.dump()))).await;
+        sender.complete();
     });
     HttpResponse { status: 200, headers: vec![], body: ResponseBody::Events(receiver) }
 }
--- a/scramble/src/fleet/proxy_clients.rs
+++ b/scramble/src/fleet/proxy_clients.rs
@@ -265,13 +265,14 @@
         host: request.host.clone(),
         headers,
         body: Bytes::from_static(b"input"),
+        is_http_10: false,
     }
 }
 
 /// Reads the body. Returns whether it reached its end.
 async fn read_to_end(body: ProxyBody) -> bool {
     let ProxyBody::Events(mut events) = body else { return true };
-    while let Some(event) = events.recv().await {
+    while let Some(event) = events.next().await {
         if event.is_err() {
             return false;
         }
