--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -278,10 +278,7 @@
 pub const KEEP_ALIVE_MS: u64 = 15_000;
 /// A request's head and body must have arrived within this time.
 pub const REQUEST_READ_TIMEOUT_MS: u64 = 10_000;
-/// How long an idle connection to a backend is retained: shorter than backends retain theirs, so that none is used
-/// while it is being closed.
-pub const POOL_IDLE_TIMEOUT_MS: u64 = 2_000;
-/// Maximum number of pooled connections to backends per worker thread.
+/// Maximum number of connections to a server that states no limit of its own.
 pub const MAX_POOLED_CONNECTIONS: usize = 1_024;
 /// Delay between attempts at a peer that knows no leader.
 pub const LEADER_RETRY_MS: u64 = 50;
--- a/hutbook/src/transport/connection_pool/answer.rs
+++ b/hutbook/src/transport/connection_pool/answer.rs
@@ -1,12 +1,13 @@
 //! An answer whose body is still to be read. It ends as whole only where its framing shows that it is.
 
+use super::exchange::ReceivedAnswer;
 use super::faults::{AnswerFault, AnswerFaultCounts};
 use super::ConnectionCount;
 use crate::constants::*;
 use actix_codec::Framed;
 use actix_http::error::PayloadError;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec};
-use actix_http::header::HeaderMap;
+use actix_http::header::{HeaderMap, CONNECTION};
 use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -101,14 +102,20 @@
 pub struct Answer {
     pub status: StatusCode,
     pub headers: HeaderMap,
-    pub(super) body: Body,
-    /// Whether its connection has delivered no bytes but those of its request, and may be used again.
-    pub(super) is_reusable: bool,
-    pub(super) reuse: Option<Reuse>,
-    pub(super) faults: Arc<AnswerFaultCounts>,
+    body: Body,
+    /// Set if its connection may carry another request.
+    reuse: Option<Reuse>,
+    faults: Arc<AnswerFaultCounts>,
 }
 
 impl Answer {
+    /// Creates an answer from what has arrived. Without `reuse` its connection carries nothing else.
+    pub(super) fn new(received: ReceivedAnswer, reuse: Option<Reuse>, faults: Arc<AnswerFaultCounts>) -> Answer {
+        let ReceivedAnswer { status, headers, body, is_reusable } = received;
+        let closes = headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+        Answer { status, headers, body, reuse: reuse.filter(|_| is_reusable && !closes), faults }
+    }
+
     /// Reads the next part of the body. A connection that may carry another request returns to its pool at the end.
     pub async fn next(&mut self) -> BodyRead {
         match self.body.read().await {
@@ -146,7 +153,7 @@
         if has_surplus {
             self.faults.count(AnswerFault::SurplusBytes);
         }
-        let is_reusable = self.is_reusable && !has_surplus && connection.codec_ref().keep_alive();
+        let is_reusable = !has_surplus && connection.codec_ref().keep_alive();
         if let (Some(reuse), true) = (self.reuse.take(), is_reusable) {
             reuse.connection.release(connection, &reuse.now, reuse.keep_alive_ms);
         }
--- a/hutbook/src/transport/connection_pool/mod.rs
+++ b/hutbook/src/transport/connection_pool/mod.rs
@@ -7,12 +7,13 @@
 mod exchange;
 pub mod faults;
 mod framing;
+pub mod single_call;
 
 use super::dispatch::NoAnswer;
 use crate::constants::*;
 use actix_codec::Framed;
 use actix_http::h1::ClientCodec;
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, ResponseHead, Uri};
 pub use answer::{Answer, BodyRead};
 use answer::{MessageConnection, Reuse};
@@ -28,6 +29,13 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
+/// The id of one attempt at a server, and the header that carries it.
+#[derive(Clone)]
+pub struct AttemptId {
+    pub header: HeaderName,
+    pub id: HeaderValue,
+}
+
 /// A request to a server.
 #[derive(Clone)]
 pub struct ServerRequest {
@@ -36,9 +44,8 @@
     pub target: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
-    /// The attempt id, which the answer must echo, and the header that carries it.
-    pub attempt_id: HeaderValue,
-    pub attempt_id_header: HeaderName,
+    /// What the answer must echo; None for a call whose answer carries no id.
+    pub attempt: Option<AttemptId>,
     /// Time limit for the answer's head to arrive, in milliseconds.
     pub timeout_ms: u64,
     /// Set for a request that may run only once: it must not use a connection that the server may be about to close.
@@ -48,7 +55,8 @@
 impl ServerRequest {
     /// Returns whether an answer is this request's own.
     fn expects(&self, head: &ResponseHead) -> bool {
-        head.headers().get(&self.attempt_id_header) == Some(&self.attempt_id)
+        let echoes = |attempt: &AttemptId| head.headers().get(&attempt.header) == Some(&attempt.id);
+        self.attempt.as_ref().is_none_or(echoes)
     }
 }
 
@@ -148,11 +156,8 @@
     }
 
     fn answer(&self, received: ReceivedAnswer, connection: ConnectionCount, now: Box<dyn Fn() -> u64>) -> Answer {
-        let ReceivedAnswer { status, headers, body, is_reusable } = received;
-        let closes = headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-        let reuse = Reuse { connection, keep_alive_ms: server_keep_alive_ms(&headers), now };
-        let is_reusable = is_reusable && !closes;
-        Answer { status, headers, body, is_reusable, reuse: Some(reuse), faults: self.faults.clone() }
+        let reuse = Reuse { connection, keep_alive_ms: server_keep_alive_ms(&received.headers), now };
+        Answer::new(received, Some(reuse), self.faults.clone())
     }
 
     /// Returns an idle connection that is still open, as far as can be seen locally.
--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -1,19 +1,20 @@
 //! HTTP/1.1 servers for clients and operators, and the HTTP client for backends.
 
 use super::answer_stream::StreamReceiver;
+use super::connection_pool::single_call::single_call;
+use super::connection_pool::{Answer, ServerRequest};
 use super::dispatch::{Gate, NoAnswer};
 use crate::constants::*;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
-use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode, Version};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{HttpMessage, HttpService, Method, Request, Response, StatusCode, Uri, Version};
 use actix_server::Server;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -276,62 +277,6 @@
     }
 }
 
-thread_local! {
-    // awc clients belong to one thread each
-    static AWC: Rc<awc::Client> = Rc::new(
-        awc::Client::builder()
-            .disable_redirects()
-            .disable_timeout()
-            .connector(
-                awc::Connector::new()
-                    .timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
-                    .conn_keep_alive(Duration::from_millis(POOL_IDLE_TIMEOUT_MS))
-                    .limit(MAX_POOLED_CONNECTIONS),
-            )
-            .finish(),
-    );
-}
-
-pub fn client() -> Rc<awc::Client> {
-    AWC.with(Rc::clone)
-}
-
-/// A body that checks its gate when it is written. If the gate is closed, the request is aborted before its body, so
-/// that no server can act on it.
-pub struct GatedBody {
-    bytes: Option<Bytes>,
-    length: u64,
-    gate: Gate,
-    gate_closed: Rc<Cell<bool>>,
-}
-
-impl GatedBody {
-    pub fn new(body: String, gate: Gate) -> (GatedBody, Rc<Cell<bool>>) {
-        let gate_closed = Rc::new(Cell::new(false));
-        let bytes = Bytes::from(body);
-        (
-            GatedBody { length: bytes.len() as u64, bytes: Some(bytes), gate, gate_closed: gate_closed.clone() },
-            gate_closed,
-        )
-    }
-}
-
-impl MessageBody for GatedBody {
-    type Error = std::io::Error;
-
-    fn size(&self) -> BodySize {
-        BodySize::Sized(self.length)
-    }
-
-    fn poll_next(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, std::io::Error>>> {
-        if self.bytes.is_some() && !(self.gate)() {
-            self.gate_closed.set(true);
-            return Poll::Ready(Some(Err(std::io::ErrorKind::PermissionDenied.into())));
-        }
-        Poll::Ready(self.bytes.take().map(Ok))
-    }
-}
-
 /// Sends a request and returns the complete, size-limited answer: status, body and headers. An error if there is none.
 pub async fn call(
     method: &str,
@@ -343,7 +288,7 @@
     gated_call(method, url, headers, body, ms, Box::new(|| true)).await
 }
 
-/// Like `call`, with a gate that is checked when the body is written.
+/// Like `call`, with a gate that is checked when the request is written.
 pub async fn gated_call(
     method: &str,
     url: &str,
@@ -352,29 +297,45 @@
     ms: u64,
     gate: Gate,
 ) -> Result<(u16, String, BTreeMap<String, String>), NoAnswer> {
-    let method = method.parse().map_err(|_| NoAnswer { sent: false })?;
-    let mut request = client().request(method, url);
-    for (name, value) in headers {
-        request = request.insert_header((*name, *value));
-    }
     let exchange = async {
-        let (body, gate_closed) = GatedBody::new(body, gate);
-        let sent = request.send_body(body).await;
-        let mut response = sent.map_err(|error| NoAnswer { sent: was_sent(&error) && !gate_closed.get() })?;
-        let body = response.body().limit(MAX_BODY_BYTES).await.map_err(|_| NoAnswer { sent: true })?;
-        let headers = response
-            .headers()
-            .iter()
-            .map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_string()))
-            .collect();
-        Ok((response.status().as_u16(), String::from_utf8_lossy(&body).into_owned(), headers))
+        let mut answer = open_call(method, url, headers, body, ms, gate).await?;
+        let body = answer.read_to_end(MAX_BODY_BYTES).await.ok_or(NoAnswer { sent: true })?;
+        let headers = answer.headers.iter();
+        let headers = headers.map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_string()));
+        Ok((answer.status.as_u16(), String::from_utf8_lossy(&body).into_owned(), headers.collect()))
     };
     actix_rt::time::timeout(Duration::from_millis(ms), exchange).await.unwrap_or(Err(NoAnswer { sent: true }))
 }
 
-pub fn was_sent(error: &awc::error::SendRequestError) -> bool {
-    // no connection was established, so nothing was written
-    !matches!(error, awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_))
+/// Sends a request and waits up to `ms` for the head of its answer.
+pub async fn open_call(
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: String,
+    ms: u64,
+    gate: Gate,
+) -> Result<Answer, NoAnswer> {
+    let unsent = NoAnswer { sent: false };
+    let target: Uri = url.parse().map_err(|_| unsent)?;
+    let method: Method = method.parse().map_err(|_| unsent)?;
+    let authority = target.authority().ok_or(unsent)?.to_string();
+    let mut header_map = HeaderMap::new();
+    let host = [("host", authority.as_str()), ("connection", "close")];
+    for (name, value) in host.iter().chain(headers) {
+        let name: HeaderName = name.parse().map_err(|_| unsent)?;
+        header_map.insert(name, HeaderValue::from_str(value).map_err(|_| unsent)?);
+    }
+    let request = ServerRequest {
+        method,
+        target,
+        headers: header_map,
+        body: body.into(),
+        attempt: None,
+        timeout_ms: ms,
+        needs_fresh_connection: true,
+    };
+    single_call(&authority, request, gate).await
 }
 
 /// Returns the first sample of a gauge in Prometheus text, whatever its labels.
--- a/hutbook/src/transport/network_environment.rs
+++ b/hutbook/src/transport/network_environment.rs
@@ -1,8 +1,9 @@
 //! The environment of an edge daemon: real time, stores over RPC, backends over HTTP.
 
 use super::connection_pool::faults::AnswerFaultCounts;
+use super::connection_pool::{Answer, BodyRead};
 use super::dispatch::NoAnswer;
-use super::http::{call, client, gated_call, gauge, was_sent, GatedBody};
+use super::http::{call, gated_call, gauge, open_call};
 use super::leader_client::{NetworkClient, StoreClient};
 use super::recovery_phases::RecoveryPhases;
 use super::refusals::RefusalCounts;
@@ -13,9 +14,6 @@
 use crate::coordination::edge::Edge;
 use crate::coordination::store::{StoreRequest, StoreResponse};
 use crate::state::byte_budget::ByteBudget;
-use bytes::Bytes;
-use futures_util::StreamExt;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -87,24 +85,19 @@
             stream_options: { include_usage: true, continuous_usage_stats: true },
         };
         let path = if call.path == "/" { "/v1/chat/completions" } else { &call.path };
-        let request = client()
-            .post(format!("http://{}{path}", call.addr))
-            .insert_header(("content-type", "application/json"))
-            .insert_header(("idempotency-key", call.key.as_str()))
-            .insert_header((REVISION_HEADER, call.revision.to_string()));
-        let (body, gate_closed) = GatedBody::new(body.dump(), call.gate);
-        let sent = actix_rt::time::timeout(Duration::from_millis(call.run_ms), request.send_body(body)).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => return Err(NoAnswer { sent: was_sent(&error) && !gate_closed.get() }),
-            Err(_) => return Err(NoAnswer { sent: true }),
-        };
-        if response.status().as_u16() != 200 {
-            return Ok(Err(response.status().as_u16()));
+        let url = format!("http://{}{path}", call.addr);
+        let revision = call.revision.to_string();
+        let headers = [
+            ("content-type", "application/json"),
+            ("idempotency-key", call.key.as_str()),
+            (REVISION_HEADER, revision.as_str()),
+        ];
+        let answer = open_call("POST", &url, &headers, body.dump(), call.run_ms, call.gate).await?;
+        if answer.status.as_u16() != 200 {
+            return Ok(Err(answer.status.as_u16()));
         }
         let deadline = self.clock.now() + call.run_ms;
-        let body = Box::pin(response.map(|chunk| chunk.map_err(drop)));
-        Ok(Ok(Sse { body, buffer: vec![], usage: None, clock: self.clock, deadline }))
+        Ok(Ok(Sse { answer, buffer: vec![], usage: None, clock: self.clock, deadline }))
     }
 
     async fn tool(&self, call: ToolCall) -> Result<(u16, String), NoAnswer> {
@@ -146,11 +139,9 @@
     getrandom::u64().expect("the operating system provides random numbers") | 1
 }
 
-type Chunks = Pin<Box<dyn futures_util::Stream<Item = Result<Bytes, ()>>>>;
-
 /// A backend's server-sent events, read line by line.
 pub struct Sse {
-    body: Chunks,
+    answer: Answer,
     buffer: Vec<u8>,
     usage: Option<u64>,
     clock: Clock,
@@ -188,8 +179,8 @@
                 return StreamEvent::Broken;
             }
             let remaining = self.deadline.saturating_sub(self.clock.now());
-            match actix_rt::time::timeout(Duration::from_millis(remaining), self.body.next()).await {
-                Ok(Some(Ok(bytes))) => self.buffer.extend_from_slice(&bytes),
+            match actix_rt::time::timeout(Duration::from_millis(remaining), self.answer.next()).await {
+                Ok(BodyRead::Bytes(bytes)) => self.buffer.extend_from_slice(&bytes),
                 // a stream that ends without its end marker is broken
                 _ => return StreamEvent::Broken,
             }
--- a/hutbook/src/transport/proxy/request.rs
+++ b/hutbook/src/transport/proxy/request.rs
@@ -8,6 +8,7 @@
 use crate::coordination::store::{TurnAdmission, TurnRecord};
 use crate::coordination::view::hash;
 use crate::state::config::{ProxyRoute, RetrySemantics};
+use crate::transport::connection_pool::AttemptId;
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use bytes::{Bytes, BytesMut};
 
@@ -115,8 +116,7 @@
             target: incoming.target.clone(),
             headers,
             body: context.body.clone(),
-            attempt_id: self.id.clone(),
-            attempt_id_header: HeaderName::from_static(names.attempt_id),
+            attempt: Some(AttemptId { header: HeaderName::from_static(names.attempt_id), id: self.id.clone() }),
             timeout_ms: remaining_ms,
             needs_fresh_connection: self.placement.at_most_once,
         }
--- a/scramble/src/fault_script.rs
+++ b/scramble/src/fault_script.rs
@@ -2,7 +2,9 @@
 
 use crate::observations::{tokens, JobRecord, Observations, ProgramRecord, TurnRecord};
 use futures_util::StreamExt;
-use hutbook::transport::http::{call, client};
+use hutbook::constants::MAX_BODY_BYTES;
+use hutbook::transport::connection_pool::BodyRead;
+use hutbook::transport::http::{call, open_call};
 use jzon::JsonValue;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
@@ -314,23 +316,19 @@
     }
 
     async fn attempt_turn(&self, url: &str, key: &str, body: String, job: &mut JobRecord) -> bool {
-        let request = client()
-            .post(url)
-            .insert_header(("idempotency-key", key))
-            .timeout(Duration::from_millis(MAX_CONNECTION_MS));
-        let mut response = match request.send_body(body).await {
-            Ok(response) => response,
-            Err(_) => return false,
+        let headers = [("idempotency-key", key)];
+        let Ok(mut response) = open_call("POST", url, &headers, body, MAX_CONNECTION_MS, Box::new(|| true)).await
+        else {
+            return false;
         };
-        let kind =
-            response.headers().get("content-type").and_then(|value| value.to_str().ok()).unwrap_or("").to_string();
+        let kind = response.headers.get("content-type").and_then(|value| value.to_str().ok()).unwrap_or("").to_string();
         if !kind.starts_with("text/event-stream") {
-            let b = response.body().await.unwrap_or_default();
-            let json = jzon::parse(&String::from_utf8_lossy(&b)).unwrap_or(JsonValue::Null);
+            let Some(body) = response.read_to_end(MAX_BODY_BYTES).await else { return false };
+            let json = jzon::parse(&String::from_utf8_lossy(&body)).unwrap_or(JsonValue::Null);
             return self.record_verdict(job, &json);
         }
         let mut buffer = String::new();
-        while let Some(Ok(b)) = response.next().await {
+        while let BodyRead::Bytes(b) = response.next().await {
             buffer.push_str(&String::from_utf8_lossy(&b));
             while let Some(at) = buffer.find("\n\n") {
                 let e: String = buffer.drain(..at + 2).collect();
--- a/scramble/src/fleet/proxy_clients.rs
+++ b/scramble/src/fleet/proxy_clients.rs
@@ -82,7 +82,8 @@
     type Response = SingleEventResponse;
 
     async fn send(&self, to: &Placement, request: ServerRequest, gate: Gate) -> Result<SingleEventResponse, NoAnswer> {
-        let key = request.attempt_id.to_str().unwrap_or_default().to_string();
+        let id = request.attempt.as_ref().and_then(|attempt| attempt.id.to_str().ok());
+        let key = id.unwrap_or_default().to_string();
         self.client.world.0.borrow_mut().observed.proxied_sends.push((
             to.server.clone(),
             key.clone(),
