--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -278,10 +278,7 @@
 pub const KEEP_ALIVE_MS: u64 = 15_000;
 /// A request's head and body must have arrived within this time.
 pub const REQUEST_READ_TIMEOUT_MS: u64 = 10_000;
-/// How long an idle connection to a backend is retained: shorter than backends retain theirs, so that none is used
-/// while it is being closed.
-pub const POOL_IDLE_TIMEOUT_MS: u64 = 2_000;
-/// Maximum number of pooled connections to backends per worker thread.
+/// Maximum number of connections to a server that states no limit of its own.
 pub const MAX_POOLED_CONNECTIONS: usize = 1_024;
 /// Delay between attempts at a peer that knows no leader.
 pub const LEADER_RETRY_MS: u64 = 50;
@@ -403,9 +400,11 @@
 pub const PROXY_KEEP_ALIVE_MARGIN_MS: u64 = 400;
 /// Longest time for which an idle connection is reused, whatever the server announces.
 pub const MAX_PROXY_KEEP_ALIVE_MS: u64 = 10_000;
-/// Maximum number of surplus answers to other jobs that are skipped to find a job's own answer. The connection is
-/// closed after it.
-pub const MAX_SURPLUS_ANSWERS: usize = 3;
+/// Maximum number of interim answers, and of surplus answers to other requests, that are skipped to find a request's
+/// own answer.
+pub const MAX_SKIPPED_ANSWERS: usize = 3;
+/// Size of one read of an answer that ends with its connection.
+pub const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// A job that may run only once uses only an idle connection that was used within this time. Servers close
 /// connections that have been idle longer, and a request written into a connection that is being closed may have
 /// run.
--- a/scramble/src/fleet/proxy_clients.rs
+++ b/scramble/src/fleet/proxy_clients.rs
@@ -82,7 +82,8 @@
     type Response = SingleEventResponse;
 
     async fn send(&self, to: &Placement, request: ServerRequest, gate: Gate) -> Result<SingleEventResponse, NoAnswer> {
-        let key = request.attempt_id.to_str().unwrap_or_default().to_string();
+        let id = request.attempt.as_ref().and_then(|attempt| attempt.id.to_str().ok());
+        let key = id.unwrap_or_default().to_string();
         self.client.world.0.borrow_mut().observed.proxied_sends.push((
             to.server.clone(),
             key.clone(),
@@ -265,13 +266,14 @@
         host: request.host.clone(),
         headers,
         body: Bytes::from_static(b"input"),
+        is_http_10: false,
     }
 }
 
 /// Reads the body. Returns whether it reached its end.
 async fn read_to_end(body: ProxyBody) -> bool {
     let ProxyBody::Events(mut events) = body else { return true };
-    while let Some(event) = events.recv().await {
+    while let Some(event) = events.next().await {
         if event.is_err() {
             return false;
         }
