--- a/hutbook/tests/edge_setup/mod.rs
+++ b/hutbook/tests/edge_setup/mod.rs
@@ -1,5 +1,8 @@
 //! Test fixture: a single edge with a configuration and leases given by the test, and client connections to it.
 
+// each test uses its own part of this
+#![allow(dead_code)]
+
 use hutbook::constants::*;
 use hutbook::coordination::control::{LeaseGrant, ViewUpdate};
 use hutbook::coordination::edge::Edge;
