--- a/scramble/src/soak/clients.rs
+++ b/scramble/src/soak/clients.rs
@@ -186,13 +186,16 @@
     let Connection { stream, bytes, .. } = connection;
     stream.write_all(request).await.ok()?;
     let head = read_head(stream, bytes).await?;
-    let is_whole = read_body(stream, bytes, &head).await.is_some();
+    let body = read_body(stream, bytes, &head).await;
+    let is_whole = body.is_some();
     let header_value = |name| head.header(name).unwrap_or_default().to_string();
     let answer = Answer {
         status: head.status,
         server: header_value(HEADER_NAMES.seal),
         id: header_value(HEADER_NAMES.attempt_id),
         is_whole,
+        body: body.unwrap_or_default(),
+        has_surplus: is_whole && !bytes.is_empty(),
         says_when: head.header("retry-after").is_some(),
     };
     Some((answer, is_whole && !head.closes()))
--- a/scramble/src/soak/history.rs
+++ b/scramble/src/soak/history.rs
@@ -3,7 +3,7 @@
 
 use crate::process_fleet::Exit;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 /// Microseconds since the start of the run.
@@ -28,6 +28,9 @@
     pub id: String,
     /// True if the body arrived completely according to its framing.
     pub is_whole: bool,
+    pub body: Vec<u8>,
+    /// True if bytes follow the answer that belong to no request.
+    pub has_surplus: bool,
     /// True if the answer has a `retry-after` header.
     pub says_when: bool,
 }
@@ -151,6 +154,8 @@
 pub struct Records {
     pub requests: Vec<Request>,
     pub runs: Vec<Run>,
+    /// Ids of the requests whose server broke off an answer to them.
+    pub broken_answers: BTreeSet<String>,
     pub config_changes: Vec<ConfigChange>,
     pub reads: Vec<Read>,
     pub incarnations: Vec<Incarnation>,
@@ -260,6 +265,10 @@
         self.records.borrow_mut().runs.push(Run { at, id, server: server.into(), service, body });
     }
 
+    pub fn record_broken_answer(&self, id: String) {
+        self.records.borrow_mut().broken_answers.insert(id);
+    }
+
     pub fn record_change(&self, number: u64, kind: ChangeKind, base: u64) -> usize {
         let change = ConfigChange { number, kind, base, sent: self.now(), ended: None };
         let mut records = self.records.borrow_mut();
--- a/scramble/src/soak/judges/requests.rs
+++ b/scramble/src/soak/judges/requests.rs
@@ -3,6 +3,7 @@
 use super::super::document::{ONCE_ONLY_PATH, TURNS_PATH};
 use super::super::history::{Answer, Ending, Incarnation, Micros, Records, Request, StopRequest};
 use super::super::processes::STORE;
+use super::super::servers::whole_body;
 use super::{Bounds, Finding};
 use std::collections::BTreeMap;
 
@@ -18,6 +19,11 @@
     matches!(incarnation.stop_request, StopRequest::Kill(at) if at + KILL_NOTICE_DELAY >= sent && at <= ended)
 }
 
+/// Returns true if the request is answered as a stream and its server broke off.
+fn is_broken_stream(records: &Records, request: &Request) -> bool {
+    request.path == TURNS_PATH && records.broken_answers.contains(&request.id)
+}
+
 fn was_frozen(incarnation: Option<&Incarnation>, sent: Micros, ended: Micros) -> bool {
     incarnation.is_some_and(|incarnation| incarnation.frozen.iter().any(|(from, to)| *from <= ended && *to >= sent))
 }
@@ -53,6 +59,8 @@
             Ending::Answered(answer) if answer.is_whole => answer_violation(request, answer),
             _ if was_process_killed => None,
             Ending::Answered(_) if end_may_be_uncommitted(records, request, *at) => None,
+            // a plain answer is given out whole or not at all; a stream may begin before its server breaks off
+            Ending::Answered(_) | Ending::ConnectionEnded if is_broken_stream(records, request) => None,
             Ending::Answered(_) => Some("its answer was truncated".to_string()),
             Ending::ConnectionEnded if has_run => Some("its connection ended although it had run".to_string()),
             Ending::ConnectionEnded => None,
@@ -69,8 +77,8 @@
     findings
 }
 
-/// Returns what is wrong with an answer's headers: no answer may have another request's id, a success needs an id and
-/// the name of a server, and a refusal needs a `retry-after` header.
+/// Returns what is wrong with a whole answer: no answer may have another request's id, a success needs an id, the name
+/// of a server and the server's whole body, and a refusal needs a `retry-after` header.
 fn answer_violation(request: &Request, answer: &Answer) -> Option<String> {
     if !answer.id.is_empty() && answer.id != request.id {
         return Some(format!("it got the answer of {}", answer.id));
@@ -78,6 +86,13 @@
     if answer.status == 200 && (answer.server.is_empty() || answer.id.is_empty()) {
         return Some("a success without a server's name or a request id".into());
     }
+    if answer.status == 200 && answer.body != whole_body(&request.id, &request.path) {
+        let (received, expected) = (answer.body.len(), whole_body(&request.id, &request.path).len());
+        return Some(format!("a success whose body is not its server's: {received} bytes in place of {expected}"));
+    }
+    if answer.has_surplus {
+        return Some("bytes that belong to no request follow its answer".into());
+    }
     if answer.status == 503 && answer.server.is_empty() && !answer.says_when {
         return Some("refused without a retry-after header".into());
     }
--- a/scramble/src/soak/judges/tests.rs
+++ b/scramble/src/soak/judges/tests.rs
@@ -5,7 +5,7 @@
     Answer, ChangeKind, ChangeResult, ConfigChange, Ending, Incarnation, Micros, Read, Records, Request, Run, Sample,
     StopRequest, Usage,
 };
-use super::super::servers::event_texts;
+use super::super::servers::{event_texts, whole_body};
 use super::*;
 use crate::process_fleet::Exit;
 use rstest::rstest;
@@ -14,14 +14,33 @@
 const BOUNDS: Bounds = Bounds { in_force: 2 * SECOND, recovery: 2 * SECOND, grace: 10 * SECOND };
 const EDGE: &str = "edge1";
 
+/// Returns a server's whole answer to a plain request.
 fn server_answer(id: &str, server: &str) -> Ending {
-    let answer = Answer { status: 200, server: server.into(), id: id.into(), is_whole: true, says_when: false };
-    Ending::Answered(answer)
+    whole_answer(id, server, REPEATABLE_PATH)
+}
+
+fn whole_answer(id: &str, server: &str, path: &str) -> Ending {
+    Ending::Answered(Answer {
+        status: 200,
+        server: server.into(),
+        id: id.into(),
+        is_whole: true,
+        body: whole_body(id, path),
+        has_surplus: false,
+        says_when: false,
+    })
 }
 
 fn edge_answer(status: u16) -> Ending {
-    let answer = Answer { status, server: String::new(), id: String::new(), is_whole: true, says_when: status == 503 };
-    Ending::Answered(answer)
+    Ending::Answered(Answer {
+        status,
+        server: String::new(),
+        id: String::new(),
+        is_whole: true,
+        body: vec![],
+        has_surplus: false,
+        says_when: status == 503,
+    })
 }
 
 fn request(id: &str, path: &str, sent: Micros, ending: Ending) -> Request {
@@ -96,7 +115,7 @@
     body.extend(input_of(id));
     records.requests.push(Request {
         previous_turn: previous_turn.into(),
-        ..request(id, TURNS_PATH, sent, server_answer(id, "blue1"))
+        ..request(id, TURNS_PATH, sent, whole_answer(id, "blue1", TURNS_PATH))
     });
     records.runs.push(Run { body, ..run(id, sent + 100, BLUE) });
 }
@@ -105,6 +124,13 @@
     records.requests.iter_mut().find(|request| request.id == id).expect("it is there")
 }
 
+fn answer_of<'a>(records: &'a mut Records, id: &str) -> &'a mut Answer {
+    match &mut request_of(records, id).ended {
+        Some((_, Ending::Answered(answer))) => answer,
+        _ => unreachable!("every request of this history is answered"),
+    }
+}
+
 fn answer_with(records: &mut Records, id: &str, ending: Ending) {
     let request = request_of(records, id);
     request.ended = Some((request.sent + 1_000, ending));
@@ -161,6 +187,27 @@
     let Some((_, Ending::Answered(answer))) = &mut request_of(r, "t2").ended else { unreachable!() };
     answer.is_whole = false;
 })]
+#[case::body_cut_short("whole answers", |r: &mut Records| answer_of(r, "r5").body.truncate(3))]
+#[case::body_dropped("whole answers", |r: &mut Records| answer_of(r, "r5").body.clear())]
+#[case::last_event_dropped("whole answers", |r: &mut Records| {
+    let body = &mut answer_of(r, "t2").body;
+    body.truncate(body.len() / 2);
+})]
+#[case::body_of_another_request("whole answers", |r: &mut Records|
+    answer_of(r, "r5").body = whole_body("r6", REPEATABLE_PATH))]
+#[case::bytes_after_an_answer("whole answers", |r: &mut Records| answer_of(r, "r5").has_surplus = true)]
+#[case::plain_answer_truncated_as_its_server_broke_off("whole answers", |r: &mut Records| {
+    answer_of(r, "r5").is_whole = false;
+    r.broken_answers.insert("r5".into());
+})]
+#[case::connection_ended_as_the_server_of_a_plain_answer_broke_off("whole answers", |r: &mut Records| {
+    answer_with(r, "r5", Ending::ConnectionEnded);
+    r.broken_answers.insert("r5".into());
+})]
+#[case::turn_not_answered_as_its_server_broke_off("whole answers", |r: &mut Records| {
+    answer_with(r, "t2", Ending::NothingCame);
+    r.broken_answers.insert("t2".into());
+})]
 #[case::answer_to_another_request("whole answers", |r: &mut Records|
     answer_with(r, "r5", server_answer("r6", "blue1")))]
 #[case::success_without_a_server("whole answers", |r: &mut Records| answer_with(r, "r5", edge_answer(200)))]
@@ -252,6 +299,14 @@
 #[case::old_configuration_before_the_bound(|r: &mut Records| {
     r.requests.push(request("early", &added_path(2), SECOND + 500, edge_answer(404)));
 })]
+#[case::turn_truncated_as_its_server_broke_off(|r: &mut Records| {
+    answer_of(r, "t2").is_whole = false;
+    r.broken_answers.insert("t2".into());
+})]
+#[case::connection_of_a_turn_ended_as_its_server_broke_off(|r: &mut Records| {
+    answer_with(r, "t2", Ending::ConnectionEnded);
+    r.broken_answers.insert("t2".into());
+})]
 #[case::turn_truncated_while_turns_were_refused(|r: &mut Records| {
     let Some((at, Ending::Answered(answer))) = &mut request_of(r, "t2").ended else { unreachable!() };
     answer.is_whole = false;
--- a/scramble/src/soak/mod.rs
+++ b/scramble/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! cuts and configuration changes occur in overlapping series. One seed determines the shape of the fleet and the whole
 //! plan of events. Judges (checkers) evaluate the recorded history afterwards.
 
+pub mod answer_faults;
 pub mod clients;
 pub mod document;
 pub mod history;
--- a/scramble/src/soak/plan.rs
+++ b/scramble/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! Plan of the events that are applied to a fleet, generated from the seed before the fleet starts.
 
+use super::answer_faults::{AnswerFault, ANSWER_FAULTS};
 use super::shape::{SeededRandom, Shape, PLAN_STREAM};
 
 /// Processes that an event applies to. Leaders are determined when the event is applied.
@@ -22,6 +23,10 @@
     Resets,
     SaysIll,
     FailsAndSaysWell,
+    /// All its answers have this fault.
+    Answers(AnswerFault),
+    /// Its answers have all kinds of faults, one after the other, and some have none.
+    MixedAnswers,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,13 +88,14 @@
             Action::Race => "race",
             Action::Invalid => "invalid",
             Action::Relist { .. } => "relist",
+            Action::Server { fault: ServerFault::Answers(_) | ServerFault::MixedAnswers, .. } => "answer",
             Action::Server { .. } => "server",
         }
     }
 }
 
 /// All kinds of events.
-pub const KINDS: [&str; 12] = [
+pub const KINDS: [&str; 13] = [
     "terminate",
     "hangup",
     "kill",
@@ -102,6 +108,7 @@
     "invalid",
     "relist",
     "server",
+    "answer",
 ];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -127,6 +134,12 @@
 const MEAN_EVENT_INTERVAL_MS: u64 = 450;
 /// Percentage of freezes, cuts and server faults that last longer than every lease.
 const LONG_FAULT_PERCENT: u64 = 35;
+/// Average interval between two servers whose answers become faulty, in milliseconds.
+const MEAN_ANSWER_FAULT_INTERVAL_MS: u64 = 700;
+/// Longest time for which a server's answers are faulty, in milliseconds.
+const MAX_ANSWER_FAULT_MS: u64 = 1_500;
+/// Percentage of servers with faulty answers that mix all kinds.
+const MIXED_ANSWERS_PERCENT: u64 = 30;
 /// Time at the beginning of a run without events, in milliseconds.
 const QUIET_START_MS: u64 = 1_000;
 /// Minimum time between two disk losses, in milliseconds, so that the fleet can repair itself in between.
@@ -139,6 +152,7 @@
         let events_end_ms = seconds * 1_000;
         let mut events = change_events(&mut random, events_end_ms);
         events.extend(fault_events(&mut random, shape, events_end_ms));
+        events.extend(answer_events(&mut random, shape, events_end_ms));
         events.retain(|event| kinds.iter().any(|kind| kind == event.action.kind()));
         events.sort_by_key(|event| event.at_ms);
         Plan { events, events_end_ms, end_ms: events_end_ms + quiet_ms }
@@ -221,6 +235,26 @@
     Event { at_ms, target, action }
 }
 
+/// Generates spans in which a server's answers are faulty; several servers may have some at once.
+fn answer_events(random: &mut SeededRandom, shape: &Shape, until_ms: u64) -> Vec<Event> {
+    let mut events = vec![];
+    let mut at_ms = QUIET_START_MS;
+    while at_ms < until_ms {
+        let server = random.between(0, 2 * shape.servers as u64 - 1) as usize;
+        let (fault, for_ms) = (answer_fault(random), random.between(100, MAX_ANSWER_FAULT_MS));
+        events.push(Event { at_ms, target: None, action: Action::Server { server, fault, for_ms } });
+        at_ms += random.between(1, 2 * MEAN_ANSWER_FAULT_INTERVAL_MS);
+    }
+    events
+}
+
+fn answer_fault(random: &mut SeededRandom) -> ServerFault {
+    if random.chance(MIXED_ANSWERS_PERCENT) {
+        return ServerFault::MixedAnswers;
+    }
+    ServerFault::Answers(*random.pick(&ANSWER_FAULTS))
+}
+
 fn single_target(random: &mut SeededRandom, shape: &Shape) -> Target {
     let controller = random.between(0, shape.controllers as u64 - 1) as usize;
     let store = random.between(0, shape.stores as u64 - 1) as usize;
--- a/scramble/src/soak/servers.rs
+++ b/scramble/src/soak/servers.rs
@@ -1,6 +1,8 @@
 //! Stand-in servers for proxied requests, running inside the soak process. Each run is recorded before the first byte
 //! of the answer is sent.
 
+use super::answer_faults::{write_faulty, AnswerFault, PlainAnswer, ANSWER_FAULTS};
+use super::document::TURNS_PATH;
 use super::history::History;
 use super::http::{read_head, Head};
 use super::plan::ServerFault;
@@ -23,6 +25,19 @@
     (0..EVENTS_PER_TURN).map(|index| format!("{id}-{index}")).collect()
 }
 
+/// Returns the whole body of a server's answer to a request.
+pub fn whole_body(id: &str, path: &str) -> Vec<u8> {
+    if !path.starts_with(TURNS_PATH) {
+        return format!("answer to {id}").into_bytes();
+    }
+    let texts = event_texts(id);
+    texts.iter().enumerate().flat_map(|(index, text)| event(index, text).into_bytes()).collect()
+}
+
+fn event(index: usize, text: &str) -> String {
+    format!("id: {}\ndata: {text}\n\n", index + 1)
+}
+
 pub struct Server {
     pub name: String,
     pub service: &'static str,
@@ -33,6 +48,8 @@
     slots: u64,
     running: Cell<u64>,
     fault: Cell<Option<ServerFault>>,
+    /// Number of answers given while faults were mixed.
+    mixed_answers: Cell<usize>,
     history: Rc<History>,
 }
 
@@ -62,6 +79,7 @@
             slots,
             running: Cell::new(0),
             fault: Cell::new(None),
+            mixed_answers: Cell::new(0),
             history,
         });
         let accepting_server = server.clone();
@@ -115,6 +133,18 @@
         result
     }
 
+    /// Returns the fault of the next answer, if it has any.
+    fn answer_fault(&self, fault: Option<ServerFault>) -> Option<AnswerFault> {
+        match fault? {
+            ServerFault::Answers(answer_fault) => Some(answer_fault),
+            ServerFault::MixedAnswers => {
+                let number = self.mixed_answers.replace(self.mixed_answers.get() + 1);
+                ANSWER_FAULTS.get(number % (ANSWER_FAULTS.len() + 1)).copied()
+            }
+            _ => None,
+        }
+    }
+
     async fn run_job(&self, stream: &mut TcpStream, head: &Head, id: &str, fault: Option<ServerFault>) -> Option<()> {
         let sleep = |ms| actix_rt::time::sleep(Duration::from_millis(ms));
         let mut headers = format!("{}: {id}\r\n{}: {}\r\n", HEADER_NAMES.attempt_id, HEADER_NAMES.seal, self.name);
@@ -128,11 +158,18 @@
             }
             Some(ServerFault::Resets) => return None,
             Some(ServerFault::FailsAndSaysWell) => return write_response(stream, 500, &headers, b"failed").await,
-            Some(ServerFault::SaysIll) | None => {}
+            _ => {}
         }
         sleep(self.work_ms).await;
-        if !head.target().starts_with(super::document::TURNS_PATH) {
-            return write_response(stream, 200, &headers, format!("answer to {id}").as_bytes()).await;
+        let body = whole_body(id, head.target());
+        if let Some(answer_fault) = self.answer_fault(fault) {
+            if answer_fault.breaks_off() {
+                self.history.record_broken_answer(id.to_string());
+            }
+            return write_faulty(stream, answer_fault, &PlainAnswer { headers: &headers, body: &body }).await;
+        }
+        if !head.target().starts_with(TURNS_PATH) {
+            return write_response(stream, 200, &headers, &body).await;
         }
         let start = format!(
             "HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -140,7 +177,7 @@
         stream.write_all(start.as_bytes()).await.ok()?;
         for (index, text) in event_texts(id).iter().enumerate() {
             sleep(EVENT_INTERVAL_MS).await;
-            let event = format!("id: {}\ndata: {text}\n\n", index + 1);
+            let event = event(index, text);
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await.ok()?;
         }
         stream.write_all(b"0\r\n\r\n").await.ok()
