--- a/scramble/src/check.rs
+++ b/scramble/src/check.rs
@@ -353,14 +353,19 @@
     report
 }
 
-/// Verdicts that are not final.
-const NON_FINAL_VERDICTS: [&str; 3] = ["running", "unavailable", "no_config"];
+/// Answers that are not final: each asks to come back with the same key.
+const NON_FINAL_VERDICTS: [&str; 6] =
+    ["running", "unavailable", "no_config", "no_licence", "store_unreachable", "edge_memory"];
+
+/// Returns whether an answer decides what became of a job.
+pub fn is_final_verdict(verdict: &str) -> bool {
+    !NON_FINAL_VERDICTS.contains(&verdict)
+}
 
 fn final_verdict_changed(observed: &Observations) -> RuleReport {
     let mut report = RuleReport::default();
     for job in &observed.jobs {
-        let mut last: Vec<&str> =
-            job.verdicts.iter().map(|v| v.1.as_str()).filter(|v| !NON_FINAL_VERDICTS.contains(v)).collect();
+        let mut last: Vec<&str> = job.verdicts.iter().map(|v| v.1.as_str()).filter(|v| is_final_verdict(v)).collect();
         report.exposures.extend((last.len() > 1).then(|| span(job)));
         last.dedup();
         // no final verdict was ever reported, so none has to be retained
--- a/scramble/src/check/tests.rs
+++ b/scramble/src/check/tests.rs
@@ -127,3 +127,12 @@
     let breaches = check(&observed);
     assert!(breaches.iter().any(|breach| breach.rule == rule), "{breaches:?}");
 }
+
+#[rstest::rstest]
+fn a_refusal_that_asks_for_the_same_key_is_no_final_verdict(
+    #[values("no_config", "no_licence", "store_unreachable", "edge_memory")] code: &str,
+) {
+    let mut observed = clean();
+    observed.jobs[1].verdicts.insert(0, (1, code.into(), String::new()));
+    assert!(!check(&observed).iter().any(|breach| breach.rule == "a last word changed"));
+}
--- a/scramble/src/fault_script.rs
+++ b/scramble/src/fault_script.rs
@@ -1,5 +1,6 @@
 //! Simulated clients of both example deployments. They send requests over HTTP and record what they observe.
 
+use crate::check::is_final_verdict;
 use crate::observations::{tokens, JobRecord, Observations, ProgramRecord, TurnRecord};
 use futures_util::StreamExt;
 use hutbook::constants::MAX_BODY_BYTES;
@@ -274,7 +275,7 @@
     fn record_verdict(&self, job: &mut JobRecord, json: &JsonValue) -> bool {
         let verdict = json["verdict"].as_str().or(json["error"].as_str()).unwrap_or("nonsense").to_string();
         let code = json["code"].as_str().unwrap_or("").to_string();
-        let last = !["unavailable", "running", "no_config"].contains(&verdict.as_str());
+        let last = is_final_verdict(&verdict);
         if last && job.first_answer_at.is_none() && verdict == "done" {
             job.first_answer_at = Some(wall_clock_ms());
         }
