--- a/scramble/src/soak/processes.rs
+++ b/scramble/src/soak/processes.rs
@@ -19,6 +19,10 @@
 /// Interval between two checks for ended processes, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 20;
 const HTTP_TIMEOUT_MS: u64 = 1_000;
+/// What a store without a group says of its readiness.
+const WITHOUT_GROUP: &str = "no store group has been assigned";
+/// Members of a store group.
+const STORE_GROUP_MEMBERS: usize = 3;
 /// Time within which all daemons must become ready, in milliseconds; otherwise it is a finding.
 const READY_TIMEOUT_MS: u64 = 30_000;
 /// Interval between two samples of resource usage in the quiet period, in milliseconds.
@@ -265,15 +269,23 @@
         names[0].clone()
     }
 
-    /// Returns the processes that don't report themselves as ready.
+    /// Returns the processes that don't report themselves as ready. Stores beyond the members of the one store group are
+    /// spares, which are ready without a group.
     pub async fn unready(&self) -> Vec<String> {
-        let mut unready = vec![];
-        for name in self.process_names() {
-            let url = format!("http://{}/readyz", self.http_addr(&name));
-            if !matches!(call("GET", &url, &[], String::new(), HTTP_TIMEOUT_MS).await, Ok((200, ..))) {
-                unready.push(name);
+        let (mut unready, mut without_group) = (vec![], vec![]);
+        let names = self.process_names();
+        for name in &names {
+            let url = format!("http://{}/readyz", self.http_addr(name));
+            match call("GET", &url, &[], String::new(), HTTP_TIMEOUT_MS).await {
+                Ok((200, ..)) => {}
+                Ok((503, body, _)) if body.contains(WITHOUT_GROUP) => without_group.push(name.clone()),
+                _ => unready.push(name.clone()),
             }
         }
+        let stores = names.iter().filter(|name| name.starts_with(STORE)).count();
+        if without_group.len() > stores.saturating_sub(STORE_GROUP_MEMBERS) {
+            unready.extend(without_group);
+        }
         unready
     }
 
