--- a/hutbook/src/transport/connection_pool/answer.rs
+++ b/hutbook/src/transport/connection_pool/answer.rs
@@ -103,17 +103,19 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     body: Body,
-    /// Set if its connection may carry another request.
+    /// Keeps its connection counted until the answer is dropped or the connection returns to its pool.
     reuse: Option<Reuse>,
+    /// Whether its connection may carry another request.
+    is_reusable: bool,
     faults: Arc<AnswerFaultCounts>,
 }
 
 impl Answer {
-    /// Creates an answer from what has arrived. Without `reuse` its connection carries nothing else.
+    /// Creates an answer from what has arrived. Without `reuse` its connection belongs to no pool.
     pub(super) fn new(received: ReceivedAnswer, reuse: Option<Reuse>, faults: Arc<AnswerFaultCounts>) -> Answer {
         let ReceivedAnswer { status, headers, body, is_reusable } = received;
         let closes = headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-        Answer { status, headers, body, reuse: reuse.filter(|_| is_reusable && !closes), faults }
+        Answer { status, headers, body, reuse, is_reusable: is_reusable && !closes, faults }
     }
 
     /// Reads the next part of the body. A connection that may carry another request returns to its pool at the end.
@@ -153,7 +155,7 @@
         if has_surplus {
             self.faults.count(AnswerFault::SurplusBytes);
         }
-        let is_reusable = !has_surplus && connection.codec_ref().keep_alive();
+        let is_reusable = self.is_reusable && !has_surplus && connection.codec_ref().keep_alive();
         if let (Some(reuse), true) = (self.reuse.take(), is_reusable) {
             reuse.connection.release(connection, &reuse.now, reuse.keep_alive_ms);
         }
--- a/hutbook/tests/connection_pool.rs
+++ b/hutbook/tests/connection_pool.rs
@@ -9,6 +9,7 @@
 use pool_server::{
     complete_answer, jobs_by_connection, request, run, write, Client, Server, ARRIVAL_MS, MAX_CONNECTIONS,
 };
+use rstest::rstest;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -159,3 +160,21 @@
         assert_eq!(server.seen(), jobs_by_connection(&[(0, "a"), (1, "b")]));
     });
 }
+
+#[rstest]
+#[case::closed_by_its_server("content-length: 9\r\nconnection: close\r\n")]
+#[case::without_a_length("")]
+fn a_connection_counts_as_open_while_its_answer_is_read(#[case] framing: &'static str) {
+    let server = Server::start(move |stream, job| {
+        write(stream, &format!("HTTP/1.1 200 OK\r\ncorkdrum-job: {job}\r\n{framing}\r\ndone"));
+    });
+    run(async {
+        let client = Client::default();
+        // given an answer whose connection can't be used again, and whose body is not read yet
+        let answer = client.send(&server, 1, request("a", false)).await.expect("a head");
+        // when another request comes, then it has to wait
+        assert_eq!(client.send(&server, 1, request("b", false)).await.err(), Some(NoAnswer { sent: false }));
+        drop(answer);
+        assert!(client.send(&server, 1, request("c", false)).await.is_ok());
+    });
+}
