--- a/scramble/src/process_fleet.rs
+++ b/scramble/src/process_fleet.rs
@@ -3,7 +3,7 @@
 use crate::fault_script::{wall_clock_ms, Deployment};
 use crate::relay::RelayNetwork;
 use hutbook::transport::http::call;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{getrlimit, kill_process, setrlimit, Pid, Resource, Rlimit, Signal};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
@@ -41,6 +41,10 @@
     /// If set, edges accept proxied requests, and a planned stop of an edge waits this many seconds for requests in
     /// progress.
     pub proxied_stop_s: Option<u64>,
+    /// Memory of the machines by program, in megabytes; a program that is absent gets no limit.
+    pub memory_mb: BTreeMap<&'static str, u64>,
+    /// Maximum number of descriptors by program; a program that is absent has the limit of this process.
+    pub descriptors: BTreeMap<&'static str, u64>,
 }
 
 /// Number of daemons of each kind.
@@ -84,6 +88,15 @@
     })
 }
 
+/// Starts a process that may open only so many descriptors. It inherits this process's limit, which is lowered meanwhile.
+fn spawn_with_descriptors(command: &mut Command, limit: u64) -> std::io::Result<Child> {
+    let own_limit = getrlimit(Resource::Nofile);
+    setrlimit(Resource::Nofile, Rlimit { current: Some(limit), maximum: own_limit.maximum })?;
+    let child = command.spawn();
+    setrlimit(Resource::Nofile, own_limit)?;
+    child
+}
+
 /// Settings of the stand-in backends.
 #[derive(Clone, Copy)]
 pub struct BackendSettings {
@@ -109,6 +122,8 @@
             port,
             net: None,
             proxied_stop_s: None,
+            memory_mb: BTreeMap::new(),
+            descriptors: BTreeMap::new(),
         })
     }
 
@@ -138,12 +153,12 @@
         let process = self.processes.get_mut(name).expect("known process");
         let log =
             std::fs::File::options().create(true).append(true).open(&process.log).expect("the log file can be opened");
-        let child = Command::new(binary(process.program))
-            .args(&process.args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn();
+        let mut command = Command::new(binary(process.program));
+        command.args(&process.args).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        let child = match self.descriptors.get(process.program) {
+            Some(limit) => spawn_with_descriptors(&mut command, *limit),
+            None => command.spawn(),
+        };
         process.child = Some(child.unwrap_or_else(|error| panic!("{}: {error}", process.program)));
     }
 
@@ -307,8 +322,8 @@
     /// Simulates a full disk, or space again, with a file-size limit below which hardly a page can be written.
     pub fn set_disk_full(&self, name: &str, is_full: bool) -> bool {
         let Some(child) = self.processes[name].child.as_ref() else { return false };
-        let limit = rustix::process::Rlimit { current: is_full.then_some(FULL_DISK_LIMIT_BYTES), maximum: None };
-        rustix::process::prlimit(Pid::from_raw(child.id() as i32), rustix::process::Resource::Fsize, limit).is_ok()
+        let limit = Rlimit { current: is_full.then_some(FULL_DISK_LIMIT_BYTES), maximum: None };
+        rustix::process::prlimit(Pid::from_raw(child.id() as i32), Resource::Fsize, limit).is_ok()
     }
 
     /// Starts the fleet of the example deployments: 3 zones, 3 controllers, 3 stores, 6 edges, 12 model servers and the
@@ -435,6 +450,9 @@
         if forms_cluster {
             args.push("--found".into());
         }
+        if let Some(memory_mb) = self.memory_mb.get(program) {
+            args.extend(["--memory-mb".into(), memory_mb.to_string()]);
+        }
         if let Some(stop_s) = self.proxied_stop_s.filter(|_| program == "trailhead") {
             args.extend(["--front".into(), self.next_addr(), "--stop-s".into(), stop_s.to_string()]);
         }
