--- a/hutbook/src/transport/proxy/events.rs
+++ b/hutbook/src/transport/proxy/events.rs
@@ -6,6 +6,8 @@
 pub(super) struct EventParser {
     /// Bytes of an event that is not complete yet.
     partial: BytesMut,
+    /// Length of the part of `partial` in which no event ends.
+    searched: usize,
     /// Number of events with data.
     pub(super) count: u64,
     pub(super) last_id: Option<String>,
@@ -20,14 +22,28 @@
 
     /// Returns the events that these bytes complete, unchanged.
     pub(super) fn take(&mut self, bytes: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(bytes);
-        let mut position = 0;
-        while let Some(length) = end_of_event(&self.partial[position..]) {
-            let event = self.partial[position..position + length].to_vec();
-            self.inspect(&event);
-            position += length;
+        let mut partial = std::mem::take(&mut self.partial);
+        partial.extend_from_slice(bytes);
+        let mut complete = 0;
+        while let Some(end) = end_of_event(&partial, self.searched.max(complete)) {
+            self.inspect(&partial[complete..end]);
+            complete = end;
         }
-        self.partial.split_to(position).freeze()
+        let events = partial.split_to(complete).freeze();
+        // an empty line may have begun with the last two bytes
+        self.searched = partial.len().saturating_sub(2);
+        self.partial = partial;
+        events
+    }
+
+    /// Returns the bytes that it holds of an event that is not complete yet.
+    pub(super) fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Returns the bytes of data that it has collected.
+    pub(super) fn data_bytes(&self) -> usize {
+        self.data.as_ref().map_or(0, Vec::len)
     }
 
     fn inspect(&mut self, event: &[u8]) {
@@ -57,6 +73,7 @@
     /// Discards the bytes of an incomplete event.
     pub(super) fn drop_partial(&mut self) {
         self.partial.clear();
+        self.searched = 0;
     }
 
     pub(super) fn take_data(&mut self) -> Vec<u8> {
@@ -64,9 +81,9 @@
     }
 }
 
-/// Returns the length of the first complete event, including its empty line.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let mut position = 0;
+/// Returns where the first event ends that ends after `searched`, including its empty line.
+fn end_of_event(bytes: &[u8], searched: usize) -> Option<usize> {
+    let mut position = searched;
     while let Some(newline) = bytes[position..].iter().position(|byte| *byte == b'\n') {
         position += newline + 1;
         match bytes.get(position) {
