--- a/hutbook/src/constants.rs
+++ b/hutbook/src/constants.rs
@@ -299,7 +299,7 @@
 pub const RETRY_BUDGET_SHARE: f64 = 0.1;
 /// Maximum number of retries that can accumulate.
 pub const MAX_RETRY_BUDGET: f64 = 20.0;
-/// Number of chunks that are read ahead of a slow client. Then the backend is throttled.
+/// Number of pieces of a turn that are read ahead of a slow client. Then the backend is throttled.
 pub const READ_AHEAD_CHUNKS: usize = 16;
 /// Interval of the probes of a backend: its load, and whether it is still the same process. Shorter than a restart
 /// takes.
@@ -549,8 +549,101 @@
 /// Memory of a request in progress beside its body and its client's connection: its task, its headers and what is
 /// read ahead of a slow client. Jobs that wait for their store took 10 KB.
 pub const REQUEST_OVERHEAD_BYTES: usize = 16 * 1024;
-/// Number of copies of a proxied request's body in memory: as received and as sent.
-pub const PROXY_BODY_COPIES: usize = 2;
+/// Share of a byte budget that holders may have together for another one to be let through over the limit.
+pub const SMALL_HOLDERS_SHARE: f64 = 0.08;
+/// Share of the budget for requests up to which plain answers are collected before their clients get them. Beyond it
+/// they are passed on as they arrive.
+pub const COLLECTED_ANSWERS_SHARE: f64 = 0.5;
+/// Memory of one open connection of a client: its buffers and its task.
+pub const CONNECTION_BYTES: usize = 20 * 1024;
+/// Size of the pieces in which the body of an answer is handed to its connection.
+pub const WRITE_PIECE_BYTES: usize = 8 * 1024;
+/// A connection takes no further piece while it buffers this much.
+pub const WRITE_BUFFER_BYTES: usize = 4 * 1024;
+/// Size of the pieces in which the body of a request is written to its server.
+pub const REQUEST_PIECE_BYTES: usize = 64 * 1024;
+/// Number of empty lines in a body after which its connection handles what it has read: behind the body's end each of
+/// them could end a head, and the decoded head of a request takes 7 KB.
+pub const MAX_EMPTY_LINES_READ: usize = 16;
+/// What a connection reads before it handles what it has read. Of chunks of one byte, a sixth of it are bodies, each
+/// with some 32 bytes of bookkeeping.
+pub const MAX_READ_BURST_BYTES: usize = 8 * 1024;
+/// Maximum size of one read of a connection, and of what it reads ahead of the request that is being answered.
+pub const MAX_READ_BYTES: usize = 8 * 1024;
+/// What the HTTP library buffers of a head at most.
+pub const MAX_HEAD_BUFFER_BYTES: usize = 128 * 1024;
+/// Part of a head that is covered by its connection's memory.
+pub const FREE_HEAD_BYTES: usize = 8 * 1024;
+/// Memory of a request's headers as a multiple of their length: as received, as read and as sent.
+pub const HEAD_COPIES: usize = 3;
+/// Parts of a stream that wait for a slow client, in bytes. Then the server is held back.
+pub const STREAM_BUFFER_BYTES: usize = 64 * 1024;
+/// Part of this that is covered by its request's memory.
+pub const FREE_STREAM_BUFFER_BYTES: usize = 8 * 1024;
+/// Maximum number of connections from other processes that have not shown yet that they belong to the cluster.
+pub const MAX_STRANGERS: usize = 64;
+/// Part of a frame that each of them may hold without a reservation.
+pub const FREE_STRANGER_BYTES: usize = 16 * 1024;
+/// Memory for the frames of all of them. A longer frame is let through alone.
+pub const MAX_STRANGER_BYTES: usize = 2 * 1024 * 1024;
+/// How long such a connection may stay without a complete message.
+pub const STRANGER_TIMEOUT_MS: u64 = 10_000;
+/// Size of the pieces in which a frame is read. Memory is taken as they arrive, not as the frame announces.
+pub const FRAME_PIECE_BYTES: usize = 16 * 1024;
+/// Time limit for each piece of a frame that has begun: at 110 kB/s it takes a fifth of a second.
+pub const FRAME_PIECE_TIMEOUT_MS: u64 = 10_000;
+/// Blocks of at least this size are returned to the system as soon as they are freed.
+pub const ALLOCATOR_MMAP_THRESHOLD_BYTES: i32 = 256 * 1024;
+/// Free pages are returned to the system once this much reserved memory was released, at most so often.
+pub const TRIM_RELEASED_BYTES: usize = 4_000_000;
+pub const TRIM_INTERVAL_MS: u64 = 5_000;
+/// Free memory at the end of the heap is returned to the system beyond this size.
+pub const ALLOCATOR_TRIM_THRESHOLD_BYTES: i32 = 512 * 1024;
+/// Number of copies of a retained turn's answer in memory while its end is committed: in its record, in the request to
+/// its store, and at this edge.
+pub const RETAINED_TEXT_COPIES: usize = 3;
+/// How long a client may take for an answer beyond its request's deadline.
+pub const ANSWER_GRACE_MS: u64 = 5_000;
+/// Period over which the rate of a client that holds up its answer is measured.
+pub const WRITE_RATE_WINDOW_MS: u64 = 30_000;
+/// What a client must take in that period at least.
+pub const MIN_WRITE_WINDOW_BYTES: u64 = 16 * 1024;
+/// Maximum number of bytes that the operating system holds unsent for one connection of a client.
+pub const MAX_UNSENT_BYTES: u32 = 64 * 1024;
+/// Interval of the checks for connections whose time is over.
+pub const CONNECTION_CHECK_INTERVAL_MS: u64 = 500;
+/// How long something waits for memory that closing connections will release.
+pub const MEMORY_WAIT_MS: u64 = 100;
+/// Interval of the attempts meanwhile.
+pub const MEMORY_POLL_MS: u64 = 5;
+/// Maximum number of header bytes of a request, unless the configuration sets one.
+pub const DEFAULT_MAX_HEADER_BYTES: u32 = 128 * 1024;
+/// Memory of an operator's request and its response, beside the configuration's text.
+pub const OPERATOR_RESPONSE_BYTES: usize = 64 * 1024;
+/// Number of copies of the configuration's text while a member answers with it: as encoded, received, decoded and read.
+pub const CONFIG_TEXT_COPIES: usize = 4;
+/// A body of which nothing has arrived for this long may be given up in favour of other requests.
+pub const STALLED_BODY_MS: u64 = 2_000;
+/// Share of a store's or controller's memory for requests at its HTTP API.
+pub const API_MEMORY_SHARE: f64 = 0.12;
+/// Lower bound of that limit: the largest body of an operator and some small ones beside it.
+pub const MIN_API_BYTES: usize = 6_000_000;
+/// Limit on requests at the HTTP API if the machine's memory is not configured.
+pub const DEFAULT_API_BYTES: usize = 64 * 1024 * 1024;
+/// Smallest number of descriptors that a process accepts in its settings.
+pub const MIN_DESCRIPTORS: u64 = 128;
+/// Descriptors that are kept for the fleet's own connections and files.
+pub const MIN_KEPT_DESCRIPTORS: u64 = 96;
+/// Share of the descriptors that are kept for them, where that is more.
+pub const KEPT_DESCRIPTORS_SHARE: f64 = 0.125;
+/// Share of the other descriptors for connections of clients; the rest is for connections to servers.
+pub const CLIENT_DESCRIPTORS_SHARE: f64 = 0.6;
+/// Number of descriptors that is assumed if the system states no limit.
+pub const DEFAULT_DESCRIPTORS: u64 = 65_536;
+/// Maximum number of parameters in the query of a request.
+pub const MAX_QUERY_PARAMETERS: usize = 64;
+/// Number of copies of a proxied request's body in memory: as received.
+pub const PROXY_BODY_COPIES: usize = 1;
 /// Number of copies of the body of a client's job in memory: as bytes, as text, parsed, and in its job. In a
 /// measurement they took 4.9 times its size.
 pub const CLIENT_BODY_COPIES: usize = 5;
--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -21,3 +21,4 @@
 pub mod rpc;
 pub mod serve;
 pub mod stall_detector;
+pub mod strangers;
--- a/hutbook/src/transport/rpc.rs
+++ b/hutbook/src/transport/rpc.rs
@@ -4,6 +4,7 @@
 //! be answered any more, and may have run.
 
 use super::pending_calls::{AnswerMatch, ConnectionId, PendingCalls};
+use super::strangers::{Stranger, Strangers};
 use crate::constants::*;
 use crate::protocol::wire::{frame_len, pack, unpack, Body, Message};
 use crate::state::byte_budget::{ByteBudget, ReservedBytes};
@@ -105,6 +106,8 @@
     /// Number of frames refused: malformed, oversized, of another cluster or of another version.
     pub refused: Arc<AtomicU64>,
     pub traffic: Arc<Traffic>,
+    /// Connections whose other side is not known to belong to the cluster.
+    pub strangers: Arc<Strangers>,
     /// Byte budget of frames that wait to be written, over all connections.
     pub send_queue_bytes: Arc<ByteBudget>,
     /// Number of connections that this process opened and still tracks.
@@ -122,6 +125,7 @@
             cluster: Arc::new(AtomicU64::new(cluster)),
             refused: Arc::default(),
             traffic: Arc::default(),
+            strangers: Arc::default(),
             send_queue_bytes: ByteBudget::new(DEFAULT_RPC_QUEUE_BYTES),
             opened: AtomicUsize::new(0),
             calls: Arc::default(),
@@ -243,7 +247,7 @@
 /// Delivers answers to their calls until the connection ends or delivers an answer to a call that was sent over another
 /// connection.
 async fn take_answers(mut reader: OwnedReadHalf, transport: &RpcTransport, addr: &str, id: ConnectionId) {
-    while let Some(message) = read_message(&mut reader, transport, addr).await {
+    while let Some(message) = read_message(&mut reader, transport, addr, None).await {
         if transport.calls.answer(id, message.id, message.body) == AnswerMatch::WrongConnection {
             transport.refused.fetch_add(1, Ordering::Relaxed);
             log::warn!("connection to {addr} closed: it answered a call that was sent over another connection");
@@ -271,13 +275,17 @@
 }
 
 /// Reads the next message. None when the connection has ended; the reason is logged if this process closed it.
-async fn read_message(reader: &mut OwnedReadHalf, transport: &RpcTransport, peer: &str) -> Option<Message> {
+async fn read_message(
+    reader: &mut OwnedReadHalf,
+    transport: &RpcTransport,
+    peer: &str,
+    stranger: Option<&mut Stranger>,
+) -> Option<Message> {
     let mut head = [0; 4];
     reader.read_exact(&mut head).await.ok()?;
     let fault = match frame_len(head) {
         Ok(length) => {
-            let mut body = vec![0; length];
-            reader.read_exact(&mut body).await.ok()?;
+            let body = read_frame(reader, length, stranger).await?;
             transport.traffic.record_received(head.len() + length);
             match unpack(&body, transport.cluster.load(Ordering::Relaxed)) {
                 Ok(message) => return Some(message),
@@ -291,6 +299,25 @@
     None
 }
 
+/// Reads the rest of a frame. None if it doesn't arrive in time, or if there is no memory for a stranger's.
+async fn read_frame(reader: &mut OwnedReadHalf, length: usize, mut stranger: Option<&mut Stranger>) -> Option<Vec<u8>> {
+    let mut frame = Vec::new();
+    while frame.len() < length {
+        let start = frame.len();
+        let end = length.min(start + FRAME_PIECE_BYTES);
+        if let Some(stranger) = &mut stranger {
+            if !stranger.hold(end) {
+                return None;
+            }
+        }
+        frame.resize(end, 0);
+        let piece = reader.read_exact(&mut frame[start..]);
+        let time_limit = Duration::from_millis(FRAME_PIECE_TIMEOUT_MS);
+        actix_rt::time::timeout(time_limit, piece).await.ok()?.ok()?;
+    }
+    Some(frame)
+}
+
 async fn accept(listener: TcpListener, transport: Arc<RpcTransport>, handler: Handler) {
     loop {
         let Ok((stream, from)) = listener.accept().await else {
@@ -308,11 +335,17 @@
     let (mut reader, writer) = stream.into_split();
     let (tx, mut frames) = mpsc::channel(MAX_OUTBOX_MESSAGES);
     let peer = from.to_string();
+    let handle = |message: Message| {
+        let (cluster, queue) = (transport.cluster.clone(), transport.send_queue_bytes.clone());
+        let reply = Reply { id: message.id, cluster, me: transport.node_id, queue, tx: tx.clone() };
+        handler(message, reply);
+    };
     let read = async {
-        while let Some(message) = read_message(&mut reader, &transport, &peer).await {
-            let (cluster, queue) = (transport.cluster.clone(), transport.send_queue_bytes.clone());
-            let reply = Reply { id: message.id, cluster, me: transport.node_id, queue, tx: tx.clone() };
-            handler(message, reply);
+        if !serve_stranger(&mut reader, &transport, &peer, &handle).await {
+            return;
+        }
+        while let Some(message) = read_message(&mut reader, &transport, &peer, None).await {
+            handle(message);
         }
     };
     tokio::select! {
@@ -320,3 +353,32 @@
         _ = write(writer, &mut frames, &transport.traffic) => {}
     }
 }
+
+/// Serves a connection until its other side has shown that it belongs to the cluster. Returns false if it ended before.
+async fn serve_stranger(
+    reader: &mut OwnedReadHalf,
+    transport: &RpcTransport,
+    peer: &str,
+    handle: &impl Fn(Message),
+) -> bool {
+    let mut stranger = transport.strangers.admit();
+    let close = stranger.close_signal();
+    let read = async {
+        loop {
+            let time_limit = Duration::from_millis(STRANGER_TIMEOUT_MS);
+            let next = actix_rt::time::timeout(time_limit, read_message(reader, transport, peer, Some(&mut stranger)));
+            let Ok(Some(message)) = next.await else { return false };
+            stranger.release();
+            let cluster = transport.cluster.load(Ordering::Relaxed);
+            let is_member = cluster != 0 && message.cluster == cluster;
+            handle(message);
+            if is_member {
+                return true;
+            }
+        }
+    };
+    tokio::select! {
+        is_member = read => is_member,
+        _ = close.notified() => false,
+    }
+}
