--- a/hutbook/src/transport/connection_pool/exchange.rs
+++ b/hutbook/src/transport/connection_pool/exchange.rs
@@ -59,8 +59,12 @@
     head.headers = request.headers.clone();
     let size = if request.body.is_empty() { BodySize::None } else { BodySize::Sized(request.body.len() as u64) };
     connection.feed(Message::Item((RequestHeadType::from(head), size))).await?;
-    if !request.body.is_empty() {
-        connection.feed(Message::Chunk(Some(request.body.clone()))).await?;
+    let mut rest = request.body.clone();
+    while !rest.is_empty() {
+        // in pieces, because the connection copies what it writes
+        let piece = rest.split_to(rest.len().min(REQUEST_PIECE_BYTES));
+        connection.feed(Message::Chunk(Some(piece))).await?;
+        SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(connection).await?;
     }
     SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(connection).await
 }
--- a/hutbook/src/transport/connection_pool/mod.rs
+++ b/hutbook/src/transport/connection_pool/mod.rs
@@ -25,6 +25,7 @@
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -74,11 +75,46 @@
     open: u32,
 }
 
+/// The number of connections to servers that a process may open, over all of its threads.
+#[derive(Debug)]
+pub struct ConnectionSlots {
+    limit: usize,
+    taken: AtomicUsize,
+}
+
+impl ConnectionSlots {
+    pub fn new(limit: usize) -> Arc<ConnectionSlots> {
+        Arc::new(ConnectionSlots { limit, taken: AtomicUsize::new(0) })
+    }
+
+    /// Takes a slot. Returns false if all are taken.
+    fn take(&self) -> bool {
+        let next = |taken: usize| (taken < self.limit).then_some(taken + 1);
+        self.taken.fetch_update(Ordering::Relaxed, Ordering::Relaxed, next).is_ok()
+    }
+
+    fn release(&self, count: usize) {
+        self.taken.fetch_sub(count, Ordering::Relaxed);
+    }
+
+    /// Returns the number of open connections.
+    pub fn taken(&self) -> usize {
+        self.taken.load(Ordering::Relaxed)
+    }
+}
+
+impl Default for ConnectionSlots {
+    fn default() -> ConnectionSlots {
+        ConnectionSlots { limit: DEFAULT_DESCRIPTORS as usize, taken: AtomicUsize::new(0) }
+    }
+}
+
 /// All connections of one thread, by server.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
     pools: Rc<RefCell<HashMap<String, Pool>>>,
     faults: Arc<AnswerFaultCounts>,
+    slots: Arc<ConnectionSlots>,
 }
 
 /// Counts an open connection for as long as it exists.
@@ -89,6 +125,7 @@
 
 impl Drop for ConnectionCount {
     fn drop(&mut self) {
+        self.pool.slots.release(1);
         let mut pools = self.pool.pools.borrow_mut();
         if let Some(pool) = pools.get_mut(&self.server) {
             pool.open = pool.open.saturating_sub(1);
@@ -105,6 +142,11 @@
         ConnectionPool { faults, ..ConnectionPool::default() }
     }
 
+    /// Like `new`; its open connections take these slots.
+    pub fn with_slots(faults: Arc<AnswerFaultCounts>, slots: Arc<ConnectionSlots>) -> ConnectionPool {
+        ConnectionPool { faults, slots, ..ConnectionPool::default() }
+    }
+
     /// Sends one request over one connection; at most `max_open` are open to the server at once.
     pub async fn send(
         &self,
@@ -126,11 +168,12 @@
                     if pool.open >= max_open.max(1) && !pool.idle.is_empty() {
                         drop(pool.idle.remove(0));
                         pool.open = pool.open.saturating_sub(1);
+                        self.slots.release(1);
                     }
-                    if pool.open >= max_open.max(1) {
+                    if pool.open >= max_open.max(1) || !self.take_slot(&mut pools) {
                         return Err(unsent);
                     }
-                    pool.open += 1;
+                    pools.entry(server.to_string()).or_default().open += 1;
                 }
                 let count = ConnectionCount { pool: self.clone(), server: server.into() };
                 let connect =
@@ -170,17 +213,32 @@
                 return Some(idle.connection);
             }
             pool.open = pool.open.saturating_sub(1);
+            self.slots.release(1);
         }
         None
     }
 
+    /// Takes a slot for a new connection; an idle connection of this thread is closed if there is none left.
+    fn take_slot(&self, pools: &mut HashMap<String, Pool>) -> bool {
+        if self.slots.take() {
+            return true;
+        }
+        let Some(pool) = pools.values_mut().find(|pool| !pool.idle.is_empty()) else { return false };
+        drop(pool.idle.remove(0));
+        pool.open = pool.open.saturating_sub(1);
+        self.slots.release(1);
+        self.slots.take()
+    }
+
     /// Closes connections that have been idle for too long.
     pub fn close_expired(&self, now: u64) {
         let mut pools = self.pools.borrow_mut();
         pools.retain(|_, pool| {
             let idle_before = pool.idle.len();
             pool.idle.retain(|idle| now < idle.reusable_until);
-            pool.open = pool.open.saturating_sub((idle_before - pool.idle.len()) as u32);
+            let closed = idle_before - pool.idle.len();
+            pool.open = pool.open.saturating_sub(closed as u32);
+            self.slots.release(closed);
             pool.open > 0 || !pool.idle.is_empty()
         });
     }
--- a/hutbook/src/transport/listener.rs
+++ b/hutbook/src/transport/listener.rs
@@ -6,6 +6,7 @@
 use super::network_environment::NetworkEnvironment;
 use super::proxy::{serve, IncomingRequest, Outgoing, ProxyBody, ProxyEnvironment, ServerResponse};
 use super::recovery_phases::Phase;
+use super::replica_runtime::Clock;
 use crate::constants::*;
 use crate::coordination::balancer::Placement;
 use crate::state::byte_budget::ReservedBytes;
@@ -24,10 +25,16 @@
     static CONNECTION_POOL: OnceCell<ConnectionPool> = const { OnceCell::new() };
 }
 
-/// Returns this thread's pool.
+/// Returns this thread's pool. Its idle connections are closed in time from its creation on.
 fn connection_pool(environment: &NetworkEnvironment) -> ConnectionPool {
-    let new_pool = || ConnectionPool::new(environment.answer_faults.clone());
-    CONNECTION_POOL.with(|pool| pool.get_or_init(new_pool).clone())
+    CONNECTION_POOL.with(|pool| {
+        let new_pool = || {
+            let pool = ConnectionPool::new(environment.answer_faults.clone());
+            actix_rt::spawn(close_idle_connections(pool.clone(), environment.clock));
+            pool
+        };
+        pool.get_or_init(new_pool).clone()
+    })
 }
 
 impl ProxyEnvironment for Arc<NetworkEnvironment> {
@@ -54,11 +61,11 @@
     }
 }
 
-/// Closes this thread's expired idle connections, in an endless loop.
-pub async fn close_idle_connections(environment: Arc<NetworkEnvironment>) {
+/// Closes a pool's expired idle connections, in an endless loop.
+async fn close_idle_connections(pool: ConnectionPool, clock: Clock) {
     loop {
         actix_rt::time::sleep(Duration::from_millis(POOL_CLEANUP_INTERVAL_MS)).await;
-        connection_pool(&environment).close_expired(environment.clock.now());
+        pool.close_expired(clock.now());
     }
 }
 
