--- a/hutbook/src/transport/daemon.rs
+++ b/hutbook/src/transport/daemon.rs
@@ -1,5 +1,6 @@
 //! What all daemons share: start, stop and readiness.
 
+use super::allocator;
 use super::http::{self, HttpRequest, HttpResponse};
 use super::logs::{self, LogThrottle};
 use crate::constants::*;
@@ -38,6 +39,7 @@
 /// Starts with valid settings.
 pub fn start(role: NodeRole, settings: Settings, run: impl FnOnce(Settings) -> Result<(), String>) -> ExitCode {
     logs::start(role.name(), &settings.log);
+    allocator::return_freed_memory();
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -1,4 +1,5 @@
 //! Transport layer: connections, HTTP, timers and disk threads. All asynchronous code lives here.
+pub mod allocator;
 pub mod answer_stream;
 pub mod client_api;
 pub mod connection_pool;
