--- a/hutbook/src/protocol/memory_check.rs
+++ b/hutbook/src/protocol/memory_check.rs
@@ -32,6 +32,7 @@
         ("log", LOG_GROWTH_WHILE_SENDING * budget.log),
         ("disk cache", budget.disk_cache),
         ("texts", budget.text_cache),
+        ("api", budget.api),
     ]
 }
 
--- a/hutbook/src/protocol/settings.rs
+++ b/hutbook/src/protocol/settings.rs
@@ -2,7 +2,7 @@
 
 use super::findings::{is_name, Finding, Reader};
 use super::memory_check;
-use crate::constants::{DAY_MS, MAX_MEMORY_MB, MIN_DISK_MB};
+use crate::constants::{DAY_MS, MAX_MEMORY_MB, MIN_DESCRIPTORS, MIN_DISK_MB};
 use crate::coordination::control::RedundancySettings;
 use getopts::Options;
 use std::net::SocketAddr;
@@ -41,6 +41,8 @@
     /// The machine's memory in MB, of which each part of the process takes its share. If absent, the parts are bounded
     /// by constants only.
     pub memory_mb: Option<u64>,
+    /// Number of descriptors that the process may open; the system's limit applies as well.
+    pub descriptors: Option<u64>,
     /// The machine's disk in MB, of which a store takes a share for texts. If absent, it is bounded by a constant.
     pub disk_mb: Option<u64>,
     pub shape: RedundancySettings,
@@ -105,6 +107,12 @@
             "S",
         );
     }
+    options.optopt(
+        "",
+        "descriptors",
+        "number of descriptors that the process may open (default: the system's limit)",
+        "N",
+    );
     options.optopt("", "memory-mb", "memory of the machine; each part of the process takes its share of it", "MB");
     if role != NodeRole::Edge {
         options.optopt("d", "data", "data directory; created if it is missing", "DIR");
@@ -151,7 +159,7 @@
     let file = file.as_ref().unwrap_or(&none);
     let mut known_keys = vec!["wire", "advertise", "http", "cell", "seeds", "log", "name", "ready"];
     known_keys.extend((role == NodeRole::Edge).then_some("front"));
-    known_keys.push("memory_mb");
+    known_keys.extend(["memory_mb", "descriptors"]);
     known_keys.extend((role == NodeRole::Store).then_some("disk_mb"));
     known_keys.push(if role == NodeRole::Edge { "stop_s" } else { "data" });
     if !file.is_null() {
@@ -202,6 +210,15 @@
         None if file["stop_s"].is_null() => None,
         None => Some(reader.integer("", file, "stop_s", None, 0, DAY_MS / 1_000) * 1_000),
     };
+    let descriptors = match matches.opt_str("descriptors").map(|text| text.parse::<u64>()) {
+        Some(Ok(number)) if number >= MIN_DESCRIPTORS => Some(number),
+        Some(_) => {
+            reader.report("descriptors", format!("must be a number, at least {MIN_DESCRIPTORS}"));
+            None
+        }
+        None if file["descriptors"].is_null() => None,
+        None => Some(reader.integer("", file, "descriptors", None, MIN_DESCRIPTORS, u64::MAX >> 1)),
+    };
     let min_mb = memory_check::min_mb(role);
     let memory_mb = megabytes(&mut reader, file, ("memory-mb", "memory_mb"), matches.opt_str("memory-mb"), (0, min_mb));
     if let Some((place, why)) = memory_mb.and_then(|(place, mb)| Some((place, memory_check::shortfall(role, mb)?))) {
@@ -256,6 +273,7 @@
         workers: None,
         drain_ms: 0,
         memory_mb,
+        descriptors,
         disk_mb,
         shape: RedundancySettings::default(),
     };
--- a/hutbook/src/state/config.rs
+++ b/hutbook/src/state/config.rs
@@ -1,5 +1,6 @@
 //! The operators' configuration as replicated: one document, which is always replaced as a whole.
 
+use crate::constants::{DEFAULT_MAX_HEADER_BYTES, MAX_PROXY_BODY_BYTES, PROXY_CLIENT_IDLE_MS, REQUEST_READ_TIMEOUT_MS};
 use std::collections::BTreeMap;
 
 messages! {
@@ -149,6 +150,18 @@
         #[n(1)] pub max_turn_tokens: u64,
         #[n(2)] pub history_retention_ms: u64,
         #[n(3)] pub max_time_left_ms: u64,
+        #[cbor(n(4), default)] pub clients: ClientLimits,
+    }
+    #[derive(Copy, Eq)]
+    /// What a client of proxied requests may send, and how long it may take.
+    pub struct ClientLimits {
+        /// Maximum length of a request's line and headers.
+        #[n(0)] pub max_header_bytes: u32,
+        #[n(1)] pub max_body_bytes: u32,
+        /// How long the head of a request may take, in milliseconds.
+        #[n(2)] pub header_timeout_ms: u32,
+        /// How long a connection may rest between two requests, in milliseconds.
+        #[n(3)] pub idle_timeout_ms: u32,
     }
     pub struct Config {
         #[n(0)] pub groups: BTreeMap<String, Group>,
@@ -208,6 +221,17 @@
     }
 }
 
+impl Default for ClientLimits {
+    fn default() -> Self {
+        ClientLimits {
+            max_header_bytes: DEFAULT_MAX_HEADER_BYTES,
+            max_body_bytes: MAX_PROXY_BODY_BYTES as u32,
+            header_timeout_ms: REQUEST_READ_TIMEOUT_MS as u32,
+            idle_timeout_ms: PROXY_CLIENT_IDLE_MS as u32,
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Limits {
@@ -215,6 +239,7 @@
             max_turn_tokens: 2_000,
             history_retention_ms: 86_400_000,
             max_time_left_ms: 86_400_000,
+            clients: ClientLimits::default(),
         }
     }
 }
--- a/hutbook/src/state/memory.rs
+++ b/hutbook/src/state/memory.rs
@@ -1,9 +1,10 @@
 //! Memory and disk budgets of a process's parts.
 
 use crate::constants::{
-    DEFAULT_STATE_BYTES, DEFAULT_TEXT_DISK_BYTES, DISK_CACHE_BYTES, DISK_CACHE_MEMORY_SHARE, LOG_MEMORY_SHARE,
-    MAX_TEXT_CACHE_BYTES, MIN_DISK_CACHE_BYTES, MIN_SNAPSHOT_LOG_BYTES, SNAPSHOT_LOG_BYTES, SNAPSHOT_TO_STATE_RATIO,
-    STATE_MEMORY_SHARE, TEXT_CACHE_MEMORY_SHARE, TEXT_DISK_SHARE,
+    API_MEMORY_SHARE, DEFAULT_API_BYTES, DEFAULT_STATE_BYTES, DEFAULT_TEXT_DISK_BYTES, DISK_CACHE_BYTES,
+    DISK_CACHE_MEMORY_SHARE, LOG_MEMORY_SHARE, MAX_TEXT_CACHE_BYTES, MIN_API_BYTES, MIN_DISK_CACHE_BYTES,
+    MIN_SNAPSHOT_LOG_BYTES, SNAPSHOT_LOG_BYTES, SNAPSHOT_TO_STATE_RATIO, STATE_MEMORY_SHARE, TEXT_CACHE_MEMORY_SHARE,
+    TEXT_DISK_SHARE,
 };
 
 /// Bytes in a megabyte, as used in the sizes of machines.
@@ -22,6 +23,8 @@
     pub disk_cache: usize,
     /// Cache of the newest texts, so that a turn that continues them immediately needn't wait for the disk.
     pub text_cache: usize,
+    /// Connections, requests and answers of the HTTP API. Requests that would exceed the limit are refused.
+    pub api: usize,
     /// Segments of texts on disk. Requests that would exceed the limit are refused before they are proposed.
     pub texts_on_disk: u64,
 }
@@ -43,6 +46,7 @@
             log: share_of(LOG_MEMORY_SHARE, MIN_SNAPSHOT_LOG_BYTES, SNAPSHOT_LOG_BYTES),
             disk_cache: share_of(DISK_CACHE_MEMORY_SHARE, MIN_DISK_CACHE_BYTES, DISK_CACHE_BYTES),
             text_cache: share_of(TEXT_CACHE_MEMORY_SHARE, 0, MAX_TEXT_CACHE_BYTES),
+            api: share_of(API_MEMORY_SHARE, MIN_API_BYTES, DEFAULT_API_BYTES),
             texts_on_disk: (bytes(disk_mb) * TEXT_DISK_SHARE).min(DEFAULT_TEXT_DISK_BYTES as f64) as u64,
         }
     }
--- a/hutbook/src/transport/client_api.rs
+++ b/hutbook/src/transport/client_api.rs
@@ -1,6 +1,6 @@
 //! HTTP API of an edge for clients.
 
-use super::answer_stream::{answer_stream, StreamSender};
+use super::answer_stream::{answer_stream_within, StreamSender};
 use super::http::{HttpRequest, HttpResponse, ResponseBody};
 use super::lease::leased_view;
 use super::network_environment::NetworkEnvironment;
@@ -378,6 +378,7 @@
     let Some(memory) = environment.requests.try_reserve(job_size(request, cap)) else { return no_memory() };
     let (sender, mut receiver) = mpsc::channel(READ_AHEAD_CHUNKS);
     let in_progress = InProgress::new(&counters);
+    let environment_memory = environment.requests.clone();
     actix_rt::spawn(async move {
         serve_turn(&environment, &environment.edge, job, input, ResponseChannel::new(sender)).await;
         drop((in_progress, memory));
@@ -389,7 +390,7 @@
             outcome_response(&response, &key)
         }
         Some(first) => {
-            let (client, events) = answer_stream(READ_AHEAD_CHUNKS);
+            let (client, events) = answer_stream_within(STREAM_BUFFER_BYTES, environment_memory);
             actix_rt::spawn(forward_events(first, receiver, client, key, counters));
             HttpResponse { status: 200, headers: vec![], body: ResponseBody::Events(events) }
         }
--- a/hutbook/src/transport/daemon.rs
+++ b/hutbook/src/transport/daemon.rs
@@ -1,11 +1,16 @@
 //! What all daemons share: start, stop and readiness.
 
 use super::allocator;
-use super::http::{self, HttpRequest, HttpResponse};
+use super::connections::Connections;
+use super::descriptors::DescriptorBudget;
+use super::http::{self, HttpRequest, HttpResponse, Listener};
 use super::logs::{self, LogThrottle};
+use super::replica_runtime::Clock;
 use crate::constants::*;
 use crate::protocol::settings::{self, NodeRole, Settings, Start};
+use crate::state::byte_budget::ByteBudget;
 use crate::state::disk::DiskError;
+use crate::state::memory::MemoryBudget;
 use actix_rt::signal::unix::{signal, SignalKind};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -123,6 +128,14 @@
     })
 }
 
+/// Returns the connections of clients of a store's or controller's API, and closes those whose time is over from now on.
+pub fn api_connections(settings: &Settings, clock: Clock) -> Arc<Connections> {
+    let budget = ByteBudget::new(MemoryBudget::of(settings.memory_mb, settings.disk_mb).api);
+    let connections = Connections::new(clock, budget, DescriptorBudget::of_process(settings.descriptors).clients);
+    actix_rt::spawn(connections.clone().watch());
+    connections
+}
+
 /// Number of HTTP worker threads: enough to use a small machine, few enough to share one.
 pub fn workers() -> usize {
     std::thread::available_parallelism().map_or(2, |n| n.get()).clamp(1, HTTP_WORKERS)
@@ -136,12 +149,18 @@
 }
 
 /// Serves only readiness, on a separate address.
-pub fn serve_ready<F>(addr: Option<SocketAddr>, closing: ShutdownFlag, ready: F) -> Result<(), String>
+pub fn serve_ready<F>(
+    addr: Option<SocketAddr>,
+    closing: ShutdownFlag,
+    connections: Arc<Connections>,
+    ready: F,
+) -> Result<(), String>
 where
     F: Fn() -> Result<(), String> + Clone + Send + 'static,
 {
     let Some(addr) = addr else { return Ok(()) };
-    let (server, _) = http::serve(addr, 1, MAX_BODY_BYTES, closing.clone(), move |request| {
+    let listener = Listener::of_api(addr, 1, connections);
+    let (server, _) = http::serve_on(listener, MAX_BODY_BYTES, closing.clone(), move |request| {
         let (readiness, closing_flag) = (ready(), closing.clone());
         async move {
             match (request.method.as_str(), request.path.first().map(String::as_str)) {
--- a/hutbook/src/transport/http.rs
+++ b/hutbook/src/transport/http.rs
@@ -1,15 +1,22 @@
 //! HTTP/1.1 servers for clients and operators, and the HTTP client for backends.
 
+use super::answer_body::{AnswerBody, HeldBytes};
 use super::answer_stream::StreamReceiver;
+use super::client_connection::{ClientConnection, REFUSAL};
+use super::client_stream::ClientStream;
 use super::connection_pool::single_call::single_call;
 use super::connection_pool::{Answer, ServerRequest};
+use super::connections::{Connections, ListenerTimeouts};
 use super::dispatch::{Gate, NoAnswer};
 use crate::constants::*;
+use crate::state::byte_budget::ReservedBytes;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::error::DispatchError;
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
-use actix_http::{HttpMessage, HttpService, Method, Request, Response, StatusCode, Uri, Version};
+use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Protocol, Request, Response, StatusCode, Uri, Version};
 use actix_server::Server;
-use bytes::{Bytes, BytesMut};
+use actix_service::{fn_service, ServiceFactoryExt};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -19,6 +26,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 /// A request as received, read to its end.
 #[derive(Debug, Default)]
@@ -68,18 +76,28 @@
 /// Number of requests that are being answered, including their streams.
 pub type Active = Arc<AtomicU64>;
 
-struct ActiveRequest(Active);
+/// A request that is being answered on its connection.
+struct ActiveRequest {
+    active: Active,
+    connection: Option<Arc<ClientConnection>>,
+}
 
 impl ActiveRequest {
-    fn new(active: &Active) -> ActiveRequest {
+    fn begin(active: &Active, connection: Option<Arc<ClientConnection>>) -> ActiveRequest {
         active.fetch_add(1, Ordering::Relaxed);
-        ActiveRequest(active.clone())
+        if let Some(connection) = &connection {
+            connection.begin_request();
+        }
+        ActiveRequest { active: active.clone(), connection }
     }
 }
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.active.fetch_sub(1, Ordering::Relaxed);
+        if let Some(connection) = &self.connection {
+            connection.end_request();
+        }
     }
 }
 
@@ -98,6 +116,29 @@
     actix_rt::time::timeout(Duration::from_millis(ms), drained).await.is_ok()
 }
 
+/// A listener for clients and its limits.
+pub struct Listener {
+    pub addr: SocketAddr,
+    pub workers: usize,
+    pub connections: Arc<Connections>,
+    pub timeouts: Arc<ListenerTimeouts>,
+}
+
+impl Listener {
+    /// Returns a listener whose connections count among those of the process, with the time limits of an API.
+    pub fn of_api(addr: SocketAddr, workers: usize, connections: Arc<Connections>) -> Listener {
+        Listener { addr, workers, connections, timeouts: ListenerTimeouts::new(KEEP_ALIVE_MS, REQUEST_READ_TIMEOUT_MS) }
+    }
+
+    /// Returns a listener with connections of its own that only constants limit.
+    fn unlimited(addr: SocketAddr, workers: usize, keep_alive_ms: u64) -> Listener {
+        let connections = Connections::unlimited();
+        actix_rt::spawn(connections.clone().watch());
+        let timeouts = ListenerTimeouts::new(keep_alive_ms, REQUEST_READ_TIMEOUT_MS);
+        Listener { addr, workers, connections, timeouts }
+    }
+}
+
 /// Serves `handler` until the server is stopped. While `closing` is set, connections are closed after their answer.
 pub fn serve<F, R>(
     addr: SocketAddr,
@@ -110,14 +151,29 @@
     F: Fn(HttpRequest) -> R + Send + Clone + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
-    serve_requests(addr, workers, KEEP_ALIVE_MS, None, move |req| {
+    serve_on(Listener::unlimited(addr, workers, KEEP_ALIVE_MS), max_body_bytes, closing, handler)
+}
+
+/// Like `serve`, on a listener with limits.
+pub fn serve_on<F, R>(
+    listener: Listener,
+    max_body_bytes: usize,
+    closing: Arc<AtomicBool>,
+    handler: F,
+) -> std::io::Result<(Server, Active)>
+where
+    F: Fn(HttpRequest) -> R + Send + Clone + 'static,
+    R: Future<Output = HttpResponse> + 'static,
+{
+    serve_requests_on(listener, None, move |req| {
         let (handler, closing) = (handler.clone(), closing.clone());
         async move {
-            let response = match read(req, max_body_bytes).await {
-                Ok(request) => handler(request).await,
+            let connection = client_connection(&req);
+            let response = match read(req, max_body_bytes, connection.as_ref()).await {
+                Ok((request, _held)) => handler(request).await,
                 Err(response) => response,
             };
-            reply(response, closing.load(Ordering::Relaxed))
+            reply(response, closing.load(Ordering::Relaxed), connection).await
         }
     })
 }
@@ -133,12 +189,26 @@
     drain: Option<Drain>,
     handler: F,
 ) -> std::io::Result<(Server, Active)>
+where
+    F: Fn(Request) -> R + Send + Clone + 'static,
+    R: Future<Output = Response<BoxBody>> + 'static,
+{
+    serve_requests_on(Listener::unlimited(addr, workers, keep_alive_ms), drain, handler)
+}
+
+/// Like `serve_requests`, on a listener with limits.
+pub fn serve_requests_on<F, R>(
+    listener: Listener,
+    drain: Option<Drain>,
+    handler: F,
+) -> std::io::Result<(Server, Active)>
 where
     F: Fn(Request) -> R + Send + Clone + 'static,
     R: Future<Output = Response<BoxBody>> + 'static,
 {
     let active = Active::default();
     let active_requests = active.clone();
+    let Listener { addr, workers, connections, timeouts } = listener;
     let server = Server::build()
         .workers(workers)
         .disable_signals()
@@ -146,41 +216,75 @@
         .bind("http", addr, move || {
             let handler = handler.clone();
             let active_requests = active_requests.clone();
+            let (connections, timeouts) = (connections.clone(), timeouts.clone());
             let drain = drain.clone();
-            let shutdown = move || {
-                let drain = drain.clone();
-                async move {
-                    let signalled = match drain {
-                        Some(mut drain) => drain.wait_for(|is_set| *is_set).await.is_ok(),
-                        None => false,
-                    };
-                    // the sender is gone, so the signal can't arrive any more
-                    if !signalled {
-                        std::future::pending::<()>().await;
-                    }
-                }
-            };
-            HttpService::build()
-                .graceful_shutdown_signal(shutdown)
-                .keep_alive(Duration::from_millis(keep_alive_ms))
-                .client_request_timeout(Duration::from_millis(REQUEST_READ_TIMEOUT_MS))
+            let http = HttpService::build()
+                .graceful_shutdown_signal(move || wait_for_drain(drain.clone()))
+                // the connections' own time limits apply
+                .keep_alive(KeepAlive::Os)
+                .client_request_timeout(Duration::ZERO)
                 .client_disconnect_timeout(Duration::from_millis(WRITE_TIMEOUT_MS))
+                .h1_write_buffer_size(WRITE_BUFFER_BYTES)
+                .on_connect_ext(|stream: &ClientStream, data| {
+                    data.insert(stream.connection().clone());
+                })
                 .finish(move |req: Request| {
                     let handler = handler.clone();
-                    let active_request = ActiveRequest::new(&active_requests);
-                    async move {
+                    let active_request = ActiveRequest::begin(&active_requests, client_connection(&req));
+                    // boxed, because an idle connection would keep the space for it
+                    Box::pin(async move {
                         let response = handler(req).await;
                         Ok::<_, actix_http::Error>(
                             response.map_body(|_, b| CountedBody { body: b, _active: active_request }),
                         )
-                    }
-                })
-                .tcp()
+                    })
+                });
+            fn_service(move |stream: TcpStream| {
+                let admitted = admit(stream, &connections, &timeouts);
+                async move { admitted }
+            })
+            .and_then(http)
         })?
         .run();
     Ok((server, active))
 }
 
+/// Returns the connection on which a request arrived.
+pub fn client_connection(req: &Request) -> Option<Arc<ClientConnection>> {
+    req.conn_data::<Arc<ClientConnection>>().cloned()
+}
+
+/// Completes once idle connections are to be closed; never if that isn't signalled.
+async fn wait_for_drain(drain: Option<Drain>) {
+    let signalled = match drain {
+        Some(mut drain) => drain.wait_for(|is_set| *is_set).await.is_ok(),
+        None => false,
+    };
+    // the sender is gone, so the signal can't arrive any more
+    if !signalled {
+        std::future::pending::<()>().await;
+    }
+}
+
+type AdmittedStream = (ClientStream, Protocol, Option<SocketAddr>);
+
+/// Admits a new connection, or refuses it with an answer.
+fn admit(
+    stream: TcpStream,
+    connections: &Arc<Connections>,
+    timeouts: &Arc<ListenerTimeouts>,
+) -> Result<AdmittedStream, DispatchError> {
+    let _ = stream.set_nodelay(true);
+    let peer = stream.peer_addr().ok();
+    match connections.admit(timeouts) {
+        Some(connection) => Ok((ClientStream::new(stream, connection), Protocol::Http1, peer)),
+        None => {
+            let _ = stream.try_write(REFUSAL.as_bytes());
+            Err(DispatchError::Io(std::io::ErrorKind::ConnectionRefused.into()))
+        }
+    }
+}
+
 /// Response body that keeps its request counted as active until the last byte is written.
 struct CountedBody {
     body: BoxBody,
@@ -199,28 +303,46 @@
     }
 }
 
-async fn read(mut req: Request, max_bytes: usize) -> Result<HttpRequest, HttpResponse> {
+/// Reads a request to its end. The memory of its body is reserved as it arrives, for as long as the request is served.
+async fn read(
+    mut req: Request,
+    max_bytes: usize,
+    connection: Option<&Arc<ClientConnection>>,
+) -> Result<(HttpRequest, Option<HeldBody>), HttpResponse> {
     let mut request = HttpRequest {
         method: req.method().to_string(),
         is_http_10: req.version() < Version::HTTP_11,
         ..HttpRequest::default()
     };
     request.path = req.path().split('/').filter(|part| !part.is_empty()).map(percent_decode).collect();
-    for pair in req.uri().query().unwrap_or("").split('&').filter(|part| !part.is_empty()) {
+    let query = req.uri().query().unwrap_or("");
+    if query.split('&').count() > MAX_QUERY_PARAMETERS {
+        return Err(HttpResponse::error(400, "bad_query", format!("more than {MAX_QUERY_PARAMETERS} parameters")));
+    }
+    for pair in query.split('&').filter(|part| !part.is_empty()) {
         let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
         request.query.insert(percent_decode(name), percent_decode(value));
     }
     for (name, value) in req.headers() {
         request.headers.insert(name.as_str().to_string(), value.to_str().unwrap_or("").to_string());
     }
-    let mut body = BytesMut::new();
+    let mut body = Vec::new();
     let mut payload = req.take_payload();
+    let mut held = connection.map(HeldBody::new);
+    if let Some(connection) = connection {
+        connection.resume_reading();
+    }
     let read_body = async {
         while let Some(chunk) = payload.next().await {
             let chunk = chunk.map_err(|_| HttpResponse::error(400, "bad_body", "the body broke off"))?;
             if body.len() + chunk.len() > max_bytes {
                 return Err(HttpResponse::error(413, "body_too_large", format!("more than {max_bytes} bytes")));
             }
+            if let Some(held) = &mut held {
+                if !held.grow(chunk.len()).await {
+                    return Err(memory_refusal());
+                }
+            }
             body.extend_from_slice(&chunk);
         }
         Ok(())
@@ -229,9 +351,47 @@
         Ok(result) => result?,
         Err(_) => return Err(HttpResponse::error(408, "slow_body", "the body did not come in time")),
     }
+    if let Some(connection) = connection {
+        connection.end_of_body();
+    }
     request.body =
-        String::from_utf8(body.to_vec()).map_err(|_| HttpResponse::error(400, "bad_body", "the body is not UTF-8"))?;
-    Ok(request)
+        String::from_utf8(body).map_err(|_| HttpResponse::error(400, "bad_body", "the body is not UTF-8"))?;
+    Ok((request, held))
+}
+
+/// Builds the answer when the memory for requests is used up: nothing was begun, and the client may retry.
+pub fn memory_refusal() -> HttpResponse {
+    HttpResponse::error(503, "memory", "no memory is left for this request; nothing was begun")
+        .with_header("retry-after", "1")
+        .with_header("connection", "close")
+}
+
+/// The memory of a request's body, counted at its connection.
+struct HeldBody {
+    connection: Arc<ClientConnection>,
+    memory: ReservedBytes,
+}
+
+impl HeldBody {
+    fn new(connection: &Arc<ClientConnection>) -> HeldBody {
+        let memory = connection.connections().budget().reserve_existing(0);
+        HeldBody { connection: connection.clone(), memory }
+    }
+
+    /// Reserves more memory. Returns false if there is none.
+    async fn grow(&mut self, bytes: usize) -> bool {
+        let is_grown = self.connection.grow_for_body(&mut self.memory, bytes).await;
+        if is_grown {
+            self.connection.add_held(bytes);
+        }
+        is_grown
+    }
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        self.connection.remove_held(self.memory.bytes());
+    }
 }
 
 /// Decodes percent escapes; invalid ones stay unchanged.
@@ -255,7 +415,21 @@
     String::from_utf8_lossy(&decoded).into_owned()
 }
 
-fn reply(response: HttpResponse, closing: bool) -> Response<BoxBody> {
+/// Builds the response. Memory for a long body is reserved until it has been written.
+async fn reply(response: HttpResponse, closing: bool, connection: Option<Arc<ClientConnection>>) -> Response<BoxBody> {
+    let held = match (&response.body, connection) {
+        (ResponseBody::Full(_, text), Some(connection)) if text.len() > FREE_STREAM_BUFFER_BYTES => {
+            match connection.connections().reserve(text.len()).await {
+                Some(memory) => Some(HeldBytes::new(connection, memory)),
+                None => return build(memory_refusal(), closing, None),
+            }
+        }
+        _ => None,
+    };
+    build(response, closing, held)
+}
+
+fn build(response: HttpResponse, closing: bool, held: Option<HeldBytes>) -> Response<BoxBody> {
     let mut builder =
         Response::build(StatusCode::from_u16(response.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     for (name, value) in response.headers {
@@ -267,7 +441,7 @@
     match response.body {
         ResponseBody::Full(content_type, text) => {
             builder.insert_header(("content-type", content_type));
-            builder.body(text).map_into_boxed_body()
+            builder.body(AnswerBody::new(text.into(), held)).map_into_boxed_body()
         }
         ResponseBody::Events(receiver) => {
             builder.insert_header(("content-type", "text/event-stream"));
--- a/hutbook/src/transport/listener.rs
+++ b/hutbook/src/transport/listener.rs
@@ -1,15 +1,18 @@
 //! Listener for proxied requests: raw requests in, answers forwarded unchanged.
 
+use super::answer_body::{AnswerBody, HeldBytes};
+use super::client_connection::ClientConnection;
 use super::connection_pool::{Answer, BodyRead, ConnectionPool, ServerRequest};
 use super::dispatch::{Gate, NoAnswer};
 use super::header_names::HeaderNames;
+use super::http::client_connection;
 use super::network_environment::NetworkEnvironment;
 use super::proxy::{serve, IncomingRequest, Outgoing, ProxyBody, ProxyEnvironment, ServerResponse};
 use super::recovery_phases::Phase;
 use super::replica_runtime::Clock;
 use crate::constants::*;
 use crate::coordination::balancer::Placement;
-use crate::state::byte_budget::ReservedBytes;
+use crate::state::byte_budget::{ByteBudget, ReservedBytes};
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{Request, Response, StatusCode, Version};
@@ -29,7 +32,8 @@
 fn connection_pool(environment: &NetworkEnvironment) -> ConnectionPool {
     CONNECTION_POOL.with(|pool| {
         let new_pool = || {
-            let pool = ConnectionPool::new(environment.answer_faults.clone());
+            let (faults, slots) = (environment.answer_faults.clone(), environment.server_connections.clone());
+            let pool = ConnectionPool::with_slots(faults, slots);
             actix_rt::spawn(close_idle_connections(pool.clone(), environment.clock));
             pool
         };
@@ -40,6 +44,14 @@
 impl ProxyEnvironment for Arc<NetworkEnvironment> {
     type Response = Answer;
 
+    fn memory(&self) -> &Arc<ByteBudget> {
+        &self.requests
+    }
+
+    async fn grow(&self, holder: &mut ReservedBytes, bytes: usize) -> bool {
+        self.connections.grow(holder, bytes).await
+    }
+
     async fn send(&self, to: &Placement, request: ServerRequest, gate: Gate) -> Result<Answer, NoAnswer> {
         let clock = self.clock;
         let pool = connection_pool(self);
@@ -76,12 +88,23 @@
     req: Request,
     closing: bool,
 ) -> Response<BoxBody> {
-    let Some(mut memory) = environment.requests.try_reserve(REQUEST_OVERHEAD_BYTES) else { return memory_refusal() };
+    let connection = client_connection(&req);
+    let Some(memory) = environment.connections.reserve(REQUEST_OVERHEAD_BYTES).await else {
+        return memory_refusal(&environment);
+    };
+    let mut memory = RequestMemory { environment: &environment, memory, connection: connection.as_ref(), counted: 0 };
     let incoming = match read(req, &mut memory).await {
         Ok(incoming) => incoming,
-        Err(StatusCode::SERVICE_UNAVAILABLE) => return memory_refusal(),
-        Err(status) => return empty_response(status),
+        Err(StatusCode::SERVICE_UNAVAILABLE) => return memory_refusal(&environment),
+        Err(status) => {
+            environment.refusals.count(rejection_code(status));
+            return empty_response(status);
+        }
     };
+    let memory = memory.into_reserved();
+    if let Some(connection) = &connection {
+        connection.end_of_body();
+    }
     let now = environment.clock.now();
     environment.phases.begin(Phase::ServerAnswered, now);
     environment.phases.begin(Phase::TurnServed, now);
@@ -98,13 +121,23 @@
                 Some(code) => environment.refusals.count(code),
                 None => environment.phases.reach(Phase::ServerAnswered, environment.clock.now(), &[]),
             }
-            reply(environment, outgoing, closing)
+            reply(environment, outgoing, closing, connection)
         }
         // its task ended without an answer: whether it ran is unknown
         Err(_) => empty_response(StatusCode::INTERNAL_SERVER_ERROR),
     }
 }
 
+/// Returns the counter of requests that are rejected with this status before they are served.
+fn rejection_code(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => "head_too_long",
+        StatusCode::PAYLOAD_TOO_LARGE => "body_too_long",
+        StatusCode::REQUEST_TIMEOUT => "slow_body",
+        _ => "broken_body",
+    }
+}
+
 fn empty_response(status: StatusCode) -> Response<BoxBody> {
     let mut response = Response::new(status);
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -112,7 +145,8 @@
 }
 
 /// Builds the answer when the memory for requests is used up: nothing was begun, and the client may retry.
-fn memory_refusal() -> Response<BoxBody> {
+fn memory_refusal(environment: &NetworkEnvironment) -> Response<BoxBody> {
+    environment.refusals.count("edge_memory");
     let seconds = format!("{:.2}", PROXY_RETRY_AFTER_MS as f64 / 1_000.0);
     let mut answer = Response::build(StatusCode::SERVICE_UNAVAILABLE);
     answer.insert_header((CONTENT_TYPE, "application/json")).insert_header((RETRY_AFTER, seconds));
@@ -122,16 +156,27 @@
 }
 
 /// Reads the request to its end; the memory of its body is reserved as it arrives.
-async fn read(mut req: Request, memory: &mut ReservedBytes) -> Result<IncomingRequest, StatusCode> {
+async fn read(mut req: Request, memory: &mut RequestMemory<'_>) -> Result<IncomingRequest, StatusCode> {
+    let limits = memory.environment.client_limits();
+    let head_bytes = head_bytes(&req);
+    if head_bytes > limits.max_header_bytes as usize {
+        return Err(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    }
+    if !memory.grow(HEAD_COPIES * head_bytes.saturating_sub(FREE_HEAD_BYTES)).await {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let mut body = BytesMut::new();
     let mut payload = req.take_payload();
+    if let Some(connection) = memory.connection {
+        connection.resume_reading();
+    }
     let read_body = async {
         while let Some(chunk) = payload.next().await {
             let chunk = chunk.map_err(|_| StatusCode::BAD_REQUEST)?;
-            if body.len() + chunk.len() > MAX_PROXY_BODY_BYTES {
+            if body.len() + chunk.len() > limits.max_body_bytes as usize {
                 return Err(StatusCode::PAYLOAD_TOO_LARGE);
             }
-            if !memory.try_grow(PROXY_BODY_COPIES * chunk.len()) {
+            if !memory.grow(PROXY_BODY_COPIES * chunk.len()).await {
                 return Err(StatusCode::SERVICE_UNAVAILABLE);
             }
             body.extend_from_slice(&chunk);
@@ -156,7 +201,61 @@
     })
 }
 
-fn reply(environment: Arc<NetworkEnvironment>, outgoing: Outgoing, closing: bool) -> Response<BoxBody> {
+/// The memory of a request that is being read, counted at its connection.
+struct RequestMemory<'a> {
+    environment: &'a NetworkEnvironment,
+    memory: ReservedBytes,
+    connection: Option<&'a Arc<ClientConnection>>,
+    /// Bytes that are counted at the connection.
+    counted: usize,
+}
+
+impl RequestMemory<'_> {
+    /// Reserves more memory. Returns false if there is none.
+    async fn grow(&mut self, bytes: usize) -> bool {
+        let is_grown = match self.connection {
+            Some(connection) => connection.grow_for_body(&mut self.memory, bytes).await,
+            None => self.environment.connections.grow(&mut self.memory, bytes).await,
+        };
+        if let (true, Some(connection)) = (is_grown, self.connection) {
+            connection.add_held(bytes);
+            self.counted += bytes;
+        }
+        is_grown
+    }
+
+    /// Returns the memory of a request that has been read; it belongs to the request, no longer to its connection.
+    fn into_reserved(mut self) -> ReservedBytes {
+        let nothing = self.environment.requests.reserve_existing(0);
+        std::mem::replace(&mut self.memory, nothing)
+    }
+}
+
+impl Drop for RequestMemory<'_> {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection {
+            connection.remove_held(self.counted);
+        }
+    }
+}
+
+/// Returns the length of a request's line and headers.
+fn head_bytes(req: &Request) -> usize {
+    /// Separators of a header, and of the request line.
+    const SEPARATORS_BYTES: usize = 4;
+    let headers = req.head().headers().iter().map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS_BYTES);
+    req.uri().path_and_query().map_or(0, |target| target.as_str().len()) + headers.sum::<usize>()
+}
+
+fn reply(
+    environment: Arc<NetworkEnvironment>,
+    outgoing: Outgoing,
+    closing: bool,
+    connection: Option<Arc<ClientConnection>>,
+) -> Response<BoxBody> {
+    if let Some(connection) = &connection {
+        connection.set_answer_deadline(outgoing.ends_at.map(|ends_at| ends_at + ANSWER_GRACE_MS));
+    }
     let mut response = Response::new(outgoing.status);
     for (name, value) in outgoing.headers {
         response.headers_mut().append(name, value);
@@ -165,7 +264,12 @@
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     match outgoing.body {
-        ProxyBody::Full(body) => response.set_body(body.boxed()),
+        ProxyBody::Full(body, memory) => {
+            let held = connection.zip(memory).map(|(connection, memory)| HeldBytes::new(connection, memory));
+            response.set_body(AnswerBody::new(body, held).boxed())
+        }
+        ProxyBody::Parts(receiver, Some(length)) => response.set_body(receiver.into_sized_body(length, || {})),
+        ProxyBody::Parts(receiver, None) => response.set_body(receiver.into_body(|| {})),
         ProxyBody::Events(receiver) => response.set_body(receiver.into_body(move || {
             environment.phases.reach(Phase::TurnServed, environment.clock.now(), &[]);
         })),
--- a/hutbook/src/transport/mod.rs
+++ b/hutbook/src/transport/mod.rs
@@ -1,9 +1,14 @@
 //! Transport layer: connections, HTTP, timers and disk threads. All asynchronous code lives here.
 pub mod allocator;
+pub mod answer_body;
 pub mod answer_stream;
 pub mod client_api;
+pub mod client_connection;
+pub mod client_stream;
 pub mod connection_pool;
+pub mod connections;
 pub mod daemon;
+pub mod descriptors;
 pub mod directory;
 pub mod dispatch;
 pub mod header_names;
--- a/hutbook/src/transport/network_environment.rs
+++ b/hutbook/src/transport/network_environment.rs
@@ -1,7 +1,9 @@
 //! The environment of an edge daemon: real time, stores over RPC, backends over HTTP.
 
 use super::connection_pool::faults::AnswerFaultCounts;
-use super::connection_pool::{Answer, BodyRead};
+use super::connection_pool::{Answer, BodyRead, ConnectionSlots};
+use super::connections::Connections;
+use super::descriptors::DescriptorBudget;
 use super::dispatch::NoAnswer;
 use super::http::{call, gated_call, gauge, open_call};
 use super::leader_client::{NetworkClient, StoreClient};
@@ -14,6 +16,7 @@
 use crate::coordination::edge::Edge;
 use crate::coordination::store::{StoreRequest, StoreResponse};
 use crate::state::byte_budget::ByteBudget;
+use crate::state::config::ClientLimits;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,21 +28,38 @@
     pub clock: Clock,
     /// Byte budget of requests in progress, including ends of turns that wait for their store.
     pub requests: Arc<ByteBudget>,
+    /// Connections of clients, which share this budget.
+    pub connections: Arc<Connections>,
     stores: StoreClient<NetworkClient>,
     /// Answers of this edge that refuse a request, by the code that they carry.
     pub refusals: RefusalCounts,
     pub phases: RecoveryPhases,
+    /// Number of connections to servers that may be open at once.
+    pub server_connections: Arc<ConnectionSlots>,
     /// What was wrong with answers of servers.
     pub answer_faults: Arc<AnswerFaultCounts>,
 }
 
 impl NetworkEnvironment {
     pub fn new(edge: Arc<Edge>, client: NetworkClient, requests: Arc<ByteBudget>) -> NetworkEnvironment {
+        NetworkEnvironment::with_descriptors(edge, client, requests, DescriptorBudget::of(None))
+    }
+
+    /// Like `new`, with limits on the connections.
+    pub fn with_descriptors(
+        edge: Arc<Edge>,
+        client: NetworkClient,
+        requests: Arc<ByteBudget>,
+        descriptors: DescriptorBudget,
+    ) -> NetworkEnvironment {
+        let connections = Connections::new(client.clock, requests.clone(), descriptors.clients);
         let stores = StoreClient::new(client.clone());
         NetworkEnvironment {
             edge,
             clock: client.clock,
             requests,
+            connections,
+            server_connections: ConnectionSlots::new(descriptors.servers),
             stores,
             refusals: RefusalCounts::default(),
             phases: RecoveryPhases::default(),
@@ -47,6 +67,12 @@
         }
     }
 
+    /// Returns the limits of clients that are in force.
+    pub fn client_limits(&self) -> ClientLimits {
+        let view = self.edge.view();
+        view.config.as_ref().map_or_else(ClientLimits::default, |config| config.limits.clients)
+    }
+
     /// Store requests that had to be repeated, by reason.
     pub fn store_retries(&self) -> &RefusalCounts {
         &self.stores.retries
--- a/hutbook/src/transport/proxy/answers.rs
+++ b/hutbook/src/transport/proxy/answers.rs
@@ -16,7 +16,13 @@
         headers.extend(seconds.ok().map(|seconds| (RETRY_AFTER, seconds)));
     }
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    Outgoing { status, headers, body: ProxyBody::Full(Bytes::from(body.dump())), own_code: Some(code) }
+    Outgoing {
+        status,
+        headers,
+        body: ProxyBody::Full(Bytes::from(body.dump()), None),
+        own_code: Some(code),
+        ends_at: None,
+    }
 }
 
 /// Builds the answer to a request that did not run and never will, with the time after which the client may retry.
--- a/hutbook/src/transport/proxy/context.rs
+++ b/hutbook/src/transport/proxy/context.rs
@@ -7,6 +7,7 @@
 use crate::coordination::control::EXTERNAL_CLIENT;
 use crate::coordination::edge::Edge;
 use crate::coordination::leased_view::LeasedView;
+use crate::state::byte_budget::ReservedBytes;
 use crate::state::config::{Group, ProxyRoute};
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
@@ -24,6 +25,8 @@
     pub(super) body: Bytes,
     /// Server where its session ran last; empty if unknown.
     pub(super) last_server: String,
+    /// Memory reserved for the conversation so far.
+    pub(super) memory: ReservedBytes,
     pub(super) route: &'a ProxyRoute,
     pub(super) service: &'a str,
     pub(super) request: &'a ProxyRequest,
--- a/hutbook/src/transport/proxy/stream.rs
+++ b/hutbook/src/transport/proxy/stream.rs
@@ -7,8 +7,9 @@
 use super::reservation::{end, settle};
 use super::*;
 use crate::coordination::store::TurnRecord;
+use crate::state::byte_budget::ReservedBytes;
 use crate::state::turn_texts::TurnText;
-use crate::transport::answer_stream::{answer_stream, StreamSender};
+use crate::transport::answer_stream::{answer_stream, answer_stream_within, StreamSender};
 use futures_util::future::{select, Either};
 use std::pin::pin;
 
@@ -50,6 +51,8 @@
     read_ahead: Option<BodyRead>,
     sent_at: u64,
     events: EventParser,
+    /// Memory reserved for what `events` holds.
+    memory: ReservedBytes,
     /// Response head of the first server; it stays the same if another server resumes the stream.
     head: (StatusCode, Vec<(HeaderName, HeaderValue)>),
 }
@@ -65,7 +68,9 @@
     let is_retained = context.request.turn.is_some() && context.route.keeps_turns;
     let head = (answer.status(), end_to_end_headers(answer.headers()));
     let events = EventParser::new(is_retained);
-    let mut relay = Relay { context, attempts, placement, answer, read_ahead: first_read, sent_at, events, head };
+    let memory = context.environment.memory().reserve_existing(0);
+    let mut relay =
+        Relay { context, attempts, placement, answer, read_ahead: first_read, sent_at, events, memory, head };
     let mut client = Client::NotStarted(reply);
     let is_complete = match relay.read(&mut client).await {
         StreamEnd::Complete => true,
@@ -89,9 +94,9 @@
             };
             match body_read {
                 BodyRead::Bytes(bytes) => {
-                    let events = self.events.take(&bytes);
-                    if !events.is_empty() {
-                        self.forward(client, events).await;
+                    if !self.take_and_forward(client, &bytes).await {
+                        self.finish(Outcome::Cancelled);
+                        return StreamEnd::BrokeOff;
                     }
                 }
                 // bytes after the last complete event mean that the stream broke off
@@ -131,21 +136,49 @@
         }
     }
 
-    async fn forward(&mut self, client: &mut Client, events: Bytes) {
+    /// Takes a part of the body and forwards the events that it completes. Returns false if the stream can't go on: its
+    /// memory can't be had, or its client didn't take it in time.
+    async fn take_and_forward(&mut self, client: &mut Client, bytes: &[u8]) -> bool {
+        if !self.reserve_for(bytes.len()).await {
+            self.context.record.note_ending("edge_memory");
+            return false;
+        }
+        let events = self.events.take(bytes);
+        self.memory.shrink_to(self.memory_needed(0));
+        events.is_empty() || self.forward(client, events).await
+    }
+
+    /// Returns the memory that `events` needs beside its request's own, with so many more bytes.
+    fn memory_needed(&self, more: usize) -> usize {
+        let partial = (self.events.partial_bytes() + more).saturating_sub(FREE_STREAM_BUFFER_BYTES);
+        partial + RETAINED_TEXT_COPIES * self.events.data_bytes()
+    }
+
+    /// Reserves memory for so many more bytes. Returns false if there is none, or if an event or a text is too long.
+    async fn reserve_for(&mut self, bytes: usize) -> bool {
+        let longest = (self.events.partial_bytes() + bytes).max(self.events.data_bytes());
+        let more = self.memory_needed(bytes).saturating_sub(self.memory.bytes());
+        longest <= MAX_FRAME_BYTES && (more == 0 || self.context.environment.grow(&mut self.memory, more).await)
+    }
+
+    /// Forwards events. Returns false if the client did not take them before its request's deadline.
+    async fn forward(&mut self, client: &mut Client, events: Bytes) -> bool {
         if let Client::NotStarted(_) = client {
             self.context.note_timing();
-            let (sender, receiver) = answer_stream(READ_AHEAD_CHUNKS);
+            let memory = self.context.environment.memory().clone();
+            let (sender, receiver) = answer_stream_within(STREAM_BUFFER_BYTES, memory);
             let (status, headers) = self.head.clone();
-            let outgoing = Outgoing { status, headers, body: ProxyBody::Events(receiver), own_code: None };
+            let ends_at = Some(self.context.request.ends_at);
+            let outgoing = Outgoing { status, headers, body: ProxyBody::Events(receiver), own_code: None, ends_at };
             if let Client::NotStarted(reply) = std::mem::replace(client, Client::Streaming(sender)) {
                 // if the client has disconnected, the channel shows it
                 let _ = reply.send(outgoing);
             }
         }
-        if let Client::Streaming(sender) = client {
-            // a client that has disconnected is noticed at the next read
-            let _ = sender.send(events).await;
-        }
+        let Client::Streaming(sender) = client else { return true };
+        // a client that has disconnected is noticed at the next read
+        let sent = within(self.context.environment, self.context.request.ends_at, sender.send(events)).await;
+        sent.is_some()
     }
 
     fn finish(&self, outcome: Outcome) {
--- a/huts/src/controller.rs
+++ b/huts/src/controller.rs
@@ -10,9 +10,10 @@
 use hutbook::state::disk::Disk;
 use hutbook::state::entry::Member;
 use hutbook::state::memory::MemoryBudget;
+use hutbook::transport::connections::Connections;
 use hutbook::transport::daemon::{self, answer_common_paths, metric, ShutdownFlag};
 use hutbook::transport::directory::{self, Directory};
-use hutbook::transport::http;
+use hutbook::transport::http::{self, HttpRequest, Listener};
 use hutbook::transport::leader_client::{LeaderClient, NetworkClient};
 use hutbook::transport::network_environment::random_u64;
 use hutbook::transport::operator_api::{self, OperatorProtocol};
@@ -143,12 +144,14 @@
     let zone = settings.zone.clone();
     let stall_detector = Arc::new(StallDetector::new(clock.now()));
     actix_rt::spawn(watch_for_stalls(stall_detector.clone(), clock));
-    let (server, active) = http::serve(
-        settings.http,
-        settings.workers.unwrap_or_else(daemon::workers),
+    let connections = daemon::api_connections(&settings, clock);
+    let workers = settings.workers.unwrap_or_else(daemon::workers);
+    let (server, active) = http::serve_on(
+        Listener::of_api(settings.http, workers, connections.clone()),
         MAX_OPERATOR_BODY_BYTES,
         shutdown.clone(),
         move |request| {
+            let connections = connections.clone();
             let (stall_detector, phases) = (stall_detector.clone(), phases.clone());
             let (protocol, runtime, rpc, shutdown, leader_client, me, seeds, zone) = (
                 protocol.clone(),
@@ -167,13 +170,15 @@
                     &request,
                     &shutdown,
                     ready,
-                    || metrics(&runtime, &rpc, &phases),
+                    || metrics(&runtime, &rpc, &phases, &connections),
                     || beliefs(&runtime, &me, &zone),
                 )
                 .filter(|_| protocol.serves_common_paths(&request))
                 {
                     Some(response) => response,
                     None => {
+                        let bytes = response_bytes(&runtime, &request);
+                        let Some(_memory) = connections.reserve(bytes).await else { return http::memory_refusal() };
                         operator_api::handle_request(
                             &leader_client,
                             members(&runtime, &me, &seeds),
@@ -279,8 +284,24 @@
     })
 }
 
-fn metrics(runtime: &ReplicaRuntime<ControlStateMachine>, rpc: &RpcTransport, phases: &RecoveryPhases) -> String {
+/// Estimates the memory that an operator's request takes until its response is ready.
+fn response_bytes(runtime: &ReplicaRuntime<ControlStateMachine>, request: &HttpRequest) -> usize {
+    let concerns_config = request.path.iter().any(|part| part == "config");
+    if request.method == "PUT" || !concerns_config {
+        return OPERATOR_RESPONSE_BYTES;
+    }
+    let text_bytes = runtime.with_replica(|replica| replica.machine.view().config_text.len());
+    OPERATOR_RESPONSE_BYTES + CONFIG_TEXT_COPIES * text_bytes
+}
+
+fn metrics(
+    runtime: &ReplicaRuntime<ControlStateMachine>,
+    rpc: &RpcTransport,
+    phases: &RecoveryPhases,
+    connections: &Connections,
+) -> String {
     let mut out = String::new();
+    connections.write_metrics(&mut out);
     phases.write_metrics(&mut out);
     runtime.with_replica(|replica| {
         metric(&mut out, "term", &[], replica.raft.term);
@@ -296,6 +317,7 @@
     metric(&mut out, "sync_ms", &[], runtime.sync_ms.load(Ordering::Relaxed));
     metric(&mut out, "sync_failed_total", &[], runtime.sync_failed.load(Ordering::Relaxed));
     metric(&mut out, "frames_refused_total", &[], rpc.refused.load(Ordering::Relaxed));
+    metric(&mut out, "strangers_closed_total", &[], rpc.strangers.closed());
     rpc.traffic.metrics().iter().for_each(|(name, value)| metric(&mut out, name, &[], value));
     out
 }
--- a/huts/src/edge.rs
+++ b/huts/src/edge.rs
@@ -8,9 +8,11 @@
 use hutbook::state::byte_budget::ByteBudget;
 use hutbook::state::edge_budget::EdgeBudget;
 use hutbook::transport::client_api::{self, JobCounters};
+use hutbook::transport::connections::ListenerTimeouts;
 use hutbook::transport::daemon::{self, answer_common_paths, metric, ShutdownFlag};
+use hutbook::transport::descriptors::DescriptorBudget;
 use hutbook::transport::header_names::HeaderNames;
-use hutbook::transport::http;
+use hutbook::transport::http::{self, Listener};
 use hutbook::transport::leader_client::{renew_lease, run_queues, LeaderClient, NetworkClient};
 use hutbook::transport::listener;
 use hutbook::transport::network_environment::{random_u64, NetworkEnvironment};
@@ -50,13 +52,17 @@
     let shutdown = ShutdownFlag::default();
     let counters = Arc::new(JobCounters::default());
     let network_client = NetworkClient { rpc: rpc.clone(), clock };
-    let environment = Arc::new(NetworkEnvironment::new(edge.clone(), network_client.clone(), requests));
+    let descriptors = DescriptorBudget::of_process(settings.descriptors);
+    let environment = NetworkEnvironment::with_descriptors(edge.clone(), network_client.clone(), requests, descriptors);
+    let environment = Arc::new(environment);
+    actix_rt::spawn(environment.connections.clone().watch());
     environment.phases.begin(Phase::LeaseHeld, clock.now());
     environment.phases.begin(Phase::StoresKnown, clock.now());
     let (http_environment, http_counters, http_shutdown, http_rpc) =
         (environment.clone(), counters.clone(), shutdown.clone(), rpc.clone());
     let workers = settings.workers.unwrap_or_else(daemon::workers);
-    let (server, active) = http::serve(settings.http, workers, MAX_BODY_BYTES, shutdown.clone(), move |request| {
+    let listener = Listener::of_api(settings.http, workers, environment.connections.clone());
+    let (server, active) = http::serve_on(listener, MAX_BODY_BYTES, shutdown.clone(), move |request| {
         let (environment, counters, shutdown, rpc) =
             (http_environment.clone(), http_counters.clone(), http_shutdown.clone(), http_rpc.clone());
         async move {
@@ -76,21 +82,26 @@
     let handle = server.handle();
     actix_rt::spawn(server);
     let readiness_environment = environment.clone();
-    daemon::serve_ready(settings.ready, shutdown.clone(), move || ready(&readiness_environment))?;
+    daemon::serve_ready(settings.ready, shutdown.clone(), environment.connections.clone(), move || {
+        ready(&readiness_environment)
+    })?;
+    let proxy_timeouts = ListenerTimeouts::new(PROXY_CLIENT_IDLE_MS, REQUEST_READ_TIMEOUT_MS);
     let proxy_server = match settings.proxy_addr {
         Some(proxy_addr) => {
             let (proxy_environment, proxy_shutdown) = (environment.clone(), shutdown.clone());
             let (drain, drained) = tokio::sync::watch::channel(false);
-            let (server, active) =
-                http::serve_requests(proxy_addr, workers, PROXY_CLIENT_IDLE_MS, Some(drained), move |request| {
-                    listener::handle_request(
-                        proxy_environment.clone(),
-                        header_names,
-                        request,
-                        daemon::is_shutting_down(&proxy_shutdown),
-                    )
-                })
-                .map_err(|e| format!("{proxy_addr}: {e}"))?;
+            let timeouts = proxy_timeouts.clone();
+            let connections = environment.connections.clone();
+            let proxy_listener = Listener { addr: proxy_addr, workers, connections, timeouts };
+            let (server, active) = http::serve_requests_on(proxy_listener, Some(drained), move |request| {
+                listener::handle_request(
+                    proxy_environment.clone(),
+                    header_names,
+                    request,
+                    daemon::is_shutting_down(&proxy_shutdown),
+                )
+            })
+            .map_err(|e| format!("{proxy_addr}: {e}"))?;
             let proxy_handle = server.handle();
             actix_rt::spawn(server);
             Some((proxy_handle, active, drain))
@@ -103,7 +114,7 @@
     let (lease_edge, lease_client, lease_rpc, lease_environment) =
         (edge.clone(), network_client.clone(), rpc.clone(), environment.clone());
     let core_retries = Arc::new(RefusalCounts::default());
-    actix_rt::spawn(observe(environment.clone(), core_retries.clone()));
+    actix_rt::spawn(observe(environment.clone(), core_retries.clone(), proxy_timeouts));
     actix_rt::spawn(async move {
         let leader_client = LeaderClient::shared(lease_client, core_retries);
         let on_lease_change = |has_lease| {
@@ -159,13 +170,21 @@
     Ok(())
 }
 
-/// Logs refusals, retries and overdue recovery phases, each at most once a second. Runs until the process ends.
-async fn observe(environment: Arc<NetworkEnvironment>, core_retries: Arc<RefusalCounts>) {
+/// Logs refusals, retries and overdue recovery phases, each at most once a second, and applies the time limits of the
+/// configuration in force to clients of proxied requests. Runs until the process ends.
+async fn observe(
+    environment: Arc<NetworkEnvironment>,
+    core_retries: Arc<RefusalCounts>,
+    proxy_timeouts: Arc<ListenerTimeouts>,
+) {
     loop {
+        let limits = environment.client_limits();
+        proxy_timeouts.set(limits.idle_timeout_ms.into(), limits.header_timeout_ms.into());
         actix_rt::time::sleep(Duration::from_millis(OBSERVE_INTERVAL_MS)).await;
         environment.phases.warn_of_overdue(environment.clock.now());
         environment.refusals.log("edge_refusals");
         environment.answer_faults.log();
+        environment.connections.closed.log("client_connections_closed");
         environment.store_retries().log("store_retries");
         core_retries.log("core_retries");
     }
@@ -224,9 +243,12 @@
     metric(&mut out, "revision", &[], environment.edge.view().revision);
     metric(&mut out, "config_revision", &[], environment.edge.view().config_revision);
     metric(&mut out, "frames_refused_total", &[], rpc.refused.load(Ordering::Relaxed));
+    metric(&mut out, "strangers_closed_total", &[], rpc.strangers.closed());
     metric(&mut out, "requests_held_bytes", &[], environment.requests.reserved());
     metric(&mut out, "requests_limit_bytes", &[], environment.requests.limit());
     metric(&mut out, "requests_refused_for_memory_total", &[], environment.requests.refused());
+    metric(&mut out, "server_connections", &[], environment.server_connections.taken());
+    environment.connections.write_metrics(&mut out);
     metric(&mut out, "prompt_parts", &[], environment.edge.balancer().parts());
     metric(&mut out, "turn_texts_bytes", &[], environment.edge.turn_texts().bytes());
     metric(&mut out, "rpc_queue_bytes", &[], rpc.send_queue_bytes.reserved());
--- a/huts/src/store.rs
+++ b/huts/src/store.rs
@@ -11,8 +11,9 @@
 use hutbook::state::disk::{Disk, DiskError};
 use hutbook::state::entry::{from_bytes, to_bytes, Member};
 use hutbook::state::memory::MemoryBudget;
+use hutbook::transport::connections::Connections;
 use hutbook::transport::daemon::{self, answer_common_paths, metric, ShutdownFlag};
-use hutbook::transport::http::{self, HttpResponse};
+use hutbook::transport::http::{self, HttpResponse, Listener};
 use hutbook::transport::leader_client::{open_jobs, LeaderClient, NetworkClient};
 use hutbook::transport::network_environment::random_u64;
 use hutbook::transport::recovery_phases::{follow_replica, BootSummary, Phase};
@@ -69,7 +70,10 @@
     let (http_assigned, http_rpc, http_shutdown, http_member, zone) =
         (assigned.clone(), rpc.clone(), shutdown.clone(), me.clone(), settings.zone.clone());
     let http_metrics = store_metrics.clone();
-    let (server, active) = http::serve(settings.http, 1, MAX_BODY_BYTES, shutdown.clone(), move |request| {
+    let connections = daemon::api_connections(&settings, clock);
+    let listener = Listener::of_api(settings.http, 1, connections.clone());
+    let (server, active) = http::serve_on(listener, MAX_BODY_BYTES, shutdown.clone(), move |request| {
+        let connections = connections.clone();
         let (assigned, rpc, shutdown, me, zone) =
             (http_assigned.clone(), http_rpc.clone(), http_shutdown.clone(), http_member.clone(), zone.clone());
         let store_metrics = http_metrics.clone();
@@ -83,7 +87,7 @@
                 &request,
                 &shutdown,
                 ready,
-                || metrics(&assigned, &rpc, &store_metrics),
+                || metrics(&assigned, &rpc, &store_metrics, &connections),
                 || beliefs(&assigned, &rpc, &me, &zone),
             );
             response.unwrap_or_else(|| HttpResponse::error(404, "unknown_path", "nothing is served there"))
@@ -288,9 +292,16 @@
     json
 }
 
-fn metrics(assigned: &AssignedRuntime, rpc: &RpcTransport, store_metrics: &StoreMetrics) -> String {
+fn metrics(
+    assigned: &AssignedRuntime,
+    rpc: &RpcTransport,
+    store_metrics: &StoreMetrics,
+    connections: &Connections,
+) -> String {
     let mut out = String::new();
+    connections.write_metrics(&mut out);
     metric(&mut out, "frames_refused_total", &[], rpc.refused.load(Ordering::Relaxed));
+    metric(&mut out, "strangers_closed_total", &[], rpc.strangers.closed());
     rpc.traffic.metrics().iter().for_each(|(name, value)| metric(&mut out, name, &[], value));
     store_metrics.write_metrics(&mut out, assigned.get().map(|(_, runtime)| &**runtime));
     if let Some((_, runtime)) = assigned.get() {
--- a/scramble/src/bin/bivouac.rs
+++ b/scramble/src/bin/bivouac.rs
@@ -178,7 +178,7 @@
     let chunk_count = body["max_tokens"].as_u64().unwrap_or(backend.chunks).min(backend.chunks);
     let (run, run_number) = backend.start_run(request);
     let mut run = Some(run);
-    let (sender, receiver) = answer_stream(2);
+    let (sender, receiver) = answer_stream(hutbook::constants::FREE_STREAM_BUFFER_BYTES);
     actix_rt::spawn(async move {
         let clock = Clock::start();
         let is_lost = backend.lose_every > 0 && run_number.is_multiple_of(backend.lose_every);
--- a/scramble/src/fleet/clients.rs
+++ b/scramble/src/fleet/clients.rs
@@ -7,6 +7,7 @@
 use hutbook::coordination::store::{JobOutcome, JobResult, StoreRequest};
 use hutbook::coordination::view::hash;
 use hutbook::protocol::config;
+use hutbook::state::byte_budget::ByteBudget;
 use hutbook::transport::client_api::outcome_name;
 use hutbook::transport::leader_client::{RpcClient, StoreClient};
 use hutbook::transport::serve::{
@@ -51,7 +52,8 @@
 impl World {
     pub(crate) fn edge_environment(&self, edge: &str) -> EdgeEnvironment {
         let client = self.client_at(edge);
-        EdgeEnvironment { edge: self.edge(edge), stores: Rc::new(StoreClient::new(client.clone())), client }
+        let memory = ByteBudget::new(DEFAULT_REQUESTS_BYTES);
+        EdgeEnvironment { edge: self.edge(edge), stores: Rc::new(StoreClient::new(client.clone())), memory, client }
     }
 
     pub fn is_up(&self, name: &str) -> bool {
--- a/scramble/src/fleet/edge_environment.rs
+++ b/scramble/src/fleet/edge_environment.rs
@@ -4,6 +4,7 @@
 use super::*;
 use hutbook::coordination::admission_queue::ServerProbe;
 use hutbook::coordination::store::StoreRequest;
+use hutbook::state::byte_budget::ByteBudget;
 use hutbook::transport::dispatch::{Gate, NoAnswer};
 use hutbook::transport::leader_client::{RpcClient, StoreClient};
 use hutbook::transport::serve::{Environment, ModelCall, Stream, StreamEvent, ToolCall};
@@ -16,6 +17,8 @@
     pub client: SimulatedClient,
     pub edge: Arc<Edge>,
     pub stores: Rc<StoreClient<SimulatedClient>>,
+    /// Memory for proxied requests and their answers.
+    pub memory: Arc<ByteBudget>,
 }
 
 impl EdgeEnvironment {
--- a/scramble/src/fleet/proxy_clients.rs
+++ b/scramble/src/fleet/proxy_clients.rs
@@ -9,6 +9,7 @@
 use hutbook::coordination::balancer::Placement;
 use hutbook::coordination::control::{ControlRequest, ControlResponse};
 use hutbook::protocol::config;
+use hutbook::state::byte_budget::{ByteBudget, ReservedBytes};
 use hutbook::state::config::{ProxyGroup, ProxyRoute, RetrySemantics};
 use hutbook::transport::connection_pool::{BodyRead, ServerRequest};
 use hutbook::transport::dispatch::{Gate, NoAnswer};
@@ -81,6 +82,14 @@
 impl ProxyEnvironment for EdgeEnvironment {
     type Response = SingleEventResponse;
 
+    fn memory(&self) -> &Arc<ByteBudget> {
+        &self.memory
+    }
+
+    async fn grow(&self, holder: &mut ReservedBytes, bytes: usize) -> bool {
+        holder.try_grow(bytes)
+    }
+
     async fn send(&self, to: &Placement, request: ServerRequest, gate: Gate) -> Result<SingleEventResponse, NoAnswer> {
         let id = request.attempt.as_ref().and_then(|attempt| attempt.id.to_str().ok());
         let key = id.unwrap_or_default().to_string();
