--- a/hutbook/src/protocol/config.rs
+++ b/hutbook/src/protocol/config.rs
@@ -3,7 +3,7 @@
 
 use super::findings::{is_name, place_of, Finding, Reader};
 use crate::constants::*;
-use crate::state::config::{Config, Group, JobClass, Kind, Limits, Policy, Route, ScalerConfig};
+use crate::state::config::{ClientLimits, Config, Group, JobClass, Kind, Limits, Policy, Route, ScalerConfig};
 use jzon::JsonValue;
 use std::collections::BTreeMap;
 
@@ -189,7 +189,20 @@
         return defaults;
     }
     let place = "limits";
-    reader.check_keys(place, json, &["allowance_most", "turn_cap", "history_s", "time_left_most_s"]);
+    reader.check_keys(
+        place,
+        json,
+        &[
+            "allowance_most",
+            "turn_cap",
+            "history_s",
+            "time_left_most_s",
+            "header_bytes_most",
+            "body_bytes_most",
+            "header_ms",
+            "idle_ms",
+        ],
+    );
     Limits {
         max_allowance: reader.integer(place, json, "allowance_most", Some(defaults.max_allowance), 1, 1 << 50),
         max_turn_tokens: reader.integer(place, json, "turn_cap", Some(defaults.max_turn_tokens), 1, 1 << 30),
@@ -209,6 +222,19 @@
             1,
             400 * 86_400,
         ) * 1_000,
+        clients: client_limits(reader, place, json),
+    }
+}
+
+fn client_limits(reader: &mut Reader, place: &str, json: &JsonValue) -> ClientLimits {
+    let defaults = ClientLimits::default();
+    let mut limit =
+        |key: &str, default: u32, most: u64| reader.integer(place, json, key, Some(default.into()), 1, most) as u32;
+    ClientLimits {
+        max_header_bytes: limit("header_bytes_most", defaults.max_header_bytes, DEFAULT_MAX_HEADER_BYTES.into()),
+        max_body_bytes: limit("body_bytes_most", defaults.max_body_bytes, MAX_PROXY_BODY_BYTES as u64),
+        header_timeout_ms: limit("header_ms", defaults.header_timeout_ms, DAY_MS),
+        idle_timeout_ms: limit("idle_ms", defaults.idle_timeout_ms, DAY_MS),
     }
 }
 
--- a/hutbook/src/protocol/config/tests.rs
+++ b/hutbook/src/protocol/config/tests.rs
@@ -105,3 +105,27 @@
     let found = read(&with_proxy_route(&format!("{route},\"again\":{route}"))).unwrap_err();
     assert!(found.iter().any(|f| f.what.contains("shares its host and prefix")), "{found:?}");
 }
+
+#[test]
+fn limits_of_clients_are_read_and_have_defaults() {
+    let with_limits = |limits: &str| {
+        let document = include_str!("../../../../examples/glenmorven.json");
+        let mut json = jzon::parse(document).expect("valid JSON");
+        json["limits"] = jzon::parse(limits).expect("valid JSON");
+        read(&json.dump())
+    };
+    // given a configuration that sets some limits, then the others have their defaults
+    let limits = with_limits(r#"{"header_ms":3000,"body_bytes_most":1000}"#).unwrap().limits.clients;
+    let defaults = ClientLimits::default();
+    assert_eq!((limits.header_timeout_ms, limits.max_body_bytes), (3_000, 1_000));
+    assert_eq!(
+        (limits.idle_timeout_ms, limits.max_header_bytes),
+        (defaults.idle_timeout_ms, defaults.max_header_bytes)
+    );
+    // and one that can't be kept is refused with its place
+    for (limits, place) in
+        [(r#"{"idle_ms":0}"#, "limits.idle_ms"), (r#"{"body_bytes_most":5000000}"#, "limits.body_bytes_most")]
+    {
+        assert_eq!(with_limits(limits).unwrap_err()[0].place, place);
+    }
+}
