--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -3,6 +3,7 @@
 //! `rig-2 CASE ROOT RECORD`. Exit code 1: the rule was broken; 0: it held; 2: the case couldn't run.
 
 mod clients;
+mod first_absence;
 mod first_loss;
 mod first_start;
 mod fleet;
@@ -27,6 +28,7 @@
         return ExitCode::from(2);
     };
     let broken = match case.as_str() {
+        "first-absence" => first_absence::run(root, record),
         "first-loss" => first_loss::run(root, record),
         "first-start" => first_start::run(root, record),
         "gone" => gone::run(root, record),
