--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -22,12 +22,8 @@
 
 extern "C" {
     fn prctl(option: i32, argument: u64, ...) -> i32;
-    fn kill(process: i32, signal: i32) -> i32;
 }
 
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
-
 #[derive(Clone, Copy, PartialEq)]
 pub enum Class {
     Edge,
@@ -225,13 +221,6 @@
         (0..self.nodes.len()).for_each(|index| self.start(index, true));
     }
 
-    /// Sends a signal to a process that this fleet started and has not waited for yet.
-    pub fn signal(&self, index: usize, signal: i32) {
-        if let Some(process) = &self.nodes[index].process {
-            unsafe { kill(process.id() as i32, signal) };
-        }
-    }
-
     /// Returns whether a process is still running.
     pub fn is_running(&self, index: usize) -> bool {
         let process = self.nodes[index].process.as_ref().map(|process| process.id() as i32);
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -10,7 +10,6 @@
 mod gone;
 mod http;
 mod record;
-mod retention;
 mod servers;
 mod setup;
 
@@ -32,7 +31,6 @@
         "first-loss" => first_loss::run(root, record),
         "first-start" => first_start::run(root, record),
         "gone" => gone::run(root, record),
-        "retention" => retention::run(root, record),
         _ => None,
     };
     match broken {
